--- /dev/null
+++ b/core/tgconfig/defaults.go
@@ -0,0 +1,18 @@
+package tgconfig
+
+import "time"
+
+// DefaultSettings returns the settings that apply where the configuration is silent.
+func DefaultSettings() Settings {
+	return Settings{
+		ClaimTimeout:     2 * time.Second,
+		ColdConcurrency:  2,
+		DrainTimeout:     60 * time.Second,
+		MaxQueued:        64,
+		MaxRequestBytes:  4 << 20,
+		RequestTimeout:   60 * time.Second,
+		RetryBudgetRatio: 0.1,
+		SilenceTimeout:   3 * time.Second,
+		WarmConcurrency:  16,
+	}
+}
--- /dev/null
+++ b/core/tgframe/frame.go
@@ -0,0 +1,118 @@
+// Package tgframe has the messages between daemons.
+package tgframe
+
+import (
+	"time"
+
+	"github.com/google/uuid"
+
+	"tanagergrade/core/tgcall"
+)
+
+// Kind names the type of a frame.
+type Kind string
+
+// Kinds of frames, sorted.
+const (
+	KindAccepted Kind = "accepted"
+	KindAttach   Kind = "attach"
+	KindCancel   Kind = "cancel"
+	KindChunk    Kind = "chunk"
+	KindEnd      Kind = "end"
+	KindExecute  Kind = "execute"
+	KindHead     Kind = "head"
+	KindProgress Kind = "progress"
+)
+
+// Frame is one message of an exchange; the field named by Kind is set.
+type Frame struct {
+	Attach   *Attach   `cbor:"attach,omitempty"`
+	Cancel   *Cancel   `cbor:"cancel,omitempty"`
+	Chunk    *Chunk    `cbor:"chunk,omitempty"`
+	End      *End      `cbor:"end,omitempty"`
+	Execute  *Execute  `cbor:"execute,omitempty"`
+	Head     *Head     `cbor:"head,omitempty"`
+	Kind     Kind      `cbor:"kind"`
+	Progress *Progress `cbor:"progress,omitempty"`
+	Sender   *Sender   `cbor:"sender,omitempty"` // set on the first frame of each direction
+}
+
+// Sender identifies the process that sent a frame.
+type Sender struct {
+	Applied     uint64    `cbor:"applied"` // highest configuration offset applied
+	Incarnation uuid.UUID `cbor:"incarnation"`
+	Name        string    `cbor:"name"`
+}
+
+// Header is one HTTP header field.
+type Header struct {
+	Name  string `cbor:"name"`
+	Value string `cbor:"value"`
+}
+
+// Execute asks a companion to run one attempt of a request.
+type Execute struct {
+	Account        string          `cbor:"account"`
+	Attempt        uuid.UUID       `cbor:"attempt"`
+	Body           []byte          `cbor:"body"`
+	Deadline       time.Time       `cbor:"deadline"`
+	Delivered      int             `cbor:"delivered,omitempty"` // events already delivered to the caller; the upstream resumes after them
+	Headers        []Header        `cbor:"headers,omitempty"`
+	Idempotent     bool            `cbor:"idempotent"`
+	IdempotencyKey string          `cbor:"idempotencyKey,omitempty"` // set if not Idempotent
+	Method         string          `cbor:"method"`
+	Path           string          `cbor:"path"`
+	Pool           string          `cbor:"pool"`
+	Priority       tgcall.Priority `cbor:"priority"`
+	Request        string          `cbor:"request"` // request ID, the same for all attempts
+	Stream         bool            `cbor:"stream"`
+	Upstream       string          `cbor:"upstream"`
+	Work           int             `cbor:"work"` // expected tokens, for admission
+}
+
+// Attach asks a companion to go on with an attempt over a new connection.
+type Attach struct {
+	Attempt uuid.UUID `cbor:"attempt"`
+	Next    uint64    `cbor:"next"` // sequence number of the next chunk wanted
+}
+
+// Cancel asks a companion to stop an attempt.
+type Cancel struct {
+	Attempt uuid.UUID `cbor:"attempt"`
+}
+
+// Load is a companion's report of its upstream.
+type Load struct {
+	InFlight int `cbor:"inFlight"` // admitted attempts
+	Limit    int `cbor:"limit"`    // admitted attempts allowed now
+	Queued   int `cbor:"queued"`   // waiting attempts
+	Work     int `cbor:"work"`     // expected tokens of admitted and waiting attempts
+}
+
+// Progress is a heartbeat of an attempt.
+type Progress struct {
+	Load    Load   `cbor:"load"`
+	Next    uint64 `cbor:"next"` // sequence number of the next chunk to be produced
+	Running bool   `cbor:"running"`
+}
+
+// Head is the status and header of an answer.
+type Head struct {
+	Headers []Header `cbor:"headers,omitempty"`
+	Status  int      `cbor:"status"`
+}
+
+// Chunk is one part of an answer's body.
+type Chunk struct {
+	Data     []byte `cbor:"data"`
+	Sequence uint64 `cbor:"sequence"` // from 0, without gaps
+}
+
+// End is the terminal marker of an attempt.
+type End struct {
+	Failure  *tgcall.Failure `cbor:"failure,omitempty"` // nil if Outcome is answered
+	Load     Load            `cbor:"load"`
+	Outcome  tgcall.Outcome  `cbor:"outcome"`
+	Replayed bool            `cbor:"replayed,omitempty"` // the recorded answer of an earlier call
+	Total    uint64          `cbor:"total"`              // number of chunks of the whole answer
+}
--- /dev/null
+++ b/core/tgshard/map.go
@@ -0,0 +1,100 @@
+// Package tgshard has containers whose state lies in shards, each under its own lock.
+package tgshard
+
+import (
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const shardCount = 32 // a power of two
+
+// Map is a map from strings that several threads use at once.
+type Map[V any] struct {
+	shards [shardCount]shard[V]
+}
+
+type shard[V any] struct {
+	mu sync.RWMutex
+	m  map[string]V
+}
+
+// NewMap returns an empty map.
+func NewMap[V any]() *Map[V] {
+	m := &Map[V]{}
+	for i := range m.shards {
+		m.shards[i].m = map[string]V{}
+	}
+	return m
+}
+
+func (m *Map[V]) shard(key string) *shard[V] {
+	return &m.shards[xxhash.Sum64String(key)%shardCount]
+}
+
+// Delete removes key.
+func (m *Map[V]) Delete(key string) {
+	s := m.shard(key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.m, key)
+}
+
+// Get returns the value of key.
+func (m *Map[V]) Get(key string) (V, bool) {
+	s := m.shard(key)
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	v, ok := s.m[key]
+	return v, ok
+}
+
+// Len returns the number of keys.
+func (m *Map[V]) Len() int {
+	n := 0
+	for i := range m.shards {
+		s := &m.shards[i]
+		s.mu.RLock()
+		n += len(s.m)
+		s.mu.RUnlock()
+	}
+	return n
+}
+
+// Range calls f for a copy of each shard's entries until f returns false.
+func (m *Map[V]) Range(f func(key string, v V) bool) {
+	for i := range m.shards {
+		s := &m.shards[i]
+		s.mu.RLock()
+		entries := make(map[string]V, len(s.m))
+		for k, v := range s.m {
+			entries[k] = v
+		}
+		s.mu.RUnlock()
+		for k, v := range entries {
+			if !f(k, v) {
+				return
+			}
+		}
+	}
+}
+
+// Set stores v under key.
+func (m *Map[V]) Set(key string, v V) {
+	s := m.shard(key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.m[key] = v
+}
+
+// SetIfAbsent stores v under key unless there is a value, and returns the value that is there now.
+func (m *Map[V]) SetIfAbsent(key string, v V) (V, bool) {
+	s := m.shard(key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if old, ok := s.m[key]; ok {
+		return old, false
+	}
+	s.m[key] = v
+	return v, true
+}
--- /dev/null
+++ b/io/tglogclient/client.go
@@ -0,0 +1,141 @@
+// Package tglogclient is the client of the platform's log service.
+package tglogclient
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"tanagergrade/core/tgrecord"
+)
+
+const (
+	maxReadRecords = 1000
+	replyMargin    = 500 * time.Millisecond // added to a long poll's wait before it counts as lost
+)
+
+// ErrTruncated says that the wanted offset has left the log's retention.
+var ErrTruncated = errors.New("offset is before the first record kept by the log")
+
+// Entry is one append of a stream.
+type Entry struct {
+	Offset  uint64
+	Records []tgrecord.Record
+}
+
+// Page is the reply to a read.
+type Page struct {
+	Entries []Entry
+	First   uint64 // oldest offset kept
+	Next    uint64 // offset of the next append
+}
+
+// Client talks HTTP to the log service.
+type Client struct {
+	address netip.AddrPort
+	http    *fasthttp.Client
+	timeout time.Duration // bound of each call without a wait
+}
+
+// New returns a client of the log service at address.
+func New(address netip.AddrPort) *Client {
+	return &Client{
+		address: address,
+		http: &fasthttp.Client{
+			MaxIdemponentCallAttempts: 1,
+			NoDefaultUserAgentHeader:  true,
+			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		},
+		timeout: 2 * time.Second,
+	}
+}
+
+// Append appends records to stream and returns the offset. After an error the records may have been appended.
+func (c *Client) Append(ctx context.Context, stream string, records []tgrecord.Record) (uint64, error) {
+	data, err := tgrecord.EncodeBatch(records)
+	if err != nil {
+		return 0, err
+	}
+	body, status, err := c.do(ctx, fasthttp.MethodPost, c.url(stream), data, c.timeout)
+	if err != nil {
+		return 0, err
+	}
+	if status != fasthttp.StatusOK {
+		return 0, errors.Newf("log service answered an append with status %d", status)
+	}
+	var reply struct {
+		Offset uint64 `json:"offset"`
+	}
+	if err := json.Unmarshal(body, &reply); err != nil {
+		return 0, errors.Wrap(err, "decode reply to an append")
+	}
+	return reply.Offset, nil
+}
+
+// Read returns records of stream from offset on, waiting up to wait for the first.
+func (c *Client) Read(ctx context.Context, stream string, from uint64, wait time.Duration) (Page, error) {
+	url := c.url(stream) + "?from=" + strconv.FormatUint(from, 10) +
+		"&max=" + strconv.Itoa(maxReadRecords) + "&waitMs=" + strconv.FormatInt(wait.Milliseconds(), 10)
+	body, status, err := c.do(ctx, fasthttp.MethodGet, url, nil, wait+c.timeout+replyMargin)
+	if err != nil {
+		return Page{}, err
+	}
+	switch status {
+	case fasthttp.StatusOK:
+		return decodePage(body)
+	case fasthttp.StatusGone:
+		return Page{}, ErrTruncated
+	default:
+		return Page{}, errors.Newf("log service answered a read with status %d", status)
+	}
+}
+
+func decodePage(body []byte) (Page, error) {
+	var reply struct {
+		First   uint64 `json:"first"`
+		Next    uint64 `json:"next"`
+		Records []struct {
+			Data   []byte `json:"data"`
+			Offset uint64 `json:"offset"`
+		} `json:"records"`
+	}
+	if err := json.Unmarshal(body, &reply); err != nil {
+		return Page{}, errors.Wrap(err, "decode reply to a read")
+	}
+	page := Page{First: reply.First, Next: reply.Next}
+	for _, r := range reply.Records {
+		records, err := tgrecord.DecodeBatch(r.Data)
+		if err != nil {
+			// A foreign record holds nothing for this system; its offset still counts.
+			records = nil
+		}
+		page.Entries = append(page.Entries, Entry{Offset: r.Offset, Records: records})
+	}
+	return page, nil
+}
+
+func (c *Client) url(stream string) string {
+	return "http://" + c.address.String() + "/v1/streams/" + stream + "/records"
+}
+
+func (c *Client) do(ctx context.Context, method, url string, body []byte, timeout time.Duration) ([]byte, int, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(method)
+	req.SetRequestURI(url)
+	req.SetBody(body)
+	deadline := time.Now().Add(timeout)
+	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
+		deadline = d
+	}
+	if err := c.http.DoDeadline(req, resp, deadline); err != nil {
+		return nil, 0, errors.Wrap(err, "call the log service")
+	}
+	return append([]byte(nil), resp.Body()...), resp.StatusCode(), nil
+}
--- /dev/null
+++ b/io/tgstandin/ledger.go
@@ -0,0 +1,61 @@
+package tgstandin
+
+import (
+	"encoding/json"
+	"sync"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Ledger is a stand-in of a plain service; its instances share one Book.
+type Ledger struct {
+	Book *Book
+	Name string
+}
+
+// Book is what the instances of a plain service have executed.
+type Book struct {
+	mu      sync.Mutex
+	entries []BookEntry
+}
+
+// BookEntry is one executed entry.
+type BookEntry struct {
+	Body json.RawMessage `json:"body"`
+	By   string          `json:"by"`
+	Key  string          `json:"key"`
+}
+
+// Entries returns all executed entries.
+func (b *Book) Entries() []BookEntry {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]BookEntry{}, b.entries...)
+}
+
+func (b *Book) add(e BookEntry) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.entries = append(b.entries, e)
+	return len(b.entries)
+}
+
+// Handle serves the ledger's HTTP interface.
+func (l *Ledger) Handle(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) != "/ledger/promises" {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	if ctx.IsGet() {
+		writeJSON(ctx, l.Book.Entries())
+		return
+	}
+	body := append([]byte(nil), ctx.PostBody()...)
+	if !json.Valid(body) {
+		ctx.Error(`{"error":"body is not JSON"}`, fasthttp.StatusBadRequest)
+		return
+	}
+	number := l.Book.add(BookEntry{Body: body, By: l.Name, Key: string(ctx.Request.Header.Peek("Idempotency-Key"))})
+	ctx.SetStatusCode(fasthttp.StatusCreated)
+	writeJSON(ctx, map[string]int{"number": number})
+}
