Split admission, permission and routing into files of their own

Cause: several people change the daemons at once. Change: moved code only, no change of behaviour. Conclusion: each decision has one file in its daemon.

--- a/io/tgcompanion/attempt.go
+++ b/io/tgcompanion/attempt.go
@@ -11,7 +11,6 @@
 	"tanagergrade/core/tganswer"
 	"tanagergrade/core/tgcall"
 	"tanagergrade/core/tgclaim"
-	"tanagergrade/core/tgconfig"
 	"tanagergrade/core/tgframe"
 	"tanagergrade/io/tgupstream"
 )
@@ -44,13 +43,13 @@
 		a.fail(f)
 		return
 	}
-	if !c.limiter.TryAcquire() {
-		a.fail(tgcall.NotRunFailure(tgcall.CodeOverloaded, "upstream %q is at its limit", c.upstream).
-			WithRetryAfter(time.Second))
+	release, f := c.admit(ctx, a.execute)
+	if f != nil {
+		a.fail(f)
 		return
 	}
 	var sample tgadmit.Sample
-	defer func() { c.limiter.Release(sample) }()
+	defer func() { release(sample) }()
 	if a.execute.Idempotent || c.node.Config().Upstreams[c.upstream].ChecksIdempotencyKeys {
 		sample = c.call(ctx, a)
 		return
@@ -58,24 +57,6 @@
 	sample = c.runClaimed(ctx, a)
 }
 
-// check refuses work for capacity that operators do not want used.
-func (c *Companion) check(e *tgframe.Execute) *tgcall.Failure {
-	cfg := c.node.Config()
-	u, ok := cfg.Upstreams[c.upstream]
-	switch {
-	case !ok || e.Upstream != c.upstream:
-		return tgcall.NotRunFailure(tgcall.CodeNoUpstream, "upstream %q is not served here", e.Upstream)
-	case u.State == tgconfig.Drained:
-		return tgcall.NotRunFailure(tgcall.CodeDraining, "upstream %q is drained", c.upstream)
-	case cfg.DataCentres[u.DataCentre].State == tgconfig.Withdrawn:
-		return tgcall.NotRunFailure(tgcall.CodeDataCentreWithdrawn, "data centre %q is withdrawn", u.DataCentre)
-	case !time.Now().Before(e.Deadline):
-		return tgcall.NotRunFailure(tgcall.CodeDeadlineExceeded, "deadline passed before the request was run")
-	default:
-		return nil
-	}
-}
-
 // runClaimed runs a non-idempotent attempt under a claim in the log.
 func (c *Companion) runClaimed(ctx context.Context, a *attempt) tgadmit.Sample {
 	claim := tgclaim.Claim{
--- a/io/tgcompanion/companion.go
+++ b/io/tgcompanion/companion.go
@@ -88,10 +88,6 @@
 	_ = x.Send(ctx, tgframe.Frame{End: end, Kind: tgframe.KindEnd, Sender: c.node.Sender()})
 }
 
-func (c *Companion) load() tgframe.Load {
-	return tgframe.Load{InFlight: c.limiter.InFlight(), Limit: c.limiter.Limit()}
-}
-
 // start starts the attempt unless it is known already.
 func (c *Companion) start(ctx context.Context, e *tgframe.Execute) *attempt {
 	runCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), e.Deadline)
--- a/io/tgentry/call.go
+++ b/io/tgentry/call.go
@@ -88,7 +88,7 @@
 			l.emit(event{})
 			return
 		}
-		if failure.Outcome == tgcall.Unknown && !l.execute.Idempotent || l.ctx.Err() != nil {
+		if !l.mayRetry(failure) {
 			break
 		}
 		time.Sleep(retryBackoff)
@@ -100,25 +100,6 @@
 	l.emit(event{failure: failure})
 }
 
-// choose returns the upstream of the next attempt.
-func (l *call) choose() (tgroute.Candidate, bool) {
-	cfg := l.entry.node.Config()
-	var candidates []tgroute.Candidate
-	for name, u := range cfg.Upstreams {
-		if u.Pool == l.execute.Pool && !l.tried[name] && usable(cfg, u) {
-			candidates = append(candidates, tgroute.Candidate{DataCentre: u.DataCentre, Name: name})
-		}
-	}
-	if !l.execute.Idempotent {
-		return tgroute.Home(candidates, l.execute.IdempotencyKey)
-	}
-	return l.entry.router.Choose(candidates)
-}
-
-func usable(cfg *tgconfig.Config, u tgconfig.Upstream) bool {
-	return u.State != tgconfig.Drained && cfg.DataCentres[u.DataCentre].State != tgconfig.Withdrawn
-}
-
 // attempt runs the request at one upstream; nil means that the whole answer has been passed on.
 func (l *call) attempt(target tgroute.Candidate) *tgcall.Failure {
 	if l.execute.Idempotent {
