Add leases with fencing tokens, group commit and a stream follower

Cause: control duties need one holder each, and appends are a budget that everybody shares.

A renewal counts only when it is read back, since another claim may have overtaken it. tglogclient gets a batcher for each stream and a follower that reports gaps and outages.

--- /dev/null
+++ b/io/tgholder/manager.go
@@ -0,0 +1,284 @@
+// Package tgholder claims, renews and releases the leases of one process.
+package tgholder
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"tanagergrade/core/tglease"
+	"tanagergrade/core/tgrecord"
+	"tanagergrade/io/tglogclient"
+)
+
+const (
+	claimRetention = 5 // unresolved claims are forgotten after this many durations
+	renewalRate    = 3 // in each duration
+	tick           = 100 * time.Millisecond
+
+	// renewalRetention bounds the wait for a renewal to be read back; leases are far shorter.
+	renewalRetention = 5 * time.Minute
+)
+
+// Manager holds the leases that its process campaigns for, as far as it gets them.
+type Manager struct {
+	follower *tglogclient.Follower
+	holder   tglease.Holder
+	log      tglogclient.Log
+	logger   *logrus.Entry
+
+	mu        sync.Mutex
+	campaigns map[string]*campaign
+	monitor   *tglease.Monitor
+	renewals  map[uuid.UUID]renewal // sent and not read back yet
+	table     *tglease.Table
+}
+
+type renewal struct {
+	held []tglease.Held
+	sent time.Time // before the append
+}
+
+type campaign struct {
+	claim    tgrecord.Record // the last claim sent
+	duration time.Duration
+	pending  bool      // claim is sent and not judged yet
+	renewed  time.Time // start of the last renewal
+	sent     time.Time // start of the last claim
+}
+
+// NewManager returns a manager for one incarnation of a process.
+func NewManager(log tglogclient.Log, holder tglease.Holder, logger *logrus.Entry) *Manager {
+	m := &Manager{
+		campaigns: map[string]*campaign{},
+		holder:    holder,
+		log:       log,
+		logger:    logger,
+		monitor:   tglease.NewMonitor(),
+		renewals:  map[uuid.UUID]renewal{},
+		table:     tglease.NewTable(),
+	}
+	m.follower = tglogclient.NewFollower(log, tglease.Stream, logger, m.apply)
+	return m
+}
+
+// Campaign makes the manager try to hold the lease from now on.
+func (m *Manager) Campaign(name string, duration time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, ok := m.campaigns[name]; !ok {
+		m.campaigns[name] = &campaign{duration: duration}
+	}
+}
+
+// Withdraw ends the campaign for a lease and releases it.
+func (m *Manager) Withdraw(ctx context.Context, name string) {
+	m.mu.Lock()
+	delete(m.campaigns, name)
+	m.mu.Unlock()
+	m.release(ctx, []string{name})
+}
+
+// Held returns the fencing token of the lease if this process holds it without doubt.
+func (m *Manager) Held(name string) (tglease.Token, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.monitor.Held(m.table, m.holder, name, time.Now())
+}
+
+// Lease returns what the log says about a lease.
+func (m *Manager) Lease(name string) (tglease.Lease, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Get(name)
+}
+
+// Dump returns the manager's state.
+func (m *Manager) Dump() any {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return struct {
+		Follower tglogclient.FollowerStatus `json:"follower"`
+		Held     []tglease.Held             `json:"held"`
+		Leases   map[string]tglease.Lease   `json:"leases"`
+	}{m.follower.Status(), m.table.Held(m.holder), m.table.All()}
+}
+
+// Run follows the log, claims and renews until ctx ends, and then releases what it holds.
+func (m *Manager) Run(ctx context.Context) {
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { m.follower.Run(ctx) })
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			m.releaseAll(context.WithoutCancel(ctx))
+			return
+		case <-ticker.C:
+			m.claimDue(ctx)
+			m.renewDue(ctx)
+		}
+	}
+}
+
+func (m *Manager) apply(e tglogclient.Entry) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	err := m.table.Apply(e.Offset, e.Records)
+	m.monitor.Observe(m.table, time.Now())
+	for name, c := range m.campaigns {
+		m.settle(name, c)
+	}
+	for _, r := range e.Records {
+		m.confirm(e.Offset, r.ID)
+	}
+	return err
+}
+
+// confirm extends the own leases that a renewal renewed. A renewal counts only when it is read back: its
+// append may have been overtaken by another holder's claim.
+func (m *Manager) confirm(offset uint64, id uuid.UUID) {
+	r, ok := m.renewals[id]
+	if !ok {
+		return
+	}
+	delete(m.renewals, id)
+	for _, h := range r.held {
+		if l, ok := m.table.Get(h.Name); ok && l.Offset == offset+1 && l.Token == h.Token && l.Holder == m.holder {
+			m.monitor.Confirm(h.Name, h.Token, r.sent)
+		}
+	}
+}
+
+// settle takes the log's verdict on a claim.
+func (m *Manager) settle(name string, c *campaign) {
+	verdict, ok := m.table.Verdict(c.claim.ID)
+	if !c.pending || !ok {
+		return
+	}
+	c.pending = false
+	if l, _ := m.table.Get(name); verdict == tglease.Granted && l.Holder == m.holder {
+		m.monitor.Confirm(name, l.Token, c.sent)
+		c.renewed = c.sent
+		m.logger.WithFields(logrus.Fields{"lease": name, "token": l.Token}).Info("lease acquired")
+	}
+}
+
+// claimDue claims the leases that are free or have lapsed. It claims only from a view that has reached
+// the end of the stream, and a lapsed one after a jitter, so that one of many claimers comes first.
+func (m *Manager) claimDue(ctx context.Context) {
+	now := time.Now()
+	current := now.Sub(m.follower.Status().Confirmed) < 2*time.Second
+	m.mu.Lock()
+	var due []tgrecord.Record
+	for name, c := range m.campaigns {
+		if !current || c.waiting(now) || !m.claimable(name, now) || rand.IntN(2) == 0 { //nolint:gosec // jitter is no secret
+			continue
+		}
+		body := tglease.Claim{Duration: c.duration, Holder: m.holder, Name: name}
+		r, err := tgrecord.New(tgrecord.KindLeaseClaim, m.holder.Process, m.table.Applied(), body)
+		if err != nil {
+			m.logger.WithError(err).Error("claim cannot be encoded")
+			continue
+		}
+		c.claim, c.pending, c.sent = r, true, now
+		due = append(due, r)
+	}
+	m.mu.Unlock()
+	m.append(ctx, due, "claim")
+}
+
+// waiting reports whether the last claim may still be judged.
+func (c *campaign) waiting(now time.Time) bool {
+	return c.pending && now.Sub(c.sent) < claimRetention*c.duration
+}
+
+// claimable reports whether a claim could succeed; an own lease that has lapsed is claimed anew.
+func (m *Manager) claimable(name string, now time.Time) bool {
+	if l, ok := m.table.Get(name); ok && !l.Free && l.Holder == m.holder {
+		_, held := m.monitor.Held(m.table, m.holder, name, now)
+		return !held
+	}
+	return m.monitor.Claimable(m.table, name, now)
+}
+
+// renewDue renews all held leases in one record when the first of them is due.
+func (m *Manager) renewDue(ctx context.Context) {
+	now := time.Now()
+	m.mu.Lock()
+	var held []tglease.Held
+	due := false
+	for _, h := range m.table.Held(m.holder) {
+		c, ok := m.campaigns[h.Name]
+		if _, valid := m.monitor.Held(m.table, m.holder, h.Name, now); !ok || !valid {
+			continue
+		}
+		held = append(held, h)
+		due = due || now.Sub(c.renewed) >= h.Duration/renewalRate
+	}
+	if !due {
+		m.mu.Unlock()
+		return
+	}
+	for _, h := range held {
+		m.campaigns[h.Name].renewed = now
+	}
+	body := tglease.Renewal{Holder: m.holder, Leases: held}
+	r, err := tgrecord.New(tgrecord.KindLeaseRenew, m.holder.Process, m.table.Applied(), body)
+	if err == nil {
+		maps.DeleteFunc(m.renewals, func(_ uuid.UUID, r renewal) bool { return now.Sub(r.sent) > renewalRetention })
+		m.renewals[r.ID] = renewal{held: held, sent: now}
+	}
+	m.mu.Unlock()
+	if err != nil {
+		m.logger.WithError(err).Error("renewal cannot be encoded")
+		return
+	}
+	m.append(ctx, []tgrecord.Record{r}, "renewal")
+}
+
+// append sends records within a bounded time; a lost reply is settled by the follower.
+func (m *Manager) append(ctx context.Context, records []tgrecord.Record, what string) {
+	if len(records) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	if _, err := m.log.Append(ctx, tglease.Stream, records); err != nil {
+		m.logger.WithError(err).WithField("record", what).Warn("lease record was not confirmed")
+	}
+}
+
+func (m *Manager) releaseAll(ctx context.Context) {
+	m.mu.Lock()
+	held := m.table.Held(m.holder)
+	names := make([]string, 0, len(held))
+	for _, h := range held {
+		names = append(names, h.Name)
+	}
+	m.mu.Unlock()
+	m.release(ctx, names)
+}
+
+func (m *Manager) release(ctx context.Context, names []string) {
+	if len(names) == 0 {
+		return
+	}
+	m.mu.Lock()
+	base := m.table.Applied()
+	m.mu.Unlock()
+	r, err := tgrecord.New(tgrecord.KindLeaseRelease, m.holder.Process, base, tglease.Release{Holder: m.holder, Names: names})
+	if err != nil {
+		m.logger.WithError(err).Error("release cannot be encoded")
+		return
+	}
+	m.append(ctx, []tgrecord.Record{r}, "release")
+}
--- /dev/null
+++ b/io/tglogclient/batcher.go
@@ -0,0 +1,135 @@
+package tglogclient
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+
+	"tanagergrade/core/tgrecord"
+)
+
+const (
+	maxBatchRecords = 512
+	maxPending      = 8 * maxBatchRecords // records of one stream that wait to be appended
+)
+
+// ErrBacklog says that too many records wait to be appended.
+var ErrBacklog = errors.New("too many records wait to be appended")
+
+// Batcher groups the records of many callers into few appends: group commit. Each stream has its own
+// queue, so the backlog of one does not delay another.
+type Batcher struct {
+	Log
+	interval time.Duration // least time between the starts of two appends to one stream
+	mu       sync.Mutex
+	streams  map[string]*batchQueue
+	timeout  time.Duration // bound of one append
+	wg       conc.WaitGroup
+}
+
+type batchQueue struct {
+	pending []*batchItem // waiting for the next append
+	records int          // in pending
+	running bool         // an append of this stream is on its way or due
+	started time.Time    // of the last append
+}
+
+type batchItem struct {
+	done    chan struct{} // closed when offset and err are set
+	err     error
+	offset  uint64
+	records []tgrecord.Record
+}
+
+// NewBatcher returns a batcher that starts at most one append for each stream and interval.
+func NewBatcher(log Log, interval, timeout time.Duration) *Batcher {
+	return &Batcher{Log: log, interval: interval, streams: map[string]*batchQueue{}, timeout: timeout}
+}
+
+// Append appends records together with those of other callers. After an error they may have been appended.
+func (b *Batcher) Append(ctx context.Context, stream string, records []tgrecord.Record) (uint64, error) {
+	item := &batchItem{done: make(chan struct{}), records: records}
+	if err := b.enqueue(stream, item); err != nil {
+		return 0, err
+	}
+	select {
+	case <-item.done:
+		return item.offset, item.err
+	case <-ctx.Done():
+		return 0, errors.Wrap(ctx.Err(), "append was not confirmed in time")
+	}
+}
+
+// Wait waits until all appends have ended.
+func (b *Batcher) Wait() { b.wg.Wait() }
+
+func (b *Batcher) enqueue(stream string, item *batchItem) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	q, ok := b.streams[stream]
+	if !ok {
+		q = &batchQueue{}
+		b.streams[stream] = q
+	}
+	if q.records+len(item.records) > maxPending {
+		return ErrBacklog
+	}
+	q.pending = append(q.pending, item)
+	q.records += len(item.records)
+	if !q.running {
+		q.running = true
+		b.wg.Go(func() { b.flush(stream, q) })
+	}
+	return nil
+}
+
+// flush appends until nothing waits.
+func (b *Batcher) flush(stream string, q *batchQueue) {
+	for {
+		b.mu.Lock()
+		pause := b.interval - time.Since(q.started)
+		b.mu.Unlock()
+		if pause > 0 {
+			time.Sleep(pause)
+		}
+		items := b.take(q)
+		if len(items) == 0 {
+			return
+		}
+		b.commit(stream, items)
+	}
+}
+
+// take removes what fits into one append; with nothing left the queue's flush ends.
+func (b *Batcher) take(q *batchQueue) []*batchItem {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n, records := 0, 0
+	for n < len(q.pending) && (n == 0 || records+len(q.pending[n].records) <= maxBatchRecords) {
+		records += len(q.pending[n].records)
+		n++
+	}
+	items := q.pending[:n:n]
+	q.pending = q.pending[n:]
+	q.records -= records
+	q.running = n > 0
+	q.started = time.Now()
+	return items
+}
+
+func (b *Batcher) commit(stream string, items []*batchItem) {
+	var records []tgrecord.Record
+	for _, item := range items {
+		records = append(records, item.records...)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), b.timeout)
+	defer cancel()
+	offset, err := b.Log.Append(ctx, stream, records)
+	for _, item := range items {
+		item.offset, item.err = offset, err
+		close(item.done)
+	}
+}
--- a/io/tglogclient/client.go
+++ b/io/tglogclient/client.go
@@ -19,7 +19,7 @@
 	replyMargin    = 500 * time.Millisecond // added to a long poll's wait before it counts as lost
 )
 
-// ErrTruncated says that the wanted offset has left the log's retention.
+// ErrTruncated says that the wanted offset has left the log's retention; the page has the first offset kept.
 var ErrTruncated = errors.New("offset is before the first record kept by the log")
 
 // Entry is one append of a stream.
@@ -89,7 +89,8 @@
 	case fasthttp.StatusOK:
 		return decodePage(body)
 	case fasthttp.StatusGone:
-		return Page{}, ErrTruncated
+		page, err := decodePage(body)
+		return page, errors.CombineErrors(ErrTruncated, err)
 	default:
 		return Page{}, errors.Newf("log service answered a read with status %d", status)
 	}
--- /dev/null
+++ b/io/tglogclient/follower.go
@@ -0,0 +1,153 @@
+package tglogclient
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	followWait = time.Second // bound of a long poll, so that an outage shows within seconds
+	minBackoff = 100 * time.Millisecond
+	maxBackoff = 2 * time.Second
+)
+
+// Gap says which offsets a follower could not read, because they had left the log's retention.
+type Gap struct {
+	From uint64
+	To   uint64 // first offset kept
+}
+
+// FollowerStatus is a follower's view of its stream.
+type FollowerStatus struct {
+	Confirmed time.Time `json:"confirmed"` // start of the last read that reached the end of the stream
+	Error     string    `json:"error,omitempty"`
+	Gaps      int       `json:"gaps"`
+	Next      uint64    `json:"next"`
+}
+
+// Follower passes each append of a stream to a function, in order and without gaps but those reported.
+type Follower struct {
+	apply  func(Entry) error
+	gap    func(Gap)
+	log    Log
+	logger *logrus.Entry
+	mu     sync.Mutex
+	status FollowerStatus // Next only grows
+	stream string
+}
+
+// FollowerOption changes a new follower.
+type FollowerOption func(*Follower)
+
+// WithGap sets a function that is called for each gap before the records after it.
+func WithGap(gap func(Gap)) FollowerOption { return func(f *Follower) { f.gap = gap } }
+
+// WithNext sets the first offset to read.
+func WithNext(next uint64) FollowerOption { return func(f *Follower) { f.status.Next = next } }
+
+// NewFollower returns a follower of stream from its start.
+func NewFollower(
+	log Log, stream string, logger *logrus.Entry, apply func(Entry) error, options ...FollowerOption,
+) *Follower {
+	f := &Follower{
+		apply: apply, gap: func(Gap) {}, log: log, logger: logger.WithField("stream", stream), stream: stream,
+	}
+	for _, option := range options {
+		option(f)
+	}
+	return f
+}
+
+// Status returns the follower's view of its stream.
+func (f *Follower) Status() FollowerStatus {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.status
+}
+
+// Run follows the stream until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	backoff := minBackoff
+	for ctx.Err() == nil {
+		if err := f.step(ctx); err != nil {
+			f.note(err)
+			sleep(ctx, backoff/2+rand.N(backoff/2)) //nolint:gosec // jitter is no secret
+			backoff = min(2*backoff, maxBackoff)
+			continue
+		}
+		f.note(nil)
+		backoff = minBackoff
+	}
+}
+
+// step does one read.
+func (f *Follower) step(ctx context.Context) error {
+	next := f.Status().Next
+	started := time.Now()
+	page, err := f.log.Read(ctx, f.stream, next, followWait)
+	if errors.Is(err, ErrTruncated) && page.First > next {
+		f.logger.WithFields(logrus.Fields{"first": page.First, "next": next}).Warn("records left the log unread")
+		f.gap(Gap{From: next, To: page.First})
+		f.advance(page.First, true)
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	for _, e := range page.Entries {
+		if e.Offset < next {
+			continue
+		}
+		if err := f.apply(e); err != nil {
+			f.logger.WithError(err).WithField("offset", e.Offset).Error("record cannot be applied")
+		}
+		next = e.Offset + 1
+		f.advance(next, false)
+	}
+	if next >= page.Next {
+		f.mu.Lock()
+		f.status.Confirmed = started
+		f.mu.Unlock()
+	}
+	return nil
+}
+
+func (f *Follower) advance(next uint64, gap bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.status.Next = next
+	if gap {
+		f.status.Gaps++
+	}
+}
+
+// note logs when reads begin to fail and when they succeed again.
+func (f *Follower) note(err error) {
+	f.mu.Lock()
+	failing := f.status.Error != ""
+	f.status.Error = ""
+	if err != nil {
+		f.status.Error = err.Error()
+	}
+	f.mu.Unlock()
+	switch {
+	case err != nil && !failing:
+		f.logger.WithError(err).Warn("log cannot be read")
+	case err == nil && failing:
+		f.logger.Info("log can be read again")
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
