--- /dev/null
+++ b/io/tgadmin/mark.go
@@ -0,0 +1,30 @@
+package tgadmin
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"tanagergrade/core/tgconfig"
+)
+
+// Mark is a volatile mark: capacity that takes no new work although the log cannot record it.
+type Mark struct {
+	Base   uint64          `json:"base"` // offset applied by the writer; 0 lets the daemon use its own
+	Entity tgconfig.Entity `json:"entity"`
+	ID     uuid.UUID       `json:"id"` // ID of the change that records the mark when the log returns
+	Writer string          `json:"writer"`
+}
+
+// Validate reports whether m names capacity that a mark can remove.
+func (m Mark) Validate() error {
+	switch {
+	case m.ID == uuid.Nil:
+		return errors.New("mark has no ID")
+	case m.Entity.Name == "":
+		return errors.New("mark names no entity")
+	case m.Entity.Kind != tgconfig.EntityDataCentre && m.Entity.Kind != tgconfig.EntityUpstream:
+		return errors.Newf("a mark names a data centre or an upstream, not kind %q", m.Entity.Kind)
+	default:
+		return nil
+	}
+}
