Parse configuration files and validate changes by entity

Cause: the configuration had no file format, and no change was validated. Change: Parse reads a base file and overlays and lists all problems with file, line, column and key. Config.ValidateChange checks only what a change touches; Config.Validate checks everything. Document.Target keeps states that the files leave out, so that a publication does not bring back withdrawn capacity.

--- /dev/null
+++ b/core/tgconfig/document_test.go
@@ -0,0 +1,149 @@
+package tgconfig
+
+import (
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+)
+
+func file(name, text string) File { return File{Data: []byte(text), Name: name} }
+
+func readFiles(tb testing.TB, paths ...string) []File {
+	tb.Helper()
+	files := make([]File, 0, len(paths))
+	for _, path := range paths {
+		data, err := os.ReadFile(path)
+		assert.NilError(tb, err)
+		files = append(files, File{Data: data, Name: filepath.Base(path)})
+	}
+	return files
+}
+
+// Guards against operators having to correct a file one error at a time, and against wrong positions.
+func TestParseListsAllProblems(t *testing.T) {
+	files := readFiles(t, "testdata/errors/base.toml", "testdata/errors/site.toml")
+	_, err := Parse(files[0], files[1:]...)
+	assert.Assert(t, err != nil)
+	golden.Assert(t, err.Error()+"\n", "errors/golden.txt")
+}
+
+const validBase = `
+[dataCentres]
+bkk-a.region = "bkk"
+bkk-b = {region = "bkk", state = "withdrawn"}
+[pools.drafting]
+kind = "model"
+models = ["thai-draft"]
+`
+
+// Guards against a syntax error hiding those of later tables, and against keys that silently win over others.
+func TestParseSyntaxProblems(t *testing.T) {
+	tests := []struct {
+		name, base, overlay string
+		want                string
+	}{
+		{"array of tables instead of table", "[[settings]]", "", "base:1:3: settings: must be a table, not a value of type array"},
+		{"duplicate key", "[settings]\nmaxQueued = 1\nmaxQueued = 2\nmaxQueued = 3", "",
+			"base:3:1: settings.maxQueued: key is defined twice\nbase:4:1: settings.maxQueued: key is defined twice"},
+		{"duplicate table", "[settings]\n[settings]", "", "base:2:2: settings: table is defined twice"},
+		{"extended inline table", "settings = {}\n[settings]\nmaxQueued = 1", "", "base:2:2: settings: table is defined twice"},
+		{"key under a value", "settings = 1\n[settings.x]", "",
+			"base:1:12: settings: must be a table, not a value of type integer\n" +
+				"base:2:2: settings: key is defined twice, as a value and as a table"},
+		{"syntax errors in several tables", "[settings]\nmaxQueued = \n[accounts.a]\nshare = = 2\n[pools.p]\nkind = 1", "x = {",
+			"base:2:13: settings: syntax error: unexpected character U+000A at start of value\n" +
+				"base:4:9: accounts.a: syntax error: unexpected character U+003D '=' at start of value\n" +
+				"base:6:8: pools.p.kind: must be a string, not a value of type integer\n" +
+				"site:1:5: syntax error: inline table is incomplete"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := Parse(file("base", tt.base), file("site", tt.overlay))
+			assert.Error(t, err, tt.want)
+		})
+	}
+}
+
+// Guards against an overlay replacing more of the base than the keys it has, and against lost defaults.
+func TestParseMerges(t *testing.T) {
+	d, err := Parse(
+		file("base", validBase+"[settings]\nmaxQueued = 5\nclaimTimeout = \"1500ms\""),
+		file("a", "[settings]\nmaxQueued = 6\n[dataCentres.bkk-a]\nstate = \"withdrawn\""),
+		file("b", "[settings]\nmaxQueued = 6"),
+	)
+	assert.NilError(t, err)
+	want := DefaultSettings()
+	want.MaxQueued, want.ClaimTimeout = 6, 1500*time.Millisecond
+	assert.Equal(t, d.Config.Settings, want)
+	assert.Equal(t, d.Config.DataCentres["bkk-a"], DataCentre{Region: "bkk", State: Withdrawn})
+	assert.Equal(t, d.Config.Pools["drafting"].Models[0], "thai-draft")
+}
+
+// Guards against the result depending on the order of the overlays.
+func TestParseRefusesContradictingOverlays(t *testing.T) {
+	_, err := Parse(file("base", validBase), file("a", "settings.maxQueued = 6"), file("b", "settings.maxQueued = 7"))
+	assert.Error(t, err, "b:1:22: settings.maxQueued: another overlay has a different value at a:1:22")
+}
+
+// Guards against a publication that brings back capacity that operators withdrew by command.
+func TestTargetKeepsStatesThatFilesLeaveOut(t *testing.T) {
+	d, err := Parse(file("base", validBase))
+	assert.NilError(t, err)
+	target := d.Target(&Config{DataCentres: map[string]DataCentre{
+		"bkk-a": {Region: "bkk", State: Withdrawn}, "bkk-b": {Region: "bkk", State: Active},
+	}})
+	assert.Equal(t, target.DataCentres["bkk-a"].State, Withdrawn, "left out of the files")
+	assert.Equal(t, target.DataCentres["bkk-b"].State, Withdrawn, "given in the files")
+}
+
+// Guards against the output of "config show" that cannot be read back as a file.
+func TestLinesAreReadBack(t *testing.T) {
+	cfg := newSizedConfig(20, 12)
+	cfg.Pools["plain"] = Pool{
+		Kind: PlainPool, Models: []string{}, PathPrefix: "/\"\\\u007f/",
+		Operations: []Operation{{Idempotent: true, Method: "GET", Path: "/\"\\\u007f/x", Priority: "live"}},
+	}
+	d, err := Parse(file("lines", strings.Join(cfg.Lines(), "\n")))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, d.Config.Lines(), cfg.Lines())
+}
+
+// Guards against a file that crashes the program.
+func FuzzParse(f *testing.F) {
+	for _, seed := range readFiles(f, "testdata/errors/base.toml", "testdata/errors/site.toml") {
+		f.Add(seed.Data, []byte(validBase))
+	}
+	f.Add([]byte("a.b.c = [{x = 1}, [2]]\n[[a.d]]\n[a.d.e]\n[[a.b.c]]"), []byte("[settings]\nmaxQueued = \"\\u0000\""))
+	f.Add([]byte("[pools.p]\noperations = 1979-05-27\n[[pools.p.operations]]\n[pools.p.operations.x]"), []byte("\ufeff\n[\n[\n"))
+	f.Fuzz(func(t *testing.T, base, overlay []byte) {
+		d, err := Parse(File{Data: base, Name: "base"}, File{Data: overlay, Name: "overlay"})
+		if (d == nil) == (err == nil) {
+			t.Fatalf("document %v with error %v", d, err)
+		}
+	})
+}
+
+// Guards against an incremental validation that accepts what the whole validation refuses, or the reverse.
+func TestValidateChangeAgreesWithValidate(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	valid := newSizedConfig(30, 24)
+	assert.NilError(t, valid.Validate())
+	refused := 0
+	for range 3000 {
+		next, change := randomChange(t, rng, valid)
+		whole, part := next.Validate(), next.ValidateChange(change)
+		if (whole == nil) != (part == nil) {
+			t.Fatalf("change %v: whole validation: %v; validation of the change: %v", change, whole, part)
+		}
+		if whole != nil {
+			refused++
+		}
+	}
+	assert.Assert(t, refused > 300 && refused < 2700, "%d of 3000 refused: the changes test one side only", refused)
+}
--- /dev/null
+++ b/core/tgconfig/format.go
@@ -0,0 +1,96 @@
+package tgconfig
+
+import (
+	"encoding"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Lines returns c as TOML with one line "path = value" for each value, sorted; Parse reads it back.
+func (c *Config) Lines() []string {
+	var lines []string
+	appendLines(&lines, nil, reflect.ValueOf(*c))
+	slices.Sort(lines)
+	return lines
+}
+
+func appendLines(lines *[]string, path Path, v reflect.Value) {
+	if text, ok := formatValue(v); ok {
+		*lines = append(*lines, path.String()+" = "+text)
+		return
+	}
+	if v.Kind() == reflect.Map {
+		it := v.MapRange()
+		for it.Next() {
+			appendLines(lines, path.child(it.Key().String()), it.Value())
+		}
+		return
+	}
+	for i := range v.NumField() {
+		appendLines(lines, path.child(v.Type().Field(i).Tag.Get("toml")), v.Field(i))
+	}
+}
+
+// formatValue returns v as a TOML value; it reports false for tables.
+func formatValue(v reflect.Value) (string, bool) {
+	switch value := v.Interface().(type) {
+	case time.Duration:
+		return strconv.Quote(value.String()), true
+	case encoding.TextMarshaler:
+		text, _ := value.MarshalText()
+		return strconv.Quote(string(text)), true
+	}
+	switch v.Kind() {
+	case reflect.Bool:
+		return strconv.FormatBool(v.Bool()), true
+	case reflect.Float64:
+		return strconv.FormatFloat(v.Float(), 'g', -1, 64), true
+	case reflect.Int:
+		return strconv.FormatInt(v.Int(), 10), true
+	case reflect.Slice:
+		items := make([]string, v.Len())
+		for i := range items {
+			items[i] = formatItem(v.Index(i))
+		}
+		return "[" + strings.Join(items, ", ") + "]", true
+	case reflect.String:
+		return quote(v.String()), true
+	default:
+		return "", false
+	}
+}
+
+func formatItem(v reflect.Value) string {
+	if text, ok := formatValue(v); ok {
+		return text
+	}
+	fields := make([]string, v.NumField())
+	for i := range fields {
+		fields[i] = v.Type().Field(i).Tag.Get("toml") + " = " + formatItem(v.Field(i))
+	}
+	return "{" + strings.Join(fields, ", ") + "}"
+}
+
+// quote returns s as a TOML basic string, which has no escape like Go's \x7f.
+func quote(s string) string {
+	var b strings.Builder
+	b.WriteByte('"')
+	for _, r := range s {
+		switch {
+		case r == '"' || r == '\\':
+			b.WriteByte('\\')
+			b.WriteRune(r)
+		case r < 0x20 || r == 0x7f:
+			b.WriteString(`\u`)
+			hex := strconv.FormatInt(int64(r), 16)
+			b.WriteString(strings.Repeat("0", 4-len(hex)) + hex)
+		default:
+			b.WriteRune(r)
+		}
+	}
+	b.WriteByte('"')
+	return b.String()
+}
