--- /dev/null
+++ b/io/tgkey/files.go
@@ -0,0 +1,99 @@
+package tgkey
+
+import (
+	"bytes"
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Files are the paths of PEM files with the mutual TLS material of a process.
+type Files struct {
+	Authority   string // certificates of the authorities that sign peers
+	Certificate string // certificate of this process, followed by intermediates if there are any
+	Key         string
+}
+
+// MismatchError says that the files were read but do not belong together or cannot be used.
+type MismatchError struct {
+	Err   error
+	Files Files
+}
+
+// Error implements error.
+func (e *MismatchError) Error() string {
+	return "certificate " + e.Files.Certificate + ", key " + e.Files.Key + " and authority " + e.Files.Authority +
+		" do not match: " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *MismatchError) Unwrap() error { return e.Err }
+
+// fileContents are the bytes of Files.
+type fileContents struct{ authority, certificate, key []byte }
+
+// material is key material that was checked; it is immutable.
+type material struct {
+	certificate *tls.Certificate
+	contents    fileContents
+	roots       *x509.CertPool
+}
+
+func (f Files) read() (fileContents, error) {
+	var c fileContents
+	var err error
+	for _, file := range []struct {
+		data *[]byte
+		path string
+	}{{&c.authority, f.Authority}, {&c.certificate, f.Certificate}, {&c.key, f.Key}} {
+		data, readErr := os.ReadFile(file.path)
+		err = errors.CombineErrors(err, errors.Wrap(readErr, "read key material"))
+		*file.data = data
+	}
+	return c, err
+}
+
+func (c fileContents) equal(d fileContents) bool {
+	return bytes.Equal(c.authority, d.authority) && bytes.Equal(c.certificate, d.certificate) && bytes.Equal(c.key, d.key)
+}
+
+// parse checks that the contents of f belong together.
+func (f Files) parse(c fileContents) (*material, error) {
+	certificate, err := tls.X509KeyPair(c.certificate, c.key)
+	if err != nil {
+		return nil, &MismatchError{Err: err, Files: f}
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(c.authority) {
+		return nil, &MismatchError{Err: errors.New("authority file has no certificate"), Files: f}
+	}
+	chain := make([]*x509.Certificate, len(certificate.Certificate))
+	for i, der := range certificate.Certificate {
+		if chain[i], err = x509.ParseCertificate(der); err != nil {
+			return nil, &MismatchError{Err: err, Files: f}
+		}
+	}
+	for _, usage := range []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth} {
+		if err := verify(chain, roots, usage); err != nil {
+			return nil, &MismatchError{Err: err, Files: f}
+		}
+	}
+	return &material{certificate: &certificate, contents: c, roots: roots}, nil
+}
+
+// verify checks a chain, the leaf first, as every peer does.
+func verify(chain []*x509.Certificate, roots *x509.CertPool, usage x509.ExtKeyUsage) error {
+	if len(chain) == 0 {
+		return errors.New("peer has no certificate")
+	}
+	intermediates := x509.NewCertPool()
+	for _, c := range chain[1:] {
+		intermediates.AddCert(c)
+	}
+	_, err := chain[0].Verify(x509.VerifyOptions{
+		DNSName: ServerName, Intermediates: intermediates, KeyUsages: []x509.ExtKeyUsage{usage}, Roots: roots,
+	})
+	return errors.Wrap(err, "verify certificate")
+}
