Add commands, queries and example configurations

Cause: the command line only had the demo; daemons could not be started and nothing could be published. Change: entry and companion daemons, config publish, data-centre, upstream and key commands; queries check, diff, history, show, dump, status and version. tgpublisher settles a change by reading its record back. Exit codes: 0 ok, 1 failed, 2 usage, 3 conflict, 4 log unavailable or unresolved.

--- /dev/null
+++ b/io/tgcommand/daemon.go
@@ -0,0 +1,135 @@
+package tgcommand
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+	"github.com/spf13/cobra"
+
+	"tanagergrade/core/tgconfig"
+	"tanagergrade/io/tgadmin"
+	"tanagergrade/io/tgexit"
+	"tanagergrade/io/tgflag"
+	"tanagergrade/io/tgkey"
+	"tanagergrade/io/tglink"
+	"tanagergrade/io/tgnode"
+	"tanagergrade/io/tgquery"
+)
+
+type daemonFlags struct {
+	files    tgflag.Files
+	logLevel string
+	name     string
+}
+
+func (f *daemonFlags) register(cmd *cobra.Command) {
+	f.files.Register(cmd.Flags())
+	cmd.Flags().StringVar(&f.logLevel, "log-level", "info", "debug, info, warning or error")
+	cmd.Flags().StringVar(&f.name, "name", "", "name of the process in the files")
+}
+
+// daemon has the parts that both daemons share.
+type daemon struct {
+	admin     *tgadmin.Server
+	document  *tgconfig.Document
+	log       *logrus.Entry
+	node      *tgnode.Node
+	process   tgconfig.Process
+	registry  *tgadmin.Registry
+	started   time.Time
+	transport *tglink.Transport
+}
+
+// newDaemon opens the addresses of the process that the flags name; nothing is served yet.
+func (c *config) newDaemon(ctx context.Context, role tgconfig.Role) (*daemon, error) {
+	logger := logrus.New()
+	logger.SetOutput(c.stderr)
+	level, err := logrus.ParseLevel(c.daemon.logLevel)
+	if err != nil {
+		return nil, tgexit.Usagef("--log-level %q is not a level", c.daemon.logLevel)
+	}
+	logger.SetLevel(level)
+	document, err := c.daemon.files.Load()
+	if err != nil {
+		return nil, err
+	}
+	p, ok := document.Processes[c.daemon.name]
+	switch {
+	case c.daemon.name == "":
+		return nil, tgexit.Usagef("--name is missing")
+	case !ok:
+		return nil, errors.Newf("the files have no process %q", c.daemon.name)
+	case p.Role != role:
+		return nil, errors.Newf("process %q has role %q, not %q", c.daemon.name, p.Role, role)
+	}
+	d := &daemon{document: document, process: p, registry: tgadmin.NewRegistry(), started: time.Now()}
+	d.log = logger.WithField("process", c.daemon.name)
+	return d, d.open(ctx, c.daemon.name, logger)
+}
+
+func (d *daemon) open(ctx context.Context, name string, logger *logrus.Logger) error {
+	p := d.process
+	keys, err := tgkey.Open(
+		tgkey.Files{Authority: p.AuthorityFile, Certificate: p.CertificateFile, Key: p.KeyFile}, d.log)
+	if err != nil {
+		return err
+	}
+	if d.transport, err = tglink.Listen(p.LinkAddress, keys.Config()); err != nil {
+		return err
+	}
+	d.node = tgnode.New(tgnode.Settings{
+		AdminAddress: p.AdminAddress, DataCentre: p.DataCentre, LinkAddress: p.LinkAddress,
+		LogAddress: p.LogAddress, Name: name,
+	}, d.transport, logger)
+	d.admin, err = tgadmin.Listen(ctx, p.AdminAddress, keys.Config(), d.registry)
+	if err != nil {
+		return errors.CombineErrors(err, d.transport.Close())
+	}
+	return nil
+}
+
+// run serves the admin interface while run runs, which ends after ctx.
+func (d *daemon) run(ctx context.Context, part any, run func(ctx context.Context) error) error {
+	d.register(part)
+	adminCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var wg conc.WaitGroup
+	wg.Go(func() {
+		if err := d.admin.Run(adminCtx); err != nil {
+			d.log.WithError(err).Error("admin interface stopped")
+		}
+	})
+	d.log.WithFields(logrus.Fields{"admin": d.admin.Address(), "link": d.transport.Address(), "role": d.process.Role}).
+		Info("started")
+	err := run(ctx)
+	stop()
+	wg.Wait()
+	d.log.WithError(err).Info("stopped")
+	return errors.CombineErrors(err, d.transport.Close())
+}
+
+// register adds the sources that every daemon has; parts that are Registrars add or replace their own.
+func (d *daemon) register(part any) {
+	d.registry.SetStatus(d.status)
+	d.registry.Add("config", func() any { return d.node.Config().Lines() })
+	d.registry.Add("process", func() any { return d.status() })
+	for _, p := range []any{d.node, part} {
+		if r, ok := p.(tgadmin.Registrar); ok {
+			r.RegisterAdmin(d.registry)
+		}
+	}
+}
+
+func (d *daemon) status() tgadmin.Status {
+	s := tgadmin.Status{
+		Applied: d.node.Applied(), DataCentre: d.process.DataCentre, Incarnation: d.node.Incarnation,
+		Name: d.node.Settings.Name, Ready: true, Role: string(d.process.Role), Started: d.started, Version: tgquery.Version(),
+	}
+	if s.Applied == 0 {
+		s.NotReady, s.Ready = "configuration is missing", false
+	}
+	return s
+}
--- a/io/tgcommand/main.go
+++ b/io/tgcommand/main.go
@@ -1,4 +1,4 @@
-// Package tgcommand is the command line.
+// Package tgcommand is the command line; it has the commands that change state and adds the queries.
 package tgcommand
 
 import (
@@ -10,46 +10,95 @@
 	"syscall"
 
 	"github.com/spf13/cobra"
-)
 
-// Exit codes that scripts can use.
-const (
-	exitOK     = 0
-	exitFailed = 1
+	"tanagergrade/io/tgexit"
+	"tanagergrade/io/tgquery"
 )
 
 // config holds the flags of all commands.
 type config struct {
-	demo   demoFlags
-	stderr io.Writer
-	stdout io.Writer
+	capacity capacityFlags
+	daemon   daemonFlags
+	demo     demoFlags
+	key      keyFlags
+	publish  publishFlags
+	stderr   io.Writer
+	stdout   io.Writer
 }
 
 // Main runs the command line and returns the exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	context.AfterFunc(ctx, stop) // the second signal has its default effect: it ends the process at once
 	c := &config{stderr: stderr, stdout: stdout}
 	cmd := c.newRootCmd()
 	cmd.SetArgs(args)
 	cmd.SetOut(stdout)
 	cmd.SetErr(stderr)
-	if err := cmd.ExecuteContext(ctx); err != nil {
+	err := cmd.ExecuteContext(ctx)
+	if err != nil {
 		fmt.Fprintf(stderr, "tanagergrade: %v\n", err)
-		return exitFailed
 	}
-	return exitOK
+	return tgexit.Code(err)
 }
 
+const rootLong = `Balances load over expert-parallel model groups and the plain services beside them.
+
+Exit codes:
+  0  success
+  1  the command failed
+  2  wrong flags or arguments
+  3  conflict: another operator changed the same entities, nothing was changed
+  4  the log service is unavailable, or it is not known whether the change takes effect`
+
 func (c *config) newRootCmd() *cobra.Command {
-	cmd := &cobra.Command{
-		Short:         "Balance load over expert-parallel model groups",
-		SilenceErrors: true,
-		SilenceUsage:  true,
-		Use:           "tanagergrade",
-	}
+	queries := tgquery.New(c.stdout)
+	cmd := newGroupCmd("tanagergrade", "Balance load over expert-parallel model groups")
+	cmd.Long = rootLong
+	cmd.SilenceErrors = true
+	cmd.SilenceUsage = true
 	cmd.AddCommand(
+		c.newCompanionCmd(),
+		c.newConfigCmd(queries.Config),
+		c.newDataCentreCmd(),
 		c.newDemoCmd(),
+		c.newEntryCmd(),
+		c.newKeyCmd(),
+		c.newUpstreamCmd(),
 	)
+	cmd.AddCommand(queries.Root...)
+	wrapUsageErrors(cmd)
 	return cmd
 }
+
+// newGroupCmd returns a command that only has subcommands.
+func newGroupCmd(use, short string) *cobra.Command {
+	return &cobra.Command{
+		Args: cobra.ArbitraryArgs,
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if len(args) > 0 {
+				return tgexit.Usagef("%q is not a command of %q", args[0], cmd.CommandPath())
+			}
+			return cmd.Help()
+		},
+		Short: short,
+		Use:   use,
+	}
+}
+
+// wrapUsageErrors gives errors in flags and arguments their exit code.
+func wrapUsageErrors(cmd *cobra.Command) {
+	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &tgexit.UsageError{Err: err} })
+	if check := cmd.Args; check != nil {
+		cmd.Args = func(cmd *cobra.Command, args []string) error {
+			if err := check(cmd, args); err != nil {
+				return &tgexit.UsageError{Err: err}
+			}
+			return nil
+		}
+	}
+	for _, child := range cmd.Commands() {
+		wrapUsageErrors(child)
+	}
+}
--- /dev/null
+++ b/io/tgcommand/publish.go
@@ -0,0 +1,140 @@
+package tgcommand
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"tanagergrade/core/tgconfig"
+	"tanagergrade/io/tgadmin"
+	"tanagergrade/io/tgflag"
+	"tanagergrade/io/tgpublisher"
+)
+
+type publishFlags struct {
+	comment string
+	delete  bool
+	files   tgflag.Files
+	keys    tgflag.Keys
+	log     tgflag.Log
+	wait    bool
+	writer  string
+}
+
+const waitPause = 200 * time.Millisecond // between calls to a daemon that has not applied the change
+
+func (c *config) newPublishCmd() *cobra.Command {
+	cmd := &cobra.Command{
+		Args: cobra.NoArgs,
+		Example: "  tanagergrade config publish --config base.toml --overlay bkk-a.toml --overlay bkk-b.toml \\\n" +
+			"    --overlay bkk-c.toml --log-address 10.0.0.9:9000 --comment 'add draft-13'",
+		Long: "Publishes the difference between the files and the accepted configuration as one change, and waits for\n" +
+			"its verdict. Give the overlays of all sites: entities that the files leave out are deleted, which needs\n" +
+			"--delete. A state that the files leave out keeps its current value.",
+		RunE:  c.runPublish,
+		Short: "Publish configuration files",
+		Use:   "publish",
+	}
+	flags, p := cmd.Flags(), &c.publish
+	p.files.Register(flags)
+	p.keys.Register(flags)
+	p.log.Register(flags)
+	flags.StringVar(&p.comment, "comment", "", "reason, shown by \"config history\"")
+	flags.BoolVar(&p.delete, "delete", false, "delete entities that the files leave out")
+	flags.BoolVar(&p.wait, "wait", false, "wait until every process of the files has applied the change")
+	flags.StringVar(&p.writer, "writer", defaultWriter(), "name shown by \"config history\"")
+	return cmd
+}
+
+func (c *config) runPublish(cmd *cobra.Command, _ []string) error {
+	p := &c.publish
+	d, err := p.files.Load()
+	if err != nil {
+		return err
+	}
+	client, err := p.log.Client()
+	if err != nil {
+		return err
+	}
+	var admin *tgadmin.Client
+	if p.wait {
+		if admin, err = p.keys.Client(); err != nil {
+			return err
+		}
+	}
+	ctx, cancel := p.log.Context(cmd.Context())
+	defer cancel()
+	result, err := tgpublisher.New(client, p.writer).Publish(ctx, p.change(d))
+	if err != nil {
+		return err
+	}
+	if len(result.Entities) == 0 {
+		fmt.Fprintln(c.stdout, "nothing to change")
+		return nil
+	}
+	fmt.Fprintf(c.stdout, "accepted at offset %d, %d entities (change %s)\n", result.Offset, len(result.Entities), result.ID)
+	if p.wait {
+		return c.awaitApplied(ctx, admin, d.Processes, result.Offset)
+	}
+	return nil
+}
+
+// change returns the function that turns the accepted configuration into that of d.
+func (p *publishFlags) change(d *tgconfig.Document) func(*tgconfig.Config) (tgconfig.Change, error) {
+	return func(cfg *tgconfig.Config) (tgconfig.Change, error) {
+		change, err := tgconfig.Diff(cfg, d.Target(cfg))
+		if err != nil {
+			return change, err
+		}
+		change.Comment = p.comment
+		var deleted []string
+		for _, e := range change.Entities {
+			if e.Deleted {
+				deleted = append(deleted, tgpublisher.FormatEntity(e.Entity))
+			}
+		}
+		if len(deleted) > 0 && !p.delete {
+			return change, errors.Newf("the files leave out %s; give all overlays, or --delete to delete them",
+				strings.Join(deleted, ", "))
+		}
+		return change, nil
+	}
+}
+
+// awaitApplied waits until all processes have applied the change at offset.
+func (c *config) awaitApplied(
+	ctx context.Context, admin *tgadmin.Client, processes map[string]tgconfig.Process, offset uint64,
+) error {
+	lagging := map[string]netip.AddrPort{}
+	for name, p := range processes {
+		lagging[name] = p.AdminAddress
+	}
+	for {
+		for name, address := range lagging {
+			if s, err := admin.Status(ctx, address); err == nil && s.Applied > offset {
+				delete(lagging, name)
+			}
+		}
+		if len(lagging) == 0 {
+			fmt.Fprintf(c.stdout, "in effect in %d processes\n", len(processes))
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			names := make([]string, 0, len(lagging))
+			for name := range lagging {
+				names = append(names, name)
+			}
+			slices.Sort(names)
+			return errors.Newf("the change is accepted, but these processes have not shown that they applied it: %s",
+				strings.Join(names, ", "))
+		case <-time.After(waitPause):
+		}
+	}
+}
--- /dev/null
+++ b/io/tgpublisher/errors.go
@@ -0,0 +1,79 @@
+package tgpublisher
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/google/uuid"
+
+	"tanagergrade/core/tgconfig"
+	"tanagergrade/io/tgexit"
+)
+
+// ConflictError says that a change lost against an accepted change of the same entities. Nothing has changed.
+type ConflictError struct {
+	Entities []tgconfig.Entity
+	ID       uuid.UUID
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	names := make([]string, len(e.Entities))
+	for i, entity := range e.Entities {
+		names[i] = FormatEntity(entity)
+	}
+	return fmt.Sprintf("change %s is in conflict: %s changed after it was made; nothing was changed, run the command again",
+		e.ID, strings.Join(names, ", "))
+}
+
+// ExitCode implements tgexit.Coder.
+func (e *ConflictError) ExitCode() int { return tgexit.Conflict }
+
+// InvalidError says that a change makes the configuration invalid. Nothing has changed.
+type InvalidError struct{ Reason string }
+
+// Error implements error.
+func (e *InvalidError) Error() string { return "change is invalid: " + e.Reason }
+
+// LogError says that the configuration could not be read from the log. Nothing was appended.
+type LogError struct{ Err error }
+
+// Error implements error.
+func (e *LogError) Error() string {
+	return "configuration cannot be read from the log, nothing was changed: " + e.Err.Error()
+}
+
+// ExitCode implements tgexit.Coder.
+func (e *LogError) ExitCode() int { return tgexit.Log }
+
+// Unwrap returns the cause.
+func (e *LogError) Unwrap() error { return e.Err }
+
+// UnresolvedError says that a change was sent but its verdict is not known; it may still take effect.
+type UnresolvedError struct {
+	Err error // last error of the log, if there was one
+	ID  uuid.UUID
+}
+
+// Error implements error.
+func (e *UnresolvedError) Error() string {
+	text := fmt.Sprintf("change %s was sent but not read back, it may still take effect; look for it with \"config history\"", e.ID)
+	if e.Err != nil {
+		text += ": " + e.Err.Error()
+	}
+	return text
+}
+
+// ExitCode implements tgexit.Coder.
+func (e *UnresolvedError) ExitCode() int { return tgexit.Log }
+
+// Unwrap returns the cause.
+func (e *UnresolvedError) Unwrap() error { return e.Err }
+
+// FormatEntity returns kind and name of e for messages.
+func FormatEntity(e tgconfig.Entity) string {
+	if e.Name == "" {
+		return string(e.Kind)
+	}
+	return string(e.Kind) + " " + e.Name
+}
--- /dev/null
+++ b/io/tgpublisher/publisher.go
@@ -0,0 +1,121 @@
+package tgpublisher
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+
+	"tanagergrade/core/tgconfig"
+	"tanagergrade/core/tgrecord"
+	"tanagergrade/io/tglogclient"
+	"tanagergrade/io/tgnode"
+)
+
+const (
+	readWait   = time.Second
+	retryPause = 200 * time.Millisecond // between calls to a log that does not answer
+)
+
+// Result describes an accepted change.
+type Result struct {
+	Entities []tgconfig.Entity // empty if there was nothing to change
+	ID       uuid.UUID
+	Offset   uint64
+}
+
+// Publisher makes changes of the configuration.
+type Publisher struct {
+	client *tglogclient.Client
+	reader *Reader
+	writer string
+}
+
+// New returns a publisher that signs its records with writer.
+func New(client *tglogclient.Client, writer string) *Publisher {
+	return &Publisher{client: client, reader: NewReader(client), writer: writer}
+}
+
+// Publish reads the configuration, appends the change that build makes of it and waits for the verdict until
+// ctx ends. The error is a *ConflictError, *InvalidError, *LogError or *UnresolvedError, or comes from build.
+func (p *Publisher) Publish(
+	ctx context.Context, build func(cfg *tgconfig.Config) (tgconfig.Change, error),
+) (Result, error) {
+	if err := p.reader.ReadAll(ctx, nil); err != nil {
+		return Result{}, err
+	}
+	state := p.reader.State()
+	change, err := build(state.Config())
+	if err != nil || len(change.Entities) == 0 {
+		return Result{}, err
+	}
+	next, err := state.Config().With(change)
+	if err == nil {
+		err = next.ValidateChange(change)
+	}
+	if err != nil {
+		return Result{}, &InvalidError{Reason: err.Error()}
+	}
+	record, err := tgrecord.New(tgrecord.KindConfigChange, p.writer, state.Applied(), change)
+	if err != nil {
+		return Result{}, err
+	}
+	result := Result{ID: record.ID}
+	for _, e := range change.Entities {
+		result.Entities = append(result.Entities, e.Entity)
+	}
+	decision, err := p.append(ctx, record, &result)
+	if err != nil {
+		return Result{}, err
+	}
+	switch decision.Verdict {
+	case tgconfig.Accepted:
+		return result, nil
+	case tgconfig.Conflict:
+		return Result{}, &ConflictError{Entities: decision.Conflicts, ID: record.ID}
+	default:
+		return Result{}, &InvalidError{Reason: decision.Reason}
+	}
+}
+
+// append appends record and returns the decision on it. While the log can be read but does not have the record,
+// an append without reply is repeated: readers ignore the second record with an ID.
+func (p *Publisher) append(ctx context.Context, record tgrecord.Record, result *Result) (tgconfig.Decision, error) {
+	var decision tgconfig.Decision
+	found := false
+	observe := func(offset uint64, r tgrecord.Record, d tgconfig.Decision) {
+		if r.ID == record.ID && !found {
+			decision, found, result.Offset = d, true, offset
+		}
+	}
+	appended, readable := false, true
+	var lastErr error
+	for ctx.Err() == nil {
+		if !appended && readable {
+			_, err := p.client.Append(ctx, tgnode.ConfigStream, []tgrecord.Record{record})
+			appended = err == nil
+			if err != nil {
+				lastErr = err
+			}
+		}
+		_, err := p.reader.read(ctx, readWait, observe)
+		if found {
+			return decision, nil
+		}
+		readable = err == nil
+		if err != nil {
+			lastErr = err
+			pause(ctx, retryPause)
+		}
+	}
+	return decision, &UnresolvedError{Err: lastErr, ID: record.ID}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/io/tgquery/query.go
@@ -0,0 +1,34 @@
+// Package tgquery has the commands that only read.
+package tgquery
+
+import (
+	"io"
+
+	"github.com/spf13/cobra"
+
+	"tanagergrade/io/tgflag"
+)
+
+// Commands are the queries by the command that they belong to.
+type Commands struct {
+	Config []*cobra.Command // of "config"
+	Root   []*cobra.Command
+}
+
+// config holds the flags of all queries.
+type config struct {
+	files  tgflag.Files
+	keys   tgflag.Keys
+	log    tgflag.Log
+	output tgflag.Output
+	stdout io.Writer
+}
+
+// New returns the queries; they write to stdout.
+func New(stdout io.Writer) Commands {
+	c := &config{stdout: stdout}
+	return Commands{
+		Config: []*cobra.Command{c.newCheckCmd(), c.newDiffCmd(), c.newHistoryCmd(), c.newShowCmd()},
+		Root:   []*cobra.Command{c.newDumpCmd(), c.newStatusCmd(), c.newVersionCmd()},
+	}
+}
--- /dev/null
+++ b/io/tgquery/status.go
@@ -0,0 +1,95 @@
+package tgquery
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc/iter"
+	"github.com/spf13/cobra"
+
+	"tanagergrade/io/tgadmin"
+	"tanagergrade/io/tgflag"
+)
+
+const maxStatusCalls = 64 // calls at once, so that the status of hundreds of daemons needs few sockets
+
+type statusEntry struct {
+	Address netip.AddrPort  `json:"address"`
+	Error   string          `json:"error,omitempty"`
+	Status  *tgadmin.Status `json:"status,omitempty"`
+}
+
+func (c *config) newStatusCmd() *cobra.Command {
+	cmd := &cobra.Command{
+		Args: cobra.MinimumNArgs(1),
+		Example: "  tanagergrade status 10.0.0.1:7002 10.0.0.2:7002 --authority-file authority.pem \\\n" +
+			"    --certificate-file operator.pem --key-file operator-key.pem",
+		Long:  "Asks the daemons with these admin addresses for their status. It fails if one does not answer.",
+		RunE:  c.runStatus,
+		Short: "Show the status of daemons",
+		Use:   "status ADDRESS...",
+	}
+	c.keys.Register(cmd.Flags())
+	c.output.Register(cmd.Flags())
+	return cmd
+}
+
+func (c *config) runStatus(cmd *cobra.Command, args []string) error {
+	addresses, err := tgflag.ParseAddresses(args)
+	if err != nil {
+		return err
+	}
+	client, err := c.keys.Client()
+	if err != nil {
+		return err
+	}
+	entries := fetchStatus(cmd.Context(), client, addresses)
+	if err := c.output.Write(c.stdout, entries, func(w io.Writer) { printStatus(w, entries) }); err != nil {
+		return err
+	}
+	failed := 0
+	for _, e := range entries {
+		if e.Status == nil {
+			failed++
+		}
+	}
+	if failed > 0 {
+		return errors.Newf("%d of %d daemons did not answer", failed, len(entries))
+	}
+	return nil
+}
+
+func fetchStatus(ctx context.Context, client *tgadmin.Client, addresses []netip.AddrPort) []statusEntry {
+	mapper := iter.Mapper[netip.AddrPort, statusEntry]{MaxGoroutines: maxStatusCalls}
+	return mapper.Map(addresses, func(address *netip.AddrPort) statusEntry {
+		s, err := client.Status(ctx, *address)
+		if err != nil {
+			return statusEntry{Address: *address, Error: err.Error()}
+		}
+		return statusEntry{Address: *address, Status: &s}
+	})
+}
+
+func printStatus(w io.Writer, entries []statusEntry) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "ADDRESS\tNAME\tROLE\tDATA CENTRE\tREADY\tAPPLIED\tSTARTED\tVERSION")
+	for _, e := range entries {
+		if e.Status == nil {
+			fmt.Fprintf(t, "%s\t%s\n", e.Address, e.Error)
+			continue
+		}
+		s := e.Status
+		ready := "yes"
+		if !s.Ready {
+			ready = "no: " + s.NotReady
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%d\t%s\t%s\n", e.Address, s.Name, s.Role, s.DataCentre, ready, s.Applied,
+			s.Started.UTC().Format(time.RFC3339), s.Version)
+	}
+	_ = t.Flush() // a failed write to the output shows at the next one
+}
