--- a/core/tgconfig/decode.go
+++ b/core/tgconfig/decode.go
@@ -126,7 +126,7 @@
 	for _, key := range sortedKeys(t.fields) {
 		field, ok := fields[key]
 		if !ok {
-			d.add(t.fields[key].at, path.child(key), "unknown key")
+			d.add(t.fields[key].keyAt, path.child(key), "unknown key")
 			continue
 		}
 		d.decode(t.fields[key], path.child(key), field)
--- a/core/tgconfig/tree.go
+++ b/core/tgconfig/tree.go
@@ -22,12 +22,13 @@
 	closed bool // an inline table or a table whose header was read; it cannot be defined again
 	fields map[string]*tree
 	items  []*tree
+	keyAt  Position // of the key or header that defines the value
 	kind   unstable.Kind
 	text   string
 }
 
 func newTable(at Position) *tree {
-	return &tree{at: at, fields: map[string]*tree{}, kind: unstable.Table}
+	return &tree{at: at, fields: map[string]*tree{}, keyAt: at, kind: unstable.Table}
 }
 
 // treeParser builds the tree of one file and collects all its problems.
@@ -125,7 +126,7 @@
 	child := parent.fields[last.name]
 	if e.Kind == unstable.ArrayTable {
 		if child == nil {
-			child = &tree{at: last.at, kind: unstable.Array}
+			child = &tree{at: last.at, keyAt: last.at, kind: unstable.Array}
 			parent.fields[last.name] = child
 		}
 		element := newTable(last.at)
@@ -153,7 +154,9 @@
 		p.add(last.at, path, "key is defined twice")
 		return
 	}
-	table.fields[last.name] = p.value(e.Value(), path, last.at)
+	field := p.value(e.Value(), path, last.at)
+	field.keyAt = last.at
+	table.fields[last.name] = field
 }
 
 // descend returns the table under keys, making those that are missing.
