Show key material and process state in dump and metrics

Cause: an operator could not see when a certificate expires or that a replaced file is not used. Change: tgkey.Keys.State is in the dump as "keys"; the expvar map "daemon" has applied, keyNotAfterUnix, keyProblem, ready and startedUnix. Figures: go test -race ./io/tgkey ./io/tgcommand pass. Conclusion: alarms on expiry and on refused key files need no log scraping.

--- a/io/tgcommand/daemon.go
+++ b/io/tgcommand/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -35,6 +36,7 @@
 type daemon struct {
 	admin     *tgadmin.Server
 	document  *tgconfig.Document
+	keys      *tgkey.Keys
 	log       *logrus.Entry
 	node      *tgnode.Node
 	process   tgconfig.Process
@@ -72,19 +74,19 @@
 
 func (d *daemon) open(ctx context.Context, name string, logger *logrus.Logger) error {
 	p := d.process
-	keys, err := tgkey.Open(
-		tgkey.Files{Authority: p.AuthorityFile, Certificate: p.CertificateFile, Key: p.KeyFile}, d.log)
-	if err != nil {
+	files := tgkey.Files{Authority: p.AuthorityFile, Certificate: p.CertificateFile, Key: p.KeyFile}
+	var err error
+	if d.keys, err = tgkey.Open(files, d.log); err != nil {
 		return err
 	}
-	if d.transport, err = tglink.Listen(p.LinkAddress, keys.Config()); err != nil {
+	if d.transport, err = tglink.Listen(p.LinkAddress, d.keys.Config()); err != nil {
 		return err
 	}
 	d.node = tgnode.New(tgnode.Settings{
 		AdminAddress: p.AdminAddress, DataCentre: p.DataCentre, LinkAddress: p.LinkAddress,
 		LogAddress: p.LogAddress, Name: name,
 	}, d.transport, logger)
-	d.admin, err = tgadmin.Listen(ctx, p.AdminAddress, keys.Config(), d.registry)
+	d.admin, err = tgadmin.Listen(ctx, p.AdminAddress, d.keys.Config(), d.registry)
 	if err != nil {
 		return errors.CombineErrors(err, d.transport.Close())
 	}
@@ -115,7 +117,9 @@
 func (d *daemon) register(part any) {
 	d.registry.SetStatus(d.status)
 	d.registry.Add("config", func() any { return d.node.Config().Lines() })
+	d.registry.Add("keys", func() any { return d.keys.State() })
 	d.registry.Add("process", func() any { return d.status() })
+	d.publishMetrics()
 	for _, p := range []any{d.node, part} {
 		if r, ok := p.(tgadmin.Registrar); ok {
 			r.RegisterAdmin(d.registry)
@@ -133,3 +137,17 @@
 	}
 	return s
 }
+
+// publishMetrics adds the metrics that every daemon has.
+func (d *daemon) publishMetrics() {
+	const name = "daemon"
+	if expvar.Get(name) != nil { // a second daemon in one process, as in tests
+		return
+	}
+	m := expvar.NewMap(name)
+	m.Set("applied", expvar.Func(func() any { return d.node.Applied() }))
+	m.Set("keyNotAfterUnix", expvar.Func(func() any { return d.keys.State().NotAfter.Unix() }))
+	m.Set("keyProblem", expvar.Func(func() any { return d.keys.State().Problem }))
+	m.Set("ready", expvar.Func(func() any { return d.status().Ready }))
+	m.Set("startedUnix", expvar.Func(func() any { return d.started.Unix() }))
+}
--- a/io/tgkey/files.go
+++ b/io/tgkey/files.go
@@ -11,9 +11,9 @@
 
 // Files are the paths of PEM files with the mutual TLS material of a process.
 type Files struct {
-	Authority   string // certificates of the authorities that sign peers
-	Certificate string // certificate of this process, followed by intermediates if there are any
-	Key         string
+	Authority   string `json:"authority"`   // certificates of the authorities that sign peers
+	Certificate string `json:"certificate"` // certificate of this process, followed by intermediates if there are any
+	Key         string `json:"key"`
 }
 
 // MismatchError says that the files were read but do not belong together or cannot be used.
--- a/io/tgkey/keys.go
+++ b/io/tgkey/keys.go
@@ -21,8 +21,15 @@
 	interval time.Duration
 	log      *logrus.Entry
 	mu       sync.Mutex
+	problem  string       // why the files are not used, empty if they are
 	refused  fileContents // contents that were logged as bad
-	unread   string       // last error of reading that was logged
+}
+
+// State is what a dump shows of Keys.
+type State struct {
+	Files    Files     `json:"files"`
+	NotAfter time.Time `json:"notAfter"`          // expiry of the certificate in use
+	Problem  string    `json:"problem,omitempty"` // why changed files are not used
 }
 
 // Open reads the files. The error is a *MismatchError if they were read but do not belong together.
@@ -58,6 +65,14 @@
 	}
 }
 
+// State returns the state of the material in use, after a check of the files.
+func (k *Keys) State() State {
+	m := k.material()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return State{Files: k.files, NotAfter: m.certificate.Leaf.NotAfter, Problem: k.problem}
+}
+
 func (k *Keys) serverConfig() *tls.Config {
 	m := k.material()
 	return &tls.Config{
@@ -83,23 +98,25 @@
 
 func (k *Keys) reload() {
 	contents, err := k.files.read()
-	if err != nil {
-		if k.unread != err.Error() {
-			k.unread = err.Error()
-			k.log.WithError(err).Error("changed key material cannot be read; the last good material stays in use")
-		}
+	switch {
+	case err != nil:
+		k.refused = fileContents{}
+	case contents.equal(k.current.contents):
+		k.problem, k.refused = "", fileContents{}
 		return
-	}
-	k.unread = ""
-	if contents.equal(k.current.contents) || contents.equal(k.refused) {
+	case contents.equal(k.refused):
 		return
-	}
-	m, err := k.files.parse(contents)
-	if err != nil {
+	default:
+		var m *material
+		if m, err = k.files.parse(contents); err == nil {
+			k.current, k.problem, k.refused = m, "", fileContents{}
+			k.log.WithField("notAfter", m.certificate.Leaf.NotAfter).Info("key material replaced")
+			return
+		}
 		k.refused = contents
+	}
+	if k.problem != err.Error() {
+		k.problem = err.Error()
 		k.log.WithError(err).Error("changed key material is bad; the last good material stays in use")
-		return
 	}
-	k.current, k.refused = m, fileContents{}
-	k.log.WithField("notAfter", m.certificate.Leaf.NotAfter).Info("key material replaced")
 }
--- a/io/tgkey/keys_test.go
+++ b/io/tgkey/keys_test.go
@@ -99,6 +99,7 @@
 			}
 			assert.Equal(t, len(hook.AllEntries()), 1)
 			assert.Equal(t, hook.LastEntry().Level, logrus.ErrorLevel)
+			assert.Assert(t, keys.State().Problem != "", "operators must see in the dump that the files are not used")
 		})
 	}
 }
