--- /dev/null
+++ b/core/tganswer/assembler.go
@@ -0,0 +1,135 @@
+package tganswer
+
+import (
+	"github.com/google/uuid"
+
+	"tanagergrade/core/tgframe"
+)
+
+const maxEarly = 1024 // chunks held that arrived before an earlier one
+
+// Assembler puts the frames of one attempt into order, whatever the order and number of their arrival.
+type Assembler struct {
+	attempt uuid.UUID
+	early   map[uint64][]byte // chunks after a gap
+	end     *tgframe.End
+	head    *tgframe.Head
+	headed  bool // Next has returned the head
+	next    uint64
+	ready   []byte // chunks from next on that Next has not returned
+	readyN  int
+}
+
+// PartKind names what a part of an answer is.
+type PartKind string
+
+// Kinds of parts, in the order in which they are returned.
+const (
+	PartHead  PartKind = "head"
+	PartChunk PartKind = "chunk"
+	PartEnd   PartKind = "end"
+)
+
+// Part is the next part of an answer; the field named by Kind is set.
+type Part struct {
+	Chunk []byte // one or more chunks, valid until the next Add
+	End   *tgframe.End
+	Head  *tgframe.Head
+	Kind  PartKind
+}
+
+// NewAssembler returns an assembler of attempt whose first chunk has the sequence number next.
+func NewAssembler(attempt uuid.UUID, next uint64) *Assembler {
+	return &Assembler{attempt: attempt, next: next}
+}
+
+// Delivered returns the sequence number after the last chunk that Next has returned.
+func (a *Assembler) Delivered() uint64 { return a.next - uint64(a.readyN) }
+
+// Wanted returns the sequence number of the first chunk that has not arrived.
+func (a *Assembler) Wanted() uint64 { return a.next }
+
+// Add takes a frame; frames of other attempts and repeated frames change nothing.
+func (a *Assembler) Add(f *tgframe.Frame) {
+	if f.Attempt != a.attempt {
+		return
+	}
+	switch {
+	case f.Kind == tgframe.KindHead && f.Head != nil && a.head == nil:
+		a.head = f.Head
+	case f.Kind == tgframe.KindChunk && f.Chunk != nil:
+		a.addChunk(f.Chunk)
+	case f.Kind == tgframe.KindEnd && f.End != nil && a.end == nil:
+		a.end = f.End
+	}
+}
+
+func (a *Assembler) addChunk(c *tgframe.Chunk) {
+	if len(c.Sizes) == 0 {
+		a.addOne(c.Sequence, c.Data)
+		return
+	}
+	data := c.Data
+	for i, size := range c.Sizes {
+		if size < 0 || size > len(data) {
+			return
+		}
+		a.addOne(c.Sequence+uint64(i), data[:size:size])
+		data = data[size:]
+	}
+}
+
+func (a *Assembler) addOne(sequence uint64, data []byte) {
+	switch {
+	case sequence < a.next:
+	case sequence == a.next:
+		a.append(data)
+		for len(a.early) > 0 {
+			d, ok := a.early[a.next]
+			if !ok {
+				return
+			}
+			delete(a.early, a.next)
+			a.append(d)
+		}
+	case len(a.early) < maxEarly:
+		if a.early == nil {
+			a.early = map[uint64][]byte{}
+		}
+		a.early[sequence] = data
+	}
+}
+
+func (a *Assembler) append(data []byte) {
+	a.next++
+	a.readyN++
+	if len(a.ready) == 0 {
+		a.ready = data[:len(data):len(data)]
+		return
+	}
+	a.ready = append(a.ready, data...)
+}
+
+// Next returns the next part, or false if it has not arrived.
+// The end is returned only after all chunks that it counts; a failure needs no chunks.
+func (a *Assembler) Next() (Part, bool) {
+	switch {
+	case !a.headed && a.head != nil:
+		a.headed = true
+		return Part{Head: a.head, Kind: PartHead}, true
+	case a.headed && a.readyN > 0:
+		p := Part{Chunk: a.ready, Kind: PartChunk}
+		a.ready, a.readyN = nil, 0
+		return p, true
+	case a.end != nil && (a.end.Failure != nil || a.headed && a.next == a.end.Total):
+		return Part{End: a.end, Kind: PartEnd}, true
+	default:
+		return Part{}, false
+	}
+}
+
+// Impossible reports whether the end that arrived counts fewer chunks than have arrived,
+// or closes an answer without a head.
+func (a *Assembler) Impossible() bool {
+	return a.end != nil && a.end.Failure == nil && (a.head == nil || a.next > a.end.Total)
+}
--- a/core/tganswer/buffer.go
+++ b/core/tganswer/buffer.go
@@ -2,24 +2,44 @@
 package tganswer
 
 import (
+	"context"
+	"slices"
 	"sync"
 
+	"github.com/cockroachdb/errors"
+
 	"tanagergrade/core/tgframe"
 )
 
+// ErrTooLarge says that an answer that must be kept whole exceeds the buffer's limit.
+var ErrTooLarge = errors.New("answer exceeds the size that can be kept")
+
 // Buffer holds what an attempt has produced, so that a reader can go on over a new connection.
+// It holds at most limit bytes: a whole buffer fails beyond it; any other drops chunks that all
+// readers have passed, and makes the producer wait while there are none.
 type Buffer struct {
 	mu      sync.Mutex
-	base    uint64        // sequence number of chunks[0]
-	changed chan struct{} // closed and replaced at each change
+	base    uint64 // sequence number of chunks[0]
+	bytes   int    // of chunks
 	chunks  [][]byte
 	end     *tgframe.End // set once, after the last chunk
 	head    *tgframe.Head
+	limit   int
+	readers []*Reader
+	space   chan struct{} // holds a token after a reader has moved
+	whole   bool
 }
 
 // NewBuffer returns a buffer whose first chunk has the sequence number base.
-func NewBuffer(base uint64) *Buffer {
-	return &Buffer{base: base, changed: make(chan struct{})}
+func NewBuffer(base uint64, limit int) *Buffer {
+	return &Buffer{base: base, limit: limit, space: make(chan struct{}, 1)}
+}
+
+// NewWholeBuffer returns a buffer that keeps the whole answer.
+func NewWholeBuffer(limit int) *Buffer {
+	b := NewBuffer(0, limit)
+	b.whole = true
+	return b
 }
 
 // SetHead stores the head of the answer.
@@ -30,12 +50,56 @@
 	b.notify()
 }
 
-// Append stores the next chunk.
-func (b *Buffer) Append(data []byte) {
+// Append stores the next chunks and takes over their memory; it waits for space until ctx ends.
+func (b *Buffer) Append(ctx context.Context, chunks ...[]byte) error {
+	for {
+		ok, err := b.tryAppend(chunks)
+		if ok || err != nil {
+			return err
+		}
+		select {
+		case <-b.space:
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "wait for a reader of the answer")
+		}
+	}
+}
+
+func (b *Buffer) tryAppend(chunks [][]byte) (bool, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.chunks = append(b.chunks, data)
+	if b.bytes >= b.limit {
+		if b.whole {
+			return false, ErrTooLarge
+		}
+		if b.drop(); b.bytes >= b.limit {
+			return false, nil
+		}
+	}
+	for _, c := range chunks {
+		b.bytes += len(c)
+	}
+	b.chunks = append(b.chunks, chunks...)
 	b.notify()
+	return true, nil
+}
+
+// drop removes the oldest chunks that all readers have passed until half of the limit is free.
+func (b *Buffer) drop() {
+	if len(b.readers) == 0 {
+		return
+	}
+	passed := b.readers[0].next
+	for _, r := range b.readers[1:] {
+		passed = min(passed, r.next)
+	}
+	n := 0
+	for n < len(b.chunks) && b.base+uint64(n) < passed && b.bytes > b.limit/2 {
+		b.bytes -= len(b.chunks[n])
+		n++
+	}
+	b.chunks = slices.Delete(b.chunks, 0, n)
+	b.base += uint64(n)
 }
 
 // Finish stores the terminal marker; only the first one counts.
@@ -51,15 +115,26 @@
 }
 
 func (b *Buffer) notify() {
-	close(b.changed)
-	b.changed = make(chan struct{})
+	for _, r := range b.readers {
+		select {
+		case r.wake <- struct{}{}:
+		default:
+		}
+	}
 }
 
-// Finished reports whether the terminal marker is there.
-func (b *Buffer) Finished() bool {
+// Bytes returns the size of the chunks held.
+func (b *Buffer) Bytes() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.end != nil
+	return b.bytes
+}
+
+// End returns the terminal marker, or nil if it is not there.
+func (b *Buffer) End() *tgframe.End {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.end
 }
 
 // Next returns the sequence number of the next chunk to be produced.
@@ -69,44 +144,13 @@
 	return b.base + uint64(len(b.chunks))
 }
 
-// Snapshot returns the parts of an unfinished or finished answer.
+// Snapshot returns the parts of an unfinished or finished answer; the body is whole only in a whole buffer.
 func (b *Buffer) Snapshot() (head *tgframe.Head, body []byte, end *tgframe.End) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	body = make([]byte, 0, b.bytes)
 	for _, c := range b.chunks {
 		body = append(body, c...)
 	}
 	return b.head, body, b.end
 }
-
-// Reader reads a buffer from a sequence number on.
-type Reader struct {
-	buffer   *Buffer
-	headSent bool
-	next     uint64
-}
-
-// NewReader returns a reader of b from the chunk next on.
-func NewReader(b *Buffer, next uint64) *Reader {
-	return &Reader{buffer: b, next: next}
-}
-
-// Read returns the next frame, or no frame and a channel that is closed when there is more.
-func (r *Reader) Read() (*tgframe.Frame, <-chan struct{}) {
-	b := r.buffer
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if !r.headSent && b.head != nil {
-		r.headSent = true
-		return &tgframe.Frame{Head: b.head, Kind: tgframe.KindHead}, nil
-	}
-	if r.next >= b.base && r.next < b.base+uint64(len(b.chunks)) {
-		chunk := &tgframe.Chunk{Data: b.chunks[r.next-b.base], Sequence: r.next}
-		r.next++
-		return &tgframe.Frame{Chunk: chunk, Kind: tgframe.KindChunk}, nil
-	}
-	if b.end != nil {
-		return &tgframe.Frame{End: b.end, Kind: tgframe.KindEnd}, nil
-	}
-	return nil, b.changed
-}
--- /dev/null
+++ b/core/tganswer/reader.go
@@ -0,0 +1,90 @@
+package tganswer
+
+import (
+	"slices"
+
+	"tanagergrade/core/tgframe"
+)
+
+const maxCoalesced = 16 << 10 // bytes of chunks that are sent as one frame
+
+// Reader reads a buffer from a sequence number on.
+type Reader struct {
+	buffer   *Buffer
+	chunk    tgframe.Chunk // reused for each frame
+	data     []byte        // reused for coalesced chunks
+	headSent bool
+	next     uint64
+	wake     chan struct{} // holds a token after a change
+}
+
+// NewReader returns a reader of b from the chunk next on, or false if that chunk is no longer held.
+// The caller closes it.
+func (b *Buffer) NewReader(next uint64) (*Reader, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if next < b.base {
+		return nil, false
+	}
+	r := &Reader{buffer: b, next: next, wake: make(chan struct{}, 1)}
+	b.readers = append(b.readers, r)
+	return r, true
+}
+
+// Close ends the reader; chunks are no longer held for it.
+func (r *Reader) Close() {
+	b := r.buffer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.readers = slices.DeleteFunc(b.readers, func(other *Reader) bool { return other == r })
+}
+
+// Wake returns a channel that receives after Read has returned false and there may be more.
+func (r *Reader) Wake() <-chan struct{} { return r.wake }
+
+// Read fills f with the next frame, valid until the next call, or returns false if there is none yet.
+// Chunks that are ready together go into one frame.
+func (r *Reader) Read(f *tgframe.Frame) bool {
+	b := r.buffer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	*f = tgframe.Frame{Attempt: f.Attempt}
+	if !r.headSent && b.head != nil {
+		r.headSent = true
+		f.Head, f.Kind = b.head, tgframe.KindHead
+		return true
+	}
+	if r.next >= b.base && r.next < b.base+uint64(len(b.chunks)) {
+		r.readChunks(b.chunks[r.next-b.base:])
+		f.Chunk, f.Kind = &r.chunk, tgframe.KindChunk
+		select {
+		case b.space <- struct{}{}:
+		default:
+		}
+		return true
+	}
+	if b.end != nil {
+		f.End, f.Kind = b.end, tgframe.KindEnd
+		return true
+	}
+	return false
+}
+
+func (r *Reader) readChunks(ready [][]byte) {
+	r.chunk = tgframe.Chunk{Data: ready[0], Sequence: r.next, Sizes: r.chunk.Sizes[:0]}
+	r.next++
+	if len(ready) == 1 || len(ready[0])+len(ready[1]) > maxCoalesced {
+		return
+	}
+	r.data = append(r.data[:0], ready[0]...)
+	r.chunk.Sizes = append(r.chunk.Sizes, len(ready[0]))
+	for _, c := range ready[1:] {
+		if len(r.data)+len(c) > maxCoalesced {
+			break
+		}
+		r.data = append(r.data, c...)
+		r.chunk.Sizes = append(r.chunk.Sizes, len(c))
+		r.next++
+	}
+	r.chunk.Data = r.data
+}
--- a/core/tganswer/splitter.go
+++ b/core/tganswer/splitter.go
@@ -1,32 +1,75 @@
 package tganswer
 
-import "bytes"
+import (
+	"bytes"
+
+	"github.com/cockroachdb/errors"
+)
+
+const maxEvent = 4 << 20 // bytes of one event
+
+// ErrEventTooLarge says that an event stream holds an event beyond the limit.
+var ErrEventTooLarge = errors.New("event of the stream is too large")
 
 var (
-	eventEnd   = []byte("\n\n")
 	doneMarker = []byte("data: [DONE]")
+	eventEnd   = []byte("\n\n")
+	eventEndCR = []byte("\r\n\r\n")
 )
 
 // EventSplitter cuts a server-sent event stream into whole events, so that one chunk is one event.
 type EventSplitter struct {
 	done    bool
-	pending []byte // start of an event whose end has not arrived
+	events  [][]byte // reused
+	pending []byte   // start of an event whose end has not arrived
 }
 
-// Split takes the next bytes and returns the events that they complete.
-func (s *EventSplitter) Split(data []byte) [][]byte {
-	s.pending = append(s.pending, data...)
-	var events [][]byte
-	for {
-		i := bytes.Index(s.pending, eventEnd)
-		if i < 0 {
-			return events
+// Split takes the next bytes and returns the events that they complete; what follows the terminal event is dropped.
+// The slice is valid until the next call, the events stay valid.
+func (s *EventSplitter) Split(data []byte) ([][]byte, error) {
+	s.events = s.events[:0]
+	if s.done {
+		return nil, nil
+	}
+	rest := data
+	if len(s.pending) > 0 {
+		s.pending = append(s.pending, data...)
+		rest = s.pending
+	}
+	// One copy holds all events of this call; the caller reuses data.
+	owned := []byte(nil)
+	for !s.done {
+		n := eventLength(rest)
+		if n == 0 {
+			break
+		}
+		if owned == nil {
+			owned = append(make([]byte, 0, len(rest)), rest...)
 		}
-		event := s.pending[:i+len(eventEnd)]
-		s.pending = append([]byte(nil), s.pending[i+len(eventEnd):]...)
-		s.done = s.done || bytes.HasPrefix(event, doneMarker)
-		events = append(events, event)
+		event := owned[:n:n]
+		owned, rest = owned[n:], rest[n:]
+		s.done = bytes.HasPrefix(event, doneMarker)
+		s.events = append(s.events, event)
+	}
+	if len(rest) > maxEvent {
+		return nil, ErrEventTooLarge
+	}
+	// rest may lie within pending; append moves overlapping bytes correctly.
+	s.pending = append(s.pending[:0], rest...)
+	return s.events, nil
+}
+
+// eventLength returns the length of the first event of data with its end, or 0 if the end is not there.
+func eventLength(data []byte) int {
+	n := 0
+	if i := bytes.Index(data, eventEnd); i >= 0 {
+		n = i + len(eventEnd)
+		data = data[:n]
+	}
+	if i := bytes.Index(data, eventEndCR); i >= 0 {
+		n = i + len(eventEndCR)
 	}
+	return n
 }
 
 // Done reports whether the terminal event has passed.
--- a/core/tgcall/failure.go
+++ b/core/tgcall/failure.go
@@ -12,6 +12,7 @@
 const (
 	CodeAccountUnknown         Code = "accountUnknown"
 	CodeAnswerIncomplete       Code = "answerIncomplete"
+	CodeAttemptUnknown         Code = "attemptUnknown"
 	CodeCancelled              Code = "cancelled"
 	CodeConfigurationMissing   Code = "configurationMissing"
 	CodeCutOff                 Code = "cutOff"
@@ -24,6 +25,7 @@
 	CodeIdempotencyKeyReused   Code = "idempotencyKeyReused"
 	CodeInternal               Code = "internal"
 	CodeLogUnavailable         Code = "logUnavailable"
+	CodeMethodNotAllowed       Code = "methodNotAllowed"
 	CodeModelUnknown           Code = "modelUnknown"
 	CodeNoUpstream             Code = "noUpstream"
 	CodeOverloaded             Code = "overloaded"
@@ -31,6 +33,7 @@
 	CodeRequestTooLarge        Code = "requestTooLarge"
 	CodeRequestUnresolved      Code = "requestUnresolved"
 	CodeRouteUnknown           Code = "routeUnknown"
+	CodeUpstreamFailed         Code = "upstreamFailed"
 	CodeUpstreamLost           Code = "upstreamLost"
 	CodeUpstreamUnreachable    Code = "upstreamUnreachable"
 )
--- a/core/tgframe/frame.go
+++ b/core/tgframe/frame.go
@@ -27,6 +27,7 @@
 // Frame is one message of an exchange; the field named by Kind is set.
 type Frame struct {
 	Attach   *Attach   `cbor:"attach,omitempty"`
+	Attempt  uuid.UUID `cbor:"attempt"` // set on reply frames; the reader drops frames of other attempts
 	Cancel   *Cancel   `cbor:"cancel,omitempty"`
 	Chunk    *Chunk    `cbor:"chunk,omitempty"`
 	End      *End      `cbor:"end,omitempty"`
@@ -72,13 +73,15 @@
 
 // Attach asks a companion to go on with an attempt over a new connection.
 type Attach struct {
-	Attempt uuid.UUID `cbor:"attempt"`
-	Next    uint64    `cbor:"next"` // sequence number of the next chunk wanted
+	Attempt  uuid.UUID `cbor:"attempt"`
+	Deadline time.Time `cbor:"deadline"` // of the attempt; an execute frame that arrives after it is refused
+	Next     uint64    `cbor:"next"`     // sequence number of the next chunk wanted
 }
 
 // Cancel asks a companion to stop an attempt.
 type Cancel struct {
-	Attempt uuid.UUID `cbor:"attempt"`
+	Attempt  uuid.UUID `cbor:"attempt"`
+	Deadline time.Time `cbor:"deadline"` // of the attempt; an execute frame that arrives after it is refused
 }
 
 // Load is a companion's report of its upstream.
@@ -102,10 +105,11 @@
 	Status  int      `cbor:"status"`
 }
 
-// Chunk is one part of an answer's body.
+// Chunk is one or more consecutive parts of an answer's body.
 type Chunk struct {
 	Data     []byte `cbor:"data"`
-	Sequence uint64 `cbor:"sequence"` // from 0, without gaps
+	Sequence uint64 `cbor:"sequence"`        // of the first part; from 0, without gaps
+	Sizes    []int  `cbor:"sizes,omitempty"` // of the parts in Data, if there is more than one
 }
 
 // End is the terminal marker of an attempt.
@@ -115,4 +119,11 @@
 	Outcome  tgcall.Outcome  `cbor:"outcome"`
 	Replayed bool            `cbor:"replayed,omitempty"` // the recorded answer of an earlier call
 	Total    uint64          `cbor:"total"`              // number of chunks of the whole answer
+	Unseen   *Unseen         `cbor:"unseen,omitempty"`   // set if this process has never seen the attempt
+}
+
+// Unseen says that a companion has not seen an attempt since it started and will refuse it from now on.
+// If the companion started before the attempt was sent, the attempt was not run and will not be.
+type Unseen struct {
+	Uptime time.Duration `cbor:"uptime"` // since the companion started
 }
--- a/io/tgcompanion/attempt.go
+++ b/io/tgcompanion/attempt.go
@@ -15,18 +15,39 @@
 	"tanagergrade/io/tgupstream"
 )
 
+const (
+	maxReplayBytes = 1 << 20 // output of an idempotent attempt that is kept for a re-attach
+	maxResultBytes = 8 << 20 // answer of a claimed attempt, which is recorded whole
+)
+
+// Reasons for the end of an attempt's context.
+var (
+	errCancelled = errors.New("cancelled by the entry")
+	errDrained   = errors.New("companion stopped before the attempt finished")
+	errNoReader  = errors.New("nobody reads the answer")
+)
+
 // attempt is one run of a request at this upstream.
 type attempt struct {
 	buffer  *tganswer.Buffer
-	cancel  context.CancelFunc
+	cancel  context.CancelCauseFunc
 	execute *tgframe.Execute
-}
+	started time.Time
 
-func newAttempt(e *tgframe.Execute, cancel context.CancelFunc) *attempt {
-	return &attempt{buffer: tganswer.NewBuffer(uint64(e.Delivered)), cancel: cancel, execute: e}
+	// The rest is guarded by the registry's lock.
+	delivered bool        // a reader has confirmed the end
+	ended     time.Time   // zero while it runs
+	idle      *time.Timer // cancels an attempt without a reader
+	readers   int
 }
 
-func (a *attempt) reader(next uint64) *tganswer.Reader { return tganswer.NewReader(a.buffer, next) }
+func newAttempt(e *tgframe.Execute, cancel context.CancelCauseFunc) *attempt {
+	buffer := tganswer.NewBuffer(uint64(e.Delivered), maxReplayBytes)
+	if !e.Idempotent {
+		buffer = tganswer.NewWholeBuffer(maxResultBytes)
+	}
+	return &attempt{buffer: buffer, cancel: cancel, execute: e, started: time.Now()}
+}
 
 func (a *attempt) fail(f *tgcall.Failure) {
 	a.buffer.Finish(tgframe.End{Failure: f, Outcome: f.Outcome})
@@ -72,7 +93,9 @@
 		return tgadmit.Sample{}
 	case replay != nil:
 		a.buffer.SetHead(replay.Head)
-		a.buffer.Append(replay.Body)
+		if err := a.buffer.Append(ctx, replay.Body); err != nil {
+			a.fail(tgcall.UnknownFailure(tgcall.CodeInternal, "replay the recorded answer: %v", err))
+		}
 		a.buffer.Finish(tgframe.End{Outcome: tgcall.Answered, Replayed: true})
 		return tgadmit.Sample{}
 	}
@@ -83,20 +106,39 @@
 
 // call hands the attempt to the upstream, once.
 func (c *Companion) call(ctx context.Context, a *attempt) tgadmit.Sample {
-	s := &sink{buffer: a.buffer, started: time.Now()}
+	s := &sink{attempt: a, ctx: ctx, started: time.Now()}
 	err := c.client.Do(ctx, a.execute, s)
-	sample := tgadmit.Sample{FirstToken: s.first, OK: err == nil, Tokens: s.chunks, Total: time.Since(s.started)}
+	failure := c.failure(ctx, s, err)
+	if failure != nil {
+		a.fail(failure)
+	} else {
+		a.buffer.Finish(tgframe.End{Outcome: tgcall.Answered})
+	}
+	ok := failure == nil && s.status < statusServerError
+	return tgadmit.Sample{FirstToken: s.first, OK: ok, Tokens: s.chunks, Total: time.Since(s.started)}
+}
+
+// failure returns why there is no whole answer, or nil if there is one.
+func (c *Companion) failure(ctx context.Context, s *sink, err error) *tgcall.Failure {
 	var notSent *tgupstream.NotSentError
 	switch {
+	case s.events && s.splitter.Done():
+		return nil // the stream is whole; what the connection does after its terminal event is of no interest
 	case errors.As(err, &notSent):
-		a.fail(tgcall.NotRunFailure(tgcall.CodeUpstreamUnreachable, "upstream %q: %v", c.upstream, err))
+		return tgcall.NotRunFailure(tgcall.CodeUpstreamUnreachable, "upstream %q: %v", c.upstream, err)
+	case errors.Is(err, errServerError):
+		return tgcall.UnknownFailure(tgcall.CodeUpstreamFailed, "upstream %q answered with status %d", c.upstream, s.status)
+	case ctx.Err() != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+		return tgcall.UnknownFailure(tgcall.CodeDeadlineExceeded, "no whole answer before the deadline")
+	case ctx.Err() != nil:
+		return tgcall.UnknownFailure(tgcall.CodeCancelled, "%v", context.Cause(ctx))
+	case errors.Is(err, tgupstream.ErrUnframed), errors.Is(err, tganswer.ErrTooLarge):
+		return tgcall.UnknownFailure(tgcall.CodeAnswerIncomplete, "upstream %q: %v", c.upstream, err)
 	case err != nil:
-		a.fail(tgcall.UnknownFailure(tgcall.CodeUpstreamLost, "upstream %q: %v", c.upstream, err))
-	case s.events && !s.splitter.Done():
-		sample.OK = false
-		a.fail(tgcall.UnknownFailure(tgcall.CodeAnswerIncomplete, "the upstream's stream ended without its last event"))
+		return tgcall.UnknownFailure(tgcall.CodeUpstreamLost, "upstream %q: %v", c.upstream, err)
+	case s.events:
+		return tgcall.UnknownFailure(tgcall.CodeAnswerIncomplete, "the upstream's stream ended without its terminal event")
 	default:
-		a.buffer.Finish(tgframe.End{Outcome: tgcall.Answered})
+		return nil
 	}
-	return sample
 }
--- a/io/tgcompanion/companion.go
+++ b/io/tgcompanion/companion.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -12,33 +13,29 @@
 	"tanagergrade/core/tgclaim"
 	"tanagergrade/core/tgconfig"
 	"tanagergrade/core/tgframe"
-	"tanagergrade/core/tgshard"
 	"tanagergrade/io/tglink"
 	"tanagergrade/io/tgnode"
 	"tanagergrade/io/tgupstream"
 )
 
-const (
-	attemptRetention  = 30 * time.Second // a finished attempt can be attached to for this time
-	heartbeatInterval = time.Second
-)
-
 // Companion admits and runs the attempts of one upstream.
 type Companion struct {
-	attempts *tgshard.Map[*attempt]
-	claims   *tgclaim.Table
-	limiter  *tgadmit.Limiter
-	node     *tgnode.Node
-	running  conc.WaitGroup
-	upstream string // name in the configuration
-	client   *tgupstream.Client
+	attempts  *registry
+	claims    *tgclaim.Table
+	client    *tgupstream.Client
+	decisions tgcall.Decisions
+	draining  atomic.Bool
+	limiter   *tgadmit.Limiter
+	node      *tgnode.Node
+	running   conc.WaitGroup
+	upstream  string // name in the configuration
 }
 
 // New returns a companion of the upstream with the given name.
 func New(node *tgnode.Node, upstream string, client *tgupstream.Client) *Companion {
 	defaults := tgconfig.DefaultSettings()
 	return &Companion{
-		attempts: tgshard.NewMap[*attempt](),
+		attempts: newRegistry(),
 		claims:   tgclaim.NewTable(),
 		client:   client,
 		limiter:  tgadmit.NewLimiter(defaults.ColdConcurrency, defaults.WarmConcurrency),
@@ -47,93 +44,89 @@
 	}
 }
 
-// Run serves until ctx ends and all attempts have finished.
+// Run serves until ctx ends, then finishes what is in flight. The configuration, the claims and the transport
+// stay in use until then, so that answers are delivered, re-attached to and recorded.
 func (c *Companion) Run(ctx context.Context) error {
+	lastCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
 	var wg conc.WaitGroup
 	defer wg.Wait()
-	wg.Go(func() { c.node.Run(ctx) })
-	wg.Go(func() { c.followClaims(ctx) })
-	err := c.node.Transport.Serve(ctx, c.serve)
+	wg.Go(func() { c.node.Run(lastCtx) })
+	wg.Go(func() { c.followClaims(lastCtx) })
+	done := make(chan error, 1)
+	wg.Go(func() { done <- c.node.Transport.Serve(lastCtx, c.Handle) })
+	var err error
+	select {
+	case err = <-done:
+		stop()
+	case <-ctx.Done():
+		c.drain()
+		stop()
+		err = <-done
+	}
 	c.running.Wait()
 	return err
 }
 
-func (c *Companion) serve(ctx context.Context, x tglink.Exchange) {
+// Handle serves one exchange that an entry opened.
+func (c *Companion) Handle(ctx context.Context, x tglink.Exchange) {
 	f, err := x.Receive(ctx)
 	if err != nil {
 		return
 	}
-	switch f.Kind {
-	case tgframe.KindAttach:
-		a, ok := c.attempts.Get(f.Attach.Attempt.String())
-		if !ok {
-			c.refuse(ctx, x, tgcall.UnknownFailure(tgcall.CodeRequestUnresolved, "attempt is not known here"))
-			return
+	switch {
+	case f.Kind == tgframe.KindAttach && f.Attach != nil:
+		c.attach(ctx, x, f.Attach)
+	case f.Kind == tgframe.KindCancel && f.Cancel != nil:
+		// The cancellation of an attempt that has not arrived keeps it from running.
+		if a, _ := c.attempts.get(f.Cancel.Attempt, f.Cancel.Deadline); a != nil && a.execute.Idempotent {
+			a.cancel(errCancelled)
 		}
-		c.follow(ctx, x, a, f.Attach.Next)
-	case tgframe.KindCancel:
-		if a, ok := c.attempts.Get(f.Cancel.Attempt.String()); ok {
-			a.cancel()
+	case f.Kind == tgframe.KindExecute && f.Execute != nil:
+		a, failure := c.start(ctx, f.Execute)
+		if failure != nil {
+			c.refuse(ctx, x, f.Execute.Attempt, tgframe.End{Failure: failure})
+			return
 		}
-	case tgframe.KindExecute:
-		a := c.start(ctx, f.Execute)
 		c.follow(ctx, x, a, uint64(f.Execute.Delivered))
 	default:
 		c.node.Log.WithField("kind", f.Kind).Warn("unexpected first frame")
 	}
 }
 
-func (c *Companion) refuse(ctx context.Context, x tglink.Exchange, failure *tgcall.Failure) {
-	end := &tgframe.End{Failure: failure, Load: c.load(), Outcome: failure.Outcome}
-	_ = x.Send(ctx, tgframe.Frame{End: end, Kind: tgframe.KindEnd, Sender: c.node.Sender()})
-}
-
 // start starts the attempt unless it is known already.
-func (c *Companion) start(ctx context.Context, e *tgframe.Execute) *attempt {
-	runCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), e.Deadline)
-	a := newAttempt(e, cancel)
-	if old, added := c.attempts.SetIfAbsent(e.Attempt.String(), a); !added {
-		cancel()
-		return old
+func (c *Companion) start(ctx context.Context, e *tgframe.Execute) (*attempt, *tgcall.Failure) {
+	deadlineCtx, stop := context.WithDeadline(context.WithoutCancel(ctx), e.Deadline)
+	runCtx, cancel := context.WithCancelCause(deadlineCtx)
+	release := func() {
+		cancel(nil)
+		stop()
 	}
-	c.running.Go(func() {
-		defer cancel()
-		c.run(runCtx, a)
-		time.AfterFunc(attemptRetention, func() { c.attempts.Delete(e.Attempt.String()) })
-	})
-	return a
-}
-
-// follow sends the frames of a from the chunk next on, with heartbeats, until the end or a lost connection.
-func (c *Companion) follow(ctx context.Context, x tglink.Exchange, a *attempt, next uint64) {
-	if x.Send(ctx, tgframe.Frame{Kind: tgframe.KindAccepted, Sender: c.node.Sender()}) != nil {
-		return
+	a, added, refused := c.attempts.start(newAttempt(e, cancel), &c.draining)
+	if !added {
+		release()
 	}
-	heartbeat := time.NewTicker(heartbeatInterval)
-	defer heartbeat.Stop()
-	r := a.reader(next)
-	for {
-		f, changed := r.Read()
-		if f != nil {
-			if f.End != nil {
-				end := *f.End
-				end.Load = c.load()
-				f.End = &end
-			}
-			if x.Send(ctx, *f) != nil || f.Kind == tgframe.KindEnd {
-				return
-			}
-			continue
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return
-		case <-heartbeat.C:
-			p := &tgframe.Progress{Load: c.load(), Next: a.buffer.Next(), Running: true}
-			if x.Send(ctx, tgframe.Frame{Kind: tgframe.KindProgress, Progress: p}) != nil {
-				return
+	switch {
+	case refused:
+		return nil, c.decide(e, tgcall.NotRunFailure(tgcall.CodeAttemptUnknown, "attempt was given up before it arrived"))
+	case a == nil:
+		return nil, c.decide(e, tgcall.NotRunFailure(tgcall.CodeDraining, "companion of %q is stopping", c.upstream).
+			WithRetryAfter(time.Second))
+	case added:
+		c.running.Go(func() {
+			defer release()
+			defer c.attempts.finish(a)
+			c.run(runCtx, a)
+			if end := a.buffer.End(); end != nil {
+				_ = c.decide(e, end.Failure)
 			}
-		}
+		})
 	}
+	return a, nil
+}
+
+// decide records what became of an attempt and returns failure.
+func (c *Companion) decide(e *tgframe.Execute, failure *tgcall.Failure) *tgcall.Failure {
+	c.decisions.Add(tgcall.Decision{Outcome: tgcall.Answered, Request: e.Request, Upstream: c.upstream}, failure)
+	return failure
 }
--- /dev/null
+++ b/io/tgcompanion/dump.go
@@ -0,0 +1,49 @@
+package tgcompanion
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"tanagergrade/core/tgcall"
+	"tanagergrade/core/tgframe"
+)
+
+// State is the companion's part of the state dump.
+type State struct {
+	Attempts  []AttemptState    `json:"attempts"`
+	Decisions []tgcall.Decision `json:"decisions"` // oldest first
+	Draining  bool              `json:"draining"`
+	Load      tgframe.Load      `json:"load"`
+	Upstream  string            `json:"upstream"`
+}
+
+// AttemptState describes an attempt that runs or whose output is kept.
+type AttemptState struct {
+	Account    string        `json:"account"`
+	Age        time.Duration `json:"age"`
+	Attempt    string        `json:"attempt"`
+	Bytes      int           `json:"bytes"`
+	Idempotent bool          `json:"idempotent"`
+	Next       uint64        `json:"next"`
+	Readers    int           `json:"readers"`
+	Request    string        `json:"request"`
+	Running    bool          `json:"running"`
+}
+
+// Dump returns the companion's full state.
+func (c *Companion) Dump() any {
+	s := State{
+		Attempts: []AttemptState{}, Decisions: c.decisions.Recent(), Draining: c.draining.Load(), Load: c.load(),
+		Upstream: c.upstream,
+	}
+	c.attempts.each(func(a *attempt) {
+		s.Attempts = append(s.Attempts, AttemptState{
+			Account: a.execute.Account, Age: time.Since(a.started), Attempt: a.execute.Attempt.String(),
+			Bytes: a.buffer.Bytes(), Idempotent: a.execute.Idempotent, Next: a.buffer.Next(), Readers: a.readers,
+			Request: a.execute.Request, Running: a.ended.IsZero(),
+		})
+	})
+	slices.SortFunc(s.Attempts, func(a, b AttemptState) int { return strings.Compare(a.Attempt, b.Attempt) })
+	return s
+}
--- /dev/null
+++ b/io/tgcompanion/follow.go
@@ -0,0 +1,100 @@
+package tgcompanion
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"tanagergrade/core/tgcall"
+	"tanagergrade/core/tgframe"
+	"tanagergrade/io/tglink"
+)
+
+const (
+	confirmTimeout    = 2 * time.Second // wait for an entry to close an exchange after its end
+	heartbeatInterval = time.Second
+)
+
+// attach goes on with an attempt for an entry that found its connection silent.
+func (c *Companion) attach(ctx context.Context, x tglink.Exchange, f *tgframe.Attach) {
+	a, unseen := c.attempts.get(f.Attempt, f.Deadline)
+	if a == nil {
+		c.refuse(ctx, x, f.Attempt, tgframe.End{
+			Failure: tgcall.UnknownFailure(tgcall.CodeAttemptUnknown, "attempt is not known at %q", c.upstream),
+			Unseen:  unseen,
+		})
+		return
+	}
+	c.follow(ctx, x, a, f.Next)
+}
+
+func (c *Companion) refuse(ctx context.Context, x tglink.Exchange, attempt uuid.UUID, end tgframe.End) {
+	end.Load, end.Outcome = c.load(), end.Failure.Outcome
+	f := tgframe.Frame{Attempt: attempt, End: &end, Kind: tgframe.KindEnd, Sender: c.node.Sender()}
+	if x.Send(ctx, f) == nil {
+		confirmed(ctx, x)
+	}
+}
+
+// confirmed reports whether the entry has closed the exchange, as it does after the end.
+func confirmed(ctx context.Context, x tglink.Exchange) bool {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	_, err := x.Receive(ctx)
+	return errors.Is(err, io.EOF)
+}
+
+// follow sends the frames of a from the chunk next on, with heartbeats, until the end or a lost connection.
+func (c *Companion) follow(ctx context.Context, x tglink.Exchange, a *attempt, next uint64) {
+	r, ok := a.buffer.NewReader(next)
+	if !ok {
+		c.refuse(ctx, x, a.execute.Attempt, tgframe.End{Failure: tgcall.UnknownFailure(tgcall.CodeAnswerIncomplete,
+			"output of the attempt from part %d is no longer kept", next)})
+		return
+	}
+	defer r.Close()
+	c.attempts.enter(a)
+	delivered := false
+	defer func() { c.attempts.leave(a, delivered) }()
+
+	// A peer that stops reading must not hold the exchange beyond the attempt's retention.
+	sendCtx, cancel := context.WithDeadline(ctx, a.execute.Deadline.Add(attemptRetention))
+	defer cancel()
+	id := a.execute.Attempt
+	if x.Send(sendCtx, tgframe.Frame{Attempt: id, Kind: tgframe.KindAccepted, Sender: c.node.Sender()}) != nil {
+		return
+	}
+	heartbeat := time.NewTicker(heartbeatInterval)
+	defer heartbeat.Stop()
+	f := tgframe.Frame{Attempt: id}
+	for {
+		if r.Read(&f) {
+			if f.End != nil {
+				end := *f.End
+				end.Load = c.load()
+				f.End = &end
+			}
+			if x.Send(sendCtx, f) != nil {
+				return
+			}
+			if f.Kind == tgframe.KindEnd {
+				delivered = confirmed(ctx, x)
+				return
+			}
+			continue
+		}
+		select {
+		case <-r.Wake():
+		case <-sendCtx.Done():
+			return
+		case <-heartbeat.C:
+			p := &tgframe.Progress{Load: c.load(), Next: a.buffer.Next(), Running: true}
+			if x.Send(sendCtx, tgframe.Frame{Attempt: id, Kind: tgframe.KindProgress, Progress: p}) != nil {
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/io/tgcompanion/registry.go
@@ -0,0 +1,191 @@
+package tgcompanion
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+
+	"tanagergrade/core/tgframe"
+)
+
+const (
+	attemptRetention = 30 * time.Second // a finished attempt can be attached to for this time
+	maxFinishedBytes = 32 << 20         // output kept of finished attempts
+	maxPast          = 1 << 16          // remembered IDs; at 10 attempts/s they cover more than an hour
+
+	// readerGrace covers the silence timeout of an entry and its new connection.
+	readerGrace = 10 * time.Second
+)
+
+// registry knows the attempts of this process and the IDs that must not run any more.
+type registry struct {
+	mu       sync.Mutex
+	attempts map[uuid.UUID]*attempt
+	bytes    int        // of finished
+	finished []*attempt // oldest first
+	lossy    time.Time  // until then an ID may have been dropped from past
+	past     map[uuid.UUID]pastAttempt
+	running  int
+	started  time.Time
+	swept    time.Time
+}
+
+// pastAttempt is an ID that is refused until the attempt's deadline has passed.
+type pastAttempt struct {
+	expires time.Time
+	ran     bool // false if the attempt had not arrived when its ID was asked for
+}
+
+func newRegistry() *registry {
+	return &registry{
+		attempts: map[uuid.UUID]*attempt{}, past: map[uuid.UUID]pastAttempt{}, started: time.Now(), swept: time.Now(),
+	}
+}
+
+// start registers a unless its ID is known; refused means that the ID must not run any more, and no attempt
+// that nothing new is started. The flag is read under the lock, so that drain sees every attempt.
+func (r *registry) start(a *attempt, draining *atomic.Bool) (current *attempt, added, refused bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	id := a.execute.Attempt
+	if old, ok := r.attempts[id]; ok {
+		return old, false, false
+	}
+	if _, ok := r.past[id]; ok {
+		return nil, false, true
+	}
+	if draining.Load() {
+		return nil, false, false
+	}
+	r.attempts[id] = a
+	r.running++
+	return a, true, false
+}
+
+// get returns an attempt, or makes sure that it will not start. The second result is nil if an attempt
+// with this ID may have run here.
+func (r *registry) get(id uuid.UUID, deadline time.Time) (*attempt, *tgframe.Unseen) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if a, ok := r.attempts[id]; ok {
+		return a, nil
+	}
+	now := time.Now()
+	p, ok := r.past[id]
+	if !ok {
+		if now.Before(r.lossy) || !r.remember(id, pastAttempt{expires: deadline}) {
+			return nil, nil
+		}
+	}
+	if p.ran {
+		return nil, nil
+	}
+	return nil, &tgframe.Unseen{Uptime: now.Sub(r.started)}
+}
+
+// remember adds id to past and reports whether there was room.
+func (r *registry) remember(id uuid.UUID, p pastAttempt) bool {
+	now := time.Now()
+	if len(r.past) >= maxPast || now.Sub(r.swept) > time.Minute {
+		r.swept = now
+		for id, p := range r.past {
+			if now.After(p.expires) {
+				delete(r.past, id)
+			}
+		}
+	}
+	if len(r.past) >= maxPast {
+		return false
+	}
+	r.past[id] = p
+	return true
+}
+
+// finish ends the run of a; its output stays for a reader that attaches later.
+func (r *registry) finish(a *attempt) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.running--
+	a.ended = time.Now()
+	if a.idle != nil {
+		a.idle.Stop()
+	}
+	r.finished = append(r.finished, a)
+	r.bytes += a.buffer.Bytes()
+	for r.bytes > maxFinishedBytes && len(r.finished) > 1 {
+		r.forget(r.finished[0])
+	}
+	time.AfterFunc(attemptRetention, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		for len(r.finished) > 0 && time.Since(r.finished[0].ended) >= attemptRetention {
+			r.forget(r.finished[0])
+		}
+	})
+}
+
+// forget drops the oldest finished attempt and remembers its ID.
+func (r *registry) forget(a *attempt) {
+	r.finished[0] = nil
+	r.finished = r.finished[1:]
+	r.bytes -= a.buffer.Bytes()
+	delete(r.attempts, a.execute.Attempt)
+	if !r.remember(a.execute.Attempt, pastAttempt{expires: a.execute.Deadline, ran: true}) {
+		r.lossy = later(r.lossy, a.execute.Deadline)
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// enter counts a reader of a.
+func (r *registry) enter(a *attempt) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a.readers++
+	if a.idle != nil {
+		a.idle.Stop()
+		a.idle = nil
+	}
+}
+
+// leave ends a reader of a. An idempotent attempt without a reader is cancelled after a grace time.
+func (r *registry) leave(a *attempt, delivered bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a.readers--
+	a.delivered = a.delivered || delivered
+	if a.readers == 0 && a.ended.IsZero() && a.execute.Idempotent {
+		a.idle = time.AfterFunc(readerGrace, func() { a.cancel(errNoReader) })
+	}
+}
+
+// quiet reports whether nothing runs and every answer has reached its reader or was finished before the given time.
+func (r *registry) quiet(before time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.running > 0 {
+		return false
+	}
+	for _, a := range r.finished {
+		if !a.delivered && a.ended.After(before) {
+			return false
+		}
+	}
+	return true
+}
+
+// each calls f for every attempt under the lock.
+func (r *registry) each(f func(*attempt)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, a := range r.attempts {
+		f(a)
+	}
+}
--- /dev/null
+++ b/io/tgcompanion/registry_test.go
@@ -0,0 +1,127 @@
+package tgcompanion
+
+import (
+	"encoding/binary"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+
+	"tanagergrade/core/tgframe"
+)
+
+func testID(n int) uuid.UUID {
+	var id uuid.UUID
+	binary.BigEndian.PutUint64(id[:], uint64(n))
+	return id
+}
+
+func testAttempt(n int) *attempt {
+	e := &tgframe.Execute{Attempt: testID(n), Deadline: time.Now().Add(time.Minute), Idempotent: true}
+	return newAttempt(e, func(error) {})
+}
+
+// Guards against a late execute frame that runs after its attempt was declared as never arrived.
+func TestUnseenAttemptIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegistry()
+		var draining atomic.Bool
+		time.Sleep(time.Second)
+		a, unseen := r.get(testID(1), time.Now().Add(time.Minute))
+		assert.Assert(t, a == nil)
+		assert.Equal(t, unseen.Uptime, time.Second)
+		_, added, refused := r.start(testAttempt(1), &draining)
+		assert.Assert(t, !added && refused)
+		_, unseen = r.get(testID(1), time.Now().Add(time.Minute))
+		assert.Assert(t, unseen != nil, "a second question must get the same answer")
+	})
+}
+
+// Guards against a finished attempt that is declared as never arrived once its output is gone, or runs again.
+func TestForgottenAttemptIsNotUnseen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegistry()
+		var draining atomic.Bool
+		a, added, _ := r.start(testAttempt(1), &draining)
+		assert.Assert(t, added)
+		same, added, refused := r.start(testAttempt(1), &draining)
+		assert.Assert(t, same == a && !added && !refused, "a repeated execute frame joins the attempt")
+		r.finish(a)
+		known, _ := r.get(testID(1), a.execute.Deadline)
+		assert.Assert(t, known == a)
+		time.Sleep(attemptRetention + time.Second)
+		known, unseen := r.get(testID(1), a.execute.Deadline)
+		assert.Assert(t, known == nil && unseen == nil)
+		_, added, refused = r.start(testAttempt(1), &draining)
+		assert.Assert(t, !added && refused)
+	})
+}
+
+// Guards against memory that grows with the number of IDs, and against a false "never arrived" once IDs were dropped.
+func TestPastIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegistry()
+		var draining atomic.Bool
+		deadline := time.Now().Add(time.Minute)
+		for i := range maxPast {
+			_, unseen := r.get(testID(i), deadline)
+			assert.Assert(t, unseen != nil)
+		}
+		_, unseen := r.get(testID(maxPast), deadline)
+		assert.Assert(t, unseen == nil, "no promise without room to remember it")
+		a, _, _ := r.start(testAttempt(maxPast+1), &draining)
+		r.finish(a)
+		time.Sleep(attemptRetention + time.Second) // its ID does not fit either
+		assert.Equal(t, len(r.past), maxPast)
+		time.Sleep(time.Minute)
+		_, unseen = r.get(testID(maxPast+2), time.Now().Add(time.Minute))
+		assert.Assert(t, unseen != nil, "expired IDs make room")
+		assert.Equal(t, len(r.past), 1)
+	})
+}
+
+// Guards against output of finished attempts that fills the memory.
+func TestFinishedOutputIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegistry()
+		var draining atomic.Bool
+		const n = 2 * maxFinishedBytes / maxReplayBytes
+		for i := range n {
+			a, _, _ := r.start(testAttempt(i), &draining)
+			assert.NilError(t, a.buffer.Append(t.Context(), make([]byte, maxReplayBytes)))
+			r.finish(a)
+		}
+		assert.Equal(t, len(r.finished), n/2)
+		first, _ := r.get(testID(0), time.Now())
+		last, _ := r.get(testID(n-1), time.Now())
+		assert.Assert(t, first == nil && last != nil, "the oldest output goes first")
+		time.Sleep(attemptRetention)
+		synctest.Wait()
+		assert.Equal(t, r.bytes, 0)
+	})
+}
+
+// Guards against new work on a stopping companion, and against a stop before answers have reached their readers.
+func TestDrainingRegistry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegistry()
+		var draining atomic.Bool
+		a, _, _ := r.start(testAttempt(1), &draining)
+		draining.Store(true)
+		refused, added, known := r.start(testAttempt(2), &draining)
+		assert.Assert(t, refused == nil && !added && !known)
+		same, _, _ := r.start(testAttempt(1), &draining)
+		assert.Assert(t, same == a, "attempts in flight go on")
+		quiet := func() bool { return r.quiet(time.Now().Add(-lingerTimeout)) }
+		assert.Assert(t, !quiet(), "running")
+		r.enter(a)
+		r.finish(a)
+		assert.Assert(t, !quiet(), "not delivered")
+		r.leave(a, false)
+		time.Sleep(lingerTimeout)
+		assert.Assert(t, quiet(), "nobody came for the answer")
+	})
+}
--- a/io/tgcompanion/sink.go
+++ b/io/tgcompanion/sink.go
@@ -1,21 +1,34 @@
 package tgcompanion
 
 import (
+	"bytes"
+	"context"
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"tanagergrade/core/tganswer"
 	"tanagergrade/core/tgframe"
 )
 
+const statusServerError = 500
+
+// errServerError ends an idempotent call whose upstream answers with a server error: the entry may try another
+// upstream. The answer to a call that is not idempotent is passed on and recorded as it is, since the upstream
+// may have acted before it failed, and a repeat must get the same answer.
+var errServerError = errors.New("upstream answered with a server error")
+
 // sink stores an upstream's answer in the buffer of its attempt.
 type sink struct {
-	buffer   *tganswer.Buffer
+	attempt  *attempt
 	chunks   int
-	events   bool // the answer is a server-sent event stream
+	ctx      context.Context //nolint:containedctx // of the call that the sink belongs to
+	events   bool            // the answer is a server-sent event stream
 	first    time.Duration
 	splitter tganswer.EventSplitter
 	started  time.Time
+	status   int
 }
 
 // Chunk implements tgupstream.Sink.
@@ -24,24 +37,33 @@
 		s.first = time.Since(s.started)
 	}
 	if !s.events {
-		s.buffer.Append(data)
 		s.chunks++
-		return nil
+		return s.attempt.buffer.Append(s.ctx, bytes.Clone(data))
 	}
-	for _, event := range s.splitter.Split(data) {
-		s.buffer.Append(event)
-		s.chunks++
+	events, err := s.splitter.Split(data)
+	if err != nil || len(events) == 0 {
+		return err
 	}
-	return nil
+	s.chunks += len(events)
+	return s.attempt.buffer.Append(s.ctx, events...)
 }
 
 // Head implements tgupstream.Sink.
 func (s *sink) Head(h tgframe.Head) error {
+	s.status = h.Status
+	if h.Status >= statusServerError && s.attempt.execute.Idempotent {
+		return errServerError
+	}
+	s.events = isEventStream(h)
+	s.attempt.buffer.SetHead(h)
+	return nil
+}
+
+func isEventStream(h tgframe.Head) bool {
 	for _, f := range h.Headers {
 		if f.Name == "Content-Type" && strings.HasPrefix(f.Value, "text/event-stream") {
-			s.events = true
+			return true
 		}
 	}
-	s.buffer.SetHead(h)
-	return nil
+	return false
 }
--- a/io/tgentry/answer.go
+++ b/io/tgentry/answer.go
@@ -1,19 +1,15 @@
 package tgentry
 
 import (
-	"bufio"
-	"context"
-	"encoding/json"
-	"fmt"
 	"math"
+	"math/rand/v2"
 	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/gofiber/fiber/v3"
-	"github.com/sirupsen/logrus"
 
 	"tanagergrade/core/tgcall"
-	"tanagergrade/core/tgframe"
 )
 
 // errorBody is OpenAI's error object.
@@ -25,6 +21,7 @@
 	Code    tgcall.Code    `json:"code"`
 	Message string         `json:"message"`
 	Outcome tgcall.Outcome `json:"outcome"`
+	Param   *string        `json:"param"` // always null; OpenAI's clients expect the field
 	Type    string         `json:"type"`
 }
 
@@ -47,100 +44,70 @@
 		return fiber.StatusUnprocessableEntity
 	case tgcall.CodeModelUnknown, tgcall.CodeRouteUnknown:
 		return fiber.StatusNotFound
+	case tgcall.CodeMethodNotAllowed:
+		return fiber.StatusMethodNotAllowed
 	case tgcall.CodeOverloaded:
 		return fiber.StatusTooManyRequests
 	case tgcall.CodeRequestTooLarge:
 		return fiber.StatusRequestEntityTooLarge
 	case tgcall.CodeDeadlineExceeded:
 		return fiber.StatusGatewayTimeout
-	case tgcall.CodeRequestUnresolved:
+	case tgcall.CodeIdempotencyKeyExpired, tgcall.CodeRequestUnresolved:
 		return fiber.StatusConflict
-	case tgcall.CodeAnswerIncomplete, tgcall.CodeUpstreamLost:
+	case tgcall.CodeAnswerIncomplete, tgcall.CodeUpstreamFailed, tgcall.CodeUpstreamLost:
 		return fiber.StatusBadGateway
+	case tgcall.CodeInternal:
+		return fiber.StatusInternalServerError
 	default:
 		return fiber.StatusServiceUnavailable
 	}
 }
 
+const defaultRetryAfter = time.Second
+
+// retryAfter returns the seconds after which a retry makes sense, spread over twice the failure's time so that
+// callers that were refused together do not return together; 0 if a retry makes no sense.
+func retryAfter(f *tgcall.Failure) int {
+	d := f.RetryAfter
+	if s := status(f); d == 0 && (s == fiber.StatusServiceUnavailable || s == fiber.StatusTooManyRequests) {
+		d = defaultRetryAfter
+	}
+	if d == 0 {
+		return 0
+	}
+	seconds := d.Seconds() * (1 + rand.Float64()) //nolint:gosec // spreads retries, no secret
+	return max(1, int(math.Floor(seconds+rand.Float64())))
+}
+
 // fail answers the caller with a failure.
 func (e *Entry) fail(c fiber.Ctx, f *tgcall.Failure) error {
-	e.node.Log.WithFields(logrus.Fields{
-		"code": f.Code, "outcome": f.Outcome, "reason": f.Message, "request": requestID(c),
-	}).Info("request failed")
+	id := requestID(c)
+	e.finished(record{failure: f, request: id})
+	return sendFailure(c, f)
+}
+
+func sendFailure(c fiber.Ctx, f *tgcall.Failure) error {
 	c.Set(headerOutcome, string(f.Outcome))
-	if f.RetryAfter > 0 {
-		c.Set(fiber.HeaderRetryAfter, strconv.Itoa(int(math.Ceil(f.RetryAfter.Seconds()))))
+	if s := retryAfter(f); s > 0 {
+		c.Set(fiber.HeaderRetryAfter, strconv.Itoa(s))
 	}
 	return c.Status(status(f)).JSON(newErrorBody(f))
 }
 
+// handleError answers requests that failed before a handler took them, and errors of handlers.
 func (e *Entry) handleError(c fiber.Ctx, err error) error {
 	var fe *fiber.Error
-	if errors.As(err, &fe) && fe.Code == fiber.StatusRequestEntityTooLarge {
+	switch {
+	case !errors.As(err, &fe):
+		return e.fail(c, tgcall.UnknownFailure(tgcall.CodeInternal, "%v", err))
+	case fe.Code == fiber.StatusRequestEntityTooLarge:
 		return e.fail(c, tgcall.NotRunFailure(tgcall.CodeRequestTooLarge, "request body is too large"))
-	}
-	return e.fail(c, tgcall.UnknownFailure(tgcall.CodeInternal, "%v", err))
-}
-
-// serve runs the request and answers the caller.
-func (e *Entry) serve(c fiber.Ctx, x *tgframe.Execute) error {
-	ctx, cancel := context.WithDeadline(context.Background(), x.Deadline)
-	call := e.newCall(ctx, cancel, x)
-	first, failure := call.head()
-	if failure != nil {
-		cancel()
-		return e.fail(c, failure)
-	}
-	c.Status(first.Status)
-	for _, h := range first.Headers {
-		c.Set(h.Name, h.Value)
-	}
-	if x.Stream && first.Status == fiber.StatusOK {
-		return c.SendStreamWriter(func(w *bufio.Writer) {
-			defer cancel()
-			call.stream(w)
-		})
-	}
-	defer cancel()
-	body, failure := call.body()
-	if failure != nil {
-		return e.fail(c, failure)
-	}
-	return c.Send(body)
-}
-
-// stream passes the answer on event by event; a failure ends it with an error event and no end marker.
-func (l *call) stream(w *bufio.Writer) {
-	for {
-		chunk, failure := l.next()
-		switch {
-		case failure != nil:
-			data, err := json.Marshal(newErrorBody(failure))
-			if err == nil {
-				fmt.Fprintf(w, "data: %s\n\n", data)
-			}
-			_ = w.Flush()
-			return
-		case chunk == nil:
-			return
-		}
-		if _, err := w.Write(chunk); err != nil {
-			return
-		}
-		if err := w.Flush(); err != nil {
-			return
-		}
+	default:
+		return e.fail(c, tgcall.NotRunFailure(tgcall.CodeRequestInvalid, "%s", fe.Message))
 	}
 }
 
-// body returns the whole answer.
-func (l *call) body() ([]byte, *tgcall.Failure) {
-	var body []byte
-	for {
-		chunk, failure := l.next()
-		if failure != nil || chunk == nil {
-			return body, failure
-		}
-		body = append(body, chunk...)
-	}
+// handleMethod answers requests whose path exists with another method.
+func (e *Entry) handleMethod(c fiber.Ctx) error {
+	return e.fail(c, tgcall.NotRunFailure(tgcall.CodeMethodNotAllowed, "%s is not allowed on %s", c.Method(), c.Path()))
 }
--- a/io/tgentry/call.go
+++ b/io/tgentry/call.go
@@ -2,194 +2,215 @@
 
 import (
 	"context"
+	"strings"
+	"sync/atomic"
+	"syscall"
 	"time"
 
-	"github.com/google/uuid"
+	"github.com/cockroachdb/errors"
 
+	"tanagergrade/core/tganswer"
 	"tanagergrade/core/tgcall"
-	"tanagergrade/core/tgconfig"
 	"tanagergrade/core/tgframe"
-	"tanagergrade/core/tgroute"
-	"tanagergrade/io/tglink"
 )
 
 const (
-	eventQueue   = 64 // parts of an answer between receiver and writer
 	maxAttempts  = 4
-	maxReattach  = 3
-	openTimeout  = 2 * time.Second
 	retryBackoff = 20 * time.Millisecond
+	statusOK     = 200
 )
 
-// call is one request on its way, over all its attempts.
+// Reasons for the end of a call's context.
+var (
+	errCallerLeft = errors.New("the caller has left")
+	errStopping   = errors.New("this entry stopped before the answer was complete")
+)
+
+// call is one request on its way, over all its attempts. One goroutine at a time uses it.
 type call struct {
-	cancel    context.CancelFunc
-	ctx       context.Context //nolint:containedctx // the call's own lifetime, shared by receiver and writer
+	caller    syscall.RawConn // nil if the connection has no socket
+	cancel    context.CancelCauseFunc
+	ctx       context.Context //nolint:containedctx // the call's own lifetime
 	entry     *Entry
-	events    chan event
 	execute   *tgframe.Execute
-	headed    bool
-	nextChunk uint64 // sequence number of the next chunk for the caller
+	nextChunk uint64        // sequence number of the next part for the caller
+	silence   time.Duration // after which an exchange is replaced
+	started   time.Time
 	tried     map[string]bool
-}
 
-// event is one part of an answer; exactly one field is set, or none at the end.
-type event struct {
-	chunk   []byte
-	failure *tgcall.Failure
-	head    *tgframe.Head
+	attempt    *attempt // current, nil if there is none
+	first      time.Duration
+	head       *tgframe.Head // of the answer that is passed on
+	mayHaveRun bool          // an attempt has ended with an unknown outcome
+	stop       func()        // releases the context
+	streaming  bool          // parts go to the caller as they come, so that the answer cannot start again
+
+	// Read by the state dump at any time.
+	attempts  atomic.Int32
+	delivered atomic.Uint64
+	upstream  atomic.Pointer[string]
 }
 
-func (e *Entry) newCall(ctx context.Context, cancel context.CancelFunc, x *tgframe.Execute) *call {
+func (e *Entry) newCall(x *tgframe.Execute, caller syscall.RawConn) *call {
+	deadlineCtx, stop := context.WithDeadline(e.callsCtx, x.Deadline)
+	ctx, cancel := context.WithCancelCause(deadlineCtx)
 	l := &call{
-		cancel: cancel, ctx: ctx, entry: e, events: make(chan event, eventQueue), execute: x, tried: map[string]bool{},
+		caller: caller, cancel: cancel, ctx: ctx, entry: e, execute: x, silence: e.node.Config().Settings.SilenceTimeout,
+		started: time.Now(), stop: stop, tried: map[string]bool{},
 	}
-	go l.run()
+	e.calls.Set(x.Request, l)
+	e.counters.inFlight.Add(1)
 	return l
 }
 
-func (l *call) receive() event {
-	select {
-	case v := <-l.events:
-		return v
-	case <-l.ctx.Done():
-		return event{failure: tgcall.UnknownFailure(tgcall.CodeDeadlineExceeded, "no answer within the request timeout")}
-	}
+// close ends the call; failure is nil if the caller has the whole answer.
+func (l *call) close(failure *tgcall.Failure) {
+	l.endAttempt(failure != nil)
+	l.cancel(nil)
+	l.stop()
+	l.entry.calls.Delete(l.execute.Request)
+	l.entry.counters.inFlight.Add(-1)
+	l.entry.finished(record{call: l, failure: failure, request: l.execute.Request})
 }
 
-func (l *call) head() (*tgframe.Head, *tgcall.Failure) {
-	v := l.receive()
-	return v.head, v.failure
+// ended returns the failure of a call whose context has ended.
+func (l *call) ended() *tgcall.Failure {
+	var f *tgcall.Failure
+	switch cause := context.Cause(l.ctx); {
+	case errors.Is(cause, errCallerLeft):
+		f = tgcall.UnknownFailure(tgcall.CodeCancelled, "%v", cause)
+	case errors.Is(cause, errStopping):
+		f = tgcall.UnknownFailure(tgcall.CodeDraining, "%v", cause)
+	default:
+		f = tgcall.UnknownFailure(tgcall.CodeDeadlineExceeded, "no whole answer within the request timeout")
+	}
+	if !l.mayHaveRun && (l.attempt == nil || l.attempt.sentAt.IsZero()) {
+		f.Outcome = tgcall.NotRun
+	}
+	return f
 }
 
-func (l *call) next() ([]byte, *tgcall.Failure) {
-	v := l.receive()
-	return v.chunk, v.failure
+// overall returns the failure of the call from that of its last attempt: if an earlier attempt may have run, the
+// call may have run, even if its last attempt was refused.
+func (l *call) overall(f *tgcall.Failure) *tgcall.Failure {
+	if !l.mayHaveRun || f.Outcome == tgcall.Unknown {
+		return f
+	}
+	unknown := *f
+	unknown.Outcome = tgcall.Unknown
+	return &unknown
 }
 
-func (l *call) emit(v event) {
+func (l *call) sleep(d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
 	select {
-	case l.events <- v:
 	case <-l.ctx.Done():
+	case <-t.C:
 	}
 }
 
-// run makes attempts until one answers or no more are allowed.
-func (l *call) run() {
+// next returns the next part of the answer over all attempts. The head is returned again if the answer starts again,
+// which it does not once it is streaming.
+func (l *call) next() (tganswer.Part, *tgcall.Failure) {
 	var failure *tgcall.Failure
-	for range maxAttempts {
-		target, ok := l.choose()
-		if !ok {
-			break
+	for {
+		if l.attempt == nil {
+			if !l.beginAttempt() {
+				return tganswer.Part{}, l.noUpstream(failure)
+			}
 		}
-		l.tried[target.Name] = true
-		failure = l.attempt(target)
-		if failure == nil {
-			l.emit(event{})
-			return
+		p, f := l.attempt.next()
+		if f == nil && p.Kind == tganswer.PartHead {
+			resumed := l.streaming
+			f = l.takeHead(p.Head)
+			if f == nil && resumed {
+				continue // the caller has the head of the attempt that this one resumes
+			}
 		}
-		if !l.mayRetry(failure) {
-			break
+		if f == nil {
+			l.nextChunk = l.attempt.assembler.Delivered()
+			l.delivered.Store(l.nextChunk)
+			return p, nil
 		}
-		time.Sleep(retryBackoff)
-	}
-	if failure == nil {
-		failure = tgcall.NotRunFailure(tgcall.CodeNoUpstream, "no upstream of pool %q takes work", l.execute.Pool).
-			WithRetryAfter(time.Second)
+		failure = l.overall(f)
+		l.mayHaveRun = failure.Outcome == tgcall.Unknown
+		l.endAttempt(l.mayHaveRun)
+		if !l.mayRetry(f) || l.attempts.Load() >= maxAttempts {
+			return tganswer.Part{}, failure
+		}
+		if !l.streaming {
+			l.head, l.nextChunk = nil, 0
+		}
+		l.sleep(retryBackoff)
 	}
-	l.emit(event{failure: failure})
 }
 
-// attempt runs the request at one upstream; nil means that the whole answer has been passed on.
-func (l *call) attempt(target tgroute.Candidate) *tgcall.Failure {
-	if l.execute.Idempotent {
-		defer l.entry.router.Done(target.Name)
-	}
-	x := *l.execute
-	x.Attempt, x.Delivered, x.Upstream = uuid.New(), int(l.nextChunk), target.Name
-	u := l.entry.node.Config().Upstreams[target.Name]
-	f := tgframe.Frame{Execute: &x, Kind: tgframe.KindExecute, Sender: l.entry.node.Sender()}
-	sent := false
-	for range maxReattach {
-		failure, silent := l.exchange(target, u, f, &sent)
-		if !silent {
-			return failure
-		}
-		l.entry.node.Transport.Forget(u.Companion)
-		if sent {
-			attach := &tgframe.Attach{Attempt: x.Attempt, Next: l.nextChunk}
-			f = tgframe.Frame{Attach: attach, Kind: tgframe.KindAttach, Sender: l.entry.node.Sender()}
-		}
+func (l *call) beginAttempt() bool {
+	if l.ctx.Err() != nil {
+		return false
+	}
+	target, ok := l.choose()
+	if !ok {
+		return false
 	}
-	if !sent {
-		return tgcall.NotRunFailure(tgcall.CodeUpstreamUnreachable, "companion of %q cannot be reached", target.Name)
+	l.tried[target.Name] = true
+	l.upstream.Store(&target.Name)
+	l.attempts.Add(1)
+	l.attempt = l.newAttempt(target)
+	if l.nextChunk > 0 {
+		l.entry.counters.resumes.Add(1)
 	}
-	return tgcall.UnknownFailure(tgcall.CodeUpstreamLost, "companion of %q is silent", target.Name)
+	return true
 }
 
-// exchange sends f and passes on the frames of the reply; silent means that the connection is of no use.
-func (l *call) exchange(
-	target tgroute.Candidate, u tgconfig.Upstream, f tgframe.Frame, sent *bool,
-) (failure *tgcall.Failure, silent bool) {
-	openCtx, cancel := context.WithTimeout(l.ctx, openTimeout)
-	defer cancel()
-	x, err := l.entry.node.Transport.Open(openCtx, u.Companion)
-	if err != nil {
-		return nil, true
-	}
-	defer x.Close()
-	*sent = true
-	if x.Send(openCtx, f) != nil {
-		return nil, true
+func (l *call) endAttempt(abandon bool) {
+	a := l.attempt
+	if a == nil {
+		return
 	}
-	for {
-		r, err := l.receiveFrame(x)
-		if err != nil {
-			if l.ctx.Err() != nil {
-				_ = x.Send(context.Background(), tgframe.Frame{
-					Cancel: &tgframe.Cancel{Attempt: l.execute.Attempt}, Kind: tgframe.KindCancel,
-				})
-				return tgcall.UnknownFailure(tgcall.CodeDeadlineExceeded, "no answer within the request timeout"), false
-			}
-			return nil, true
-		}
-		if done, failure := l.take(target, r); done {
-			return failure, false
-		}
+	l.attempt = nil
+	a.disconnect()
+	if abandon {
+		a.abandon()
+	}
+	if l.execute.Idempotent {
+		l.entry.router.Done(a.target.Name)
+	}
+}
+
+// noUpstream returns the failure of a call that has no upstream left; a failure of its last attempt says more.
+func (l *call) noUpstream(last *tgcall.Failure) *tgcall.Failure {
+	switch {
+	case last != nil:
+		return last
+	case l.ctx.Err() != nil:
+		return l.ended()
+	default:
+		return tgcall.NotRunFailure(tgcall.CodeNoUpstream, "no upstream of pool %q takes work", l.execute.Pool)
 	}
 }
 
-func (l *call) receiveFrame(x tglink.Exchange) (tgframe.Frame, error) {
-	ctx, cancel := context.WithTimeout(l.ctx, l.entry.node.Config().Settings.SilenceTimeout)
-	defer cancel()
-	return x.Receive(ctx)
+// takeHead notes the head of an answer. An answer that goes on with a stream must be a stream too.
+func (l *call) takeHead(h *tgframe.Head) *tgcall.Failure {
+	if l.first == 0 {
+		l.first = time.Since(l.started)
+	}
+	streaming := l.execute.Stream && h.Status == statusOK && isEventStream(h)
+	if l.streaming && !streaming {
+		return tgcall.UnknownFailure(tgcall.CodeUpstreamFailed,
+			"upstream %q answered a resumed stream with status %d", l.attempt.target.Name, h.Status)
+	}
+	l.streaming = streaming
+	l.head = h
+	return nil
 }
 
-// take passes one frame on and reports whether it was the last.
-func (l *call) take(target tgroute.Candidate, r tgframe.Frame) (bool, *tgcall.Failure) {
-	switch r.Kind {
-	case tgframe.KindChunk:
-		if r.Chunk.Sequence == l.nextChunk {
-			l.nextChunk++
-			l.emit(event{chunk: r.Chunk.Data})
+func isEventStream(h *tgframe.Head) bool {
+	for _, f := range h.Headers {
+		if f.Name == "Content-Type" {
+			return strings.HasPrefix(f.Value, "text/event-stream")
 		}
-	case tgframe.KindEnd:
-		l.entry.router.Observe(target.Name, r.End.Load)
-		if r.End.Outcome != tgcall.Answered {
-			return true, r.End.Failure
-		}
-		if r.End.Total != l.nextChunk {
-			return true, tgcall.UnknownFailure(tgcall.CodeAnswerIncomplete, "answer has %d of %d parts", l.nextChunk, r.End.Total)
-		}
-		return true, nil
-	case tgframe.KindHead:
-		if !l.headed {
-			l.headed = true
-			l.emit(event{head: r.Head})
-		}
-	case tgframe.KindProgress:
-		l.entry.router.Observe(target.Name, r.Progress.Load)
-	default:
 	}
-	return false, nil
+	return false
 }
--- a/io/tgentry/entry.go
+++ b/io/tgentry/entry.go
@@ -4,40 +4,64 @@
 import (
 	"context"
 	"net"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/gofiber/fiber/v3"
 	"github.com/sourcegraph/conc"
 
+	"tanagergrade/core/tgcall"
 	"tanagergrade/core/tgroute"
+	"tanagergrade/core/tgshard"
 	"tanagergrade/io/tgnode"
 )
 
 // Entry serves callers over HTTP.
 type Entry struct {
-	app    *fiber.App
-	node   *tgnode.Node
-	router *tgroute.Router
+	accounts  accountIndex
+	app       *fiber.App
+	calls     *tgshard.Map[*call] // in flight, by request ID
+	callsCtx  context.Context     //nolint:containedctx // ends what is left after the drain timeout
+	cancels   sync.WaitGroup      // cancel frames being sent
+	counters  counters
+	decisions tgcall.Decisions
+	draining  atomic.Bool // new requests are refused
+	node      *tgnode.Node
+	router    *tgroute.Router
+	stopCalls context.CancelCauseFunc
+	stopping  atomic.Bool // not ready any more
 }
 
+const (
+	cancelMargin   = 2 * time.Second // bound for sending the last cancel frames
+	drainPoll      = 20 * time.Millisecond
+	lameDuck       = time.Second // requests are taken for this time after /readyz turned negative
+	maxBodyBytes   = 64 << 20    // the configured limit is lower and checked in the handler
+	shutdownMargin = 5 * time.Second
+)
+
 // New returns an entry that does not run yet.
 func New(node *tgnode.Node) *Entry {
-	e := &Entry{node: node, router: tgroute.NewRouter(node.Settings.DataCentre)}
+	e := &Entry{
+		calls: tgshard.NewMap[*call](), node: node, router: tgroute.NewRouter(node.Settings.DataCentre),
+	}
+	e.callsCtx, e.stopCalls = context.WithCancelCause(context.Background())
 	e.app = fiber.New(fiber.Config{BodyLimit: maxBodyBytes, ErrorHandler: e.handleError})
 	e.app.Get("/healthz", func(c fiber.Ctx) error { return c.SendString("ok\n") })
 	e.app.Get("/readyz", e.handleReady)
 	e.app.Get("/v1/models", e.handleModels)
 	e.app.Post("/v1/chat/completions", e.handleChat)
-	e.app.Use(e.handlePlain)
+	for _, path := range []string{"/healthz", "/readyz", "/v1/models", "/v1/chat/completions"} {
+		e.app.All(path, e.handleMethod)
+	}
+	// Not Use: after a malformed or oversized request fiber still runs the handlers registered with Use,
+	// which would pass the request on without its body.
+	e.app.All("/*", e.handlePlain)
 	return e
 }
 
-const (
-	maxBodyBytes   = 64 << 20 // the configured limit is lower and checked in the handler
-	shutdownMargin = 5 * time.Second
-)
-
 // Run serves callers on listener until ctx ends and all calls have finished.
 func (e *Entry) Run(ctx context.Context, listener net.Listener) error {
 	var wg conc.WaitGroup
@@ -45,6 +69,7 @@
 	nodeCtx, stopNode := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopNode()
 	wg.Go(func() { e.node.Run(nodeCtx) })
+	wg.Go(func() { e.watchCallers(nodeCtx) })
 	done := make(chan error, 1)
 	wg.Go(func() {
 		done <- e.app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true})
@@ -54,12 +79,41 @@
 		return errors.Wrap(err, "serve callers")
 	case <-ctx.Done():
 	}
-	drain := e.node.Config().Settings.DrainTimeout + shutdownMargin
-	return errors.Wrap(e.app.ShutdownWithTimeout(drain), "shut down")
+	return e.shutDown()
+}
+
+// shutDown turns /readyz negative, then refuses new requests and finishes the calls in flight.
+// What is left at the drain timeout ends with an explicit failure.
+func (e *Entry) shutDown() error {
+	e.stopping.Store(true)
+	time.Sleep(lameDuck)
+	e.draining.Store(true)
+	timeout := e.node.Config().Settings.DrainTimeout
+	done := make(chan error, 1)
+	go func() { done <- e.app.ShutdownWithTimeout(timeout + shutdownMargin) }()
+	deadline := time.Now().Add(timeout)
+	for e.counters.inFlight.Value() > 0 && time.Now().Before(deadline) {
+		time.Sleep(drainPoll)
+	}
+	e.stopCalls(errStopping)
+	err := <-done
+	sent := make(chan struct{})
+	go func() {
+		e.cancels.Wait()
+		close(sent)
+	}()
+	select {
+	case <-sent:
+	case <-time.After(cancelMargin):
+	}
+	return errors.Wrap(err, "shut down")
 }
 
 func (e *Entry) handleReady(c fiber.Ctx) error {
-	if e.node.Applied() == 0 {
+	switch {
+	case e.stopping.Load():
+		return c.Status(fiber.StatusServiceUnavailable).SendString("stopping\n")
+	case e.node.Applied() == 0:
 		return c.Status(fiber.StatusServiceUnavailable).SendString("configuration is missing\n")
 	}
 	return c.SendString("ready\n")
--- /dev/null
+++ b/io/tgentry/harness_test.go
@@ -0,0 +1,129 @@
+package tgentry
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"tanagergrade/core/tgcall"
+	"tanagergrade/core/tgconfig"
+	"tanagergrade/core/tgframe"
+	"tanagergrade/core/tgrecord"
+	"tanagergrade/io/tgcompanion"
+	"tanagergrade/io/tglogclient"
+	"tanagergrade/io/tgnode"
+	"tanagergrade/io/tgstandin"
+	"tanagergrade/io/tgupstream"
+)
+
+// system is an entry with some companions, all in memory. The first execution meets the first engine, whichever
+// upstream it was sent to, the second the second, and all others the last.
+type system struct {
+	cfg     *tgconfig.Config
+	dialled atomic.Int64
+	engines []*tgstandin.PipeEngine
+	entry   *Entry
+	link    *tgstandin.Link
+}
+
+var upstreamNames = []string{"u1", "u2", "u3"}
+
+func companionAddress(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(1000+i))
+}
+
+func newSystem(t *testing.T, upstreams int, link *tgstandin.Link, engines ...*tgstandin.PipeEngine) *system {
+	t.Helper()
+	s := &system{engines: engines, link: link}
+	s.cfg = &tgconfig.Config{
+		DataCentres: map[string]tgconfig.DataCentre{"a": {Region: "r", State: tgconfig.Active}},
+		Pools:       map[string]tgconfig.Pool{"p": {Kind: tgconfig.ModelPool, Models: []string{"m"}}},
+		Settings:    tgconfig.DefaultSettings(),
+		Upstreams:   map[string]tgconfig.Upstream{},
+	}
+	for i := range upstreams {
+		s.cfg.Upstreams[upstreamNames[i]] = tgconfig.Upstream{
+			ChecksIdempotencyKeys: true, Companion: companionAddress(i), DataCentre: "a", Pool: "p", State: tgconfig.Active,
+		}
+	}
+	s.entry = New(s.newNode(t))
+	for i := range upstreams {
+		s.startCompanion(t, i)
+	}
+	return s
+}
+
+// startCompanion starts a companion, in place of an earlier one at the same address.
+func (s *system) startCompanion(t *testing.T, i int) {
+	t.Helper()
+	client := tgupstream.New(netip.AddrPort{}, tgupstream.WithDial(s.dial))
+	s.link.Register(companionAddress(i), tgcompanion.New(s.newNode(t), upstreamNames[i], client).Handle)
+}
+
+func (s *system) dial(ctx context.Context) (net.Conn, error) {
+	n := int(s.dialled.Add(1))
+	return s.engines[min(n, len(s.engines))-1].Dial(ctx)
+}
+
+func (s *system) newNode(t *testing.T) *tgnode.Node {
+	t.Helper()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	node := tgnode.New(tgnode.Settings{DataCentre: "a", Name: "n"}, s.link, logger)
+	change, err := tgconfig.Diff(tgconfig.NewState().Config(), s.cfg)
+	assert.NilError(t, err)
+	record, err := tgrecord.New(tgrecord.KindConfigChange, "test", 0, change)
+	assert.NilError(t, err)
+	assert.NilError(t, node.Fold(tglogclient.Entry{Records: []tgrecord.Record{record}}))
+	return node
+}
+
+func (s *system) executions() int {
+	n := int64(0)
+	for _, e := range s.engines {
+		n += e.Executions.Load()
+	}
+	return int(n)
+}
+
+func newRequest(idempotent, stream bool) *tgframe.Execute {
+	x := &tgframe.Execute{
+		Account: "a", Deadline: time.Now().Add(time.Minute), Idempotent: idempotent, Method: "POST", Path: "/x",
+		Pool: "p", Request: "r1", Stream: stream, Work: 1,
+	}
+	if !idempotent {
+		x.IdempotencyKey = "k"
+	}
+	return x
+}
+
+// run sends the request and returns what its caller gets.
+func (s *system) run(x *tgframe.Execute) (string, *tgcall.Failure) {
+	l := s.entry.newCall(x, nil)
+	body, failure := l.begin()
+	if failure != nil || !l.streaming {
+		l.close(failure)
+		return string(body), failure
+	}
+	stream := &streamBody{call: l}
+	data, _ := io.ReadAll(stream)
+	_ = stream.Close()
+	return string(data), nil
+}
+
+// events returns the stream that an engine answers with.
+func events(tokens int) string {
+	var b strings.Builder
+	for i := range tokens {
+		b.WriteString(tgstandin.PipeEvent(i))
+	}
+	return b.String() + "data: [DONE]\n\n"
+}
--- /dev/null
+++ b/io/tgentry/plain.go
@@ -0,0 +1,74 @@
+package tgentry
+
+import (
+	"strings"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/google/uuid"
+
+	"tanagergrade/core/tgcall"
+	"tanagergrade/core/tgconfig"
+	"tanagergrade/core/tgframe"
+)
+
+const (
+	maxKeyAge  = 24 * time.Hour  // claims are kept for this time
+	maxKeyLead = 5 * time.Minute // tolerated difference between clocks
+)
+
+func (e *Entry) handlePlain(c fiber.Ctx) error {
+	cfg := e.node.Config()
+	path := c.Path()
+	for name, p := range cfg.Pools {
+		if p.Kind != tgconfig.PlainPool || p.PathPrefix == "" || !strings.HasPrefix(path, p.PathPrefix) {
+			continue
+		}
+		x, failure := e.newExecute(c, cfg)
+		if failure != nil {
+			return e.fail(c, failure)
+		}
+		x.Pool, x.Work = name, 1
+		if failure := classify(c, p, x); failure != nil {
+			return e.fail(c, failure)
+		}
+		return e.serve(c, x)
+	}
+	return e.fail(c, tgcall.NotRunFailure(tgcall.CodeRouteUnknown, "no pool serves %s", path))
+}
+
+// classify sets whether x is idempotent and takes its idempotency key.
+func classify(c fiber.Ctx, p tgconfig.Pool, x *tgframe.Execute) *tgcall.Failure {
+	if op, ok := p.Operation(x.Method, c.Path()); ok {
+		x.Idempotent = op.Idempotent
+		if op.Priority != "" {
+			x.Priority = tgcall.Priority(op.Priority)
+		}
+	}
+	if x.Idempotent {
+		return nil
+	}
+	x.IdempotencyKey = strings.Clone(c.Get(headerIdempotencyKey))
+	if x.IdempotencyKey == "" {
+		return tgcall.NotRunFailure(tgcall.CodeIdempotencyKeyRequired, "this request needs an Idempotency-Key header")
+	}
+	return checkKey(x.IdempotencyKey, time.Now())
+}
+
+// checkKey refuses a key whose claim may have been dropped, which makes its outcome unknown, and keys that
+// this system could not age.
+func checkKey(key string, now time.Time) *tgcall.Failure {
+	id, err := uuid.Parse(key)
+	if err != nil || id.Version() != 7 {
+		return tgcall.NotRunFailure(tgcall.CodeIdempotencyKeyInvalid, "Idempotency-Key is not a UUIDv7")
+	}
+	made := time.Unix(id.Time().UnixTime())
+	switch {
+	case now.Sub(made) > maxKeyAge:
+		return tgcall.UnknownFailure(tgcall.CodeIdempotencyKeyExpired, "Idempotency-Key is older than %s", maxKeyAge)
+	case made.Sub(now) > maxKeyLead:
+		return tgcall.NotRunFailure(tgcall.CodeIdempotencyKeyInvalid, "Idempotency-Key is from the future")
+	default:
+		return nil
+	}
+}
--- a/io/tglink/quic.go
+++ b/io/tglink/quic.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,8 +22,9 @@
 
 // Transport opens and serves exchanges over one UDP socket.
 type Transport struct {
-	conns     map[netip.AddrPort]*quic.Conn
+	dials     atomic.Int64
 	mu        sync.Mutex
+	peers     map[netip.AddrPort]*peer
 	tlsConfig *tls.Config
 	transport *quic.Transport
 	udp       *net.UDPConn
@@ -35,7 +37,7 @@
 		return nil, errors.Wrapf(err, "listen on %s", address)
 	}
 	return &Transport{
-		conns:     map[netip.AddrPort]*quic.Conn{},
+		peers:     map[netip.AddrPort]*peer{},
 		tlsConfig: tlsConfig,
 		transport: &quic.Transport{Conn: udp},
 		udp:       udp,
@@ -54,53 +56,43 @@
 	return errors.CombineErrors(errors.Wrap(err, "close QUIC transport"), t.udp.Close())
 }
 
-// Forget drops the connection to address.
-func (t *Transport) Forget(address netip.AddrPort) {
-	t.mu.Lock()
-	conn := t.conns[address]
-	delete(t.conns, address)
-	t.mu.Unlock()
-	if conn != nil {
-		_ = conn.CloseWithError(0, "replaced")
-	}
-}
+// Dials returns the number of connections that this process has tried to make.
+func (t *Transport) Dials() int { return int(t.dials.Load()) }
 
-// Open opens an exchange with the daemon at address.
+// Forget implements Dialer.
+func (t *Transport) Forget(address netip.AddrPort) { t.peer(address).forget() }
+
+// Open implements Dialer.
 func (t *Transport) Open(ctx context.Context, address netip.AddrPort) (Exchange, error) {
-	conn, err := t.conn(ctx, address)
+	p := t.peer(address)
+	l, err := p.acquire(ctx, func() (*quic.Conn, error) {
+		t.dials.Add(1)
+		return t.transport.Dial(ctx, net.UDPAddrFromAddrPort(address), t.tlsConfig, quicConfig())
+	})
 	if err != nil {
-		return nil, err
+		return nil, errors.Wrapf(err, "dial %s", address)
 	}
-	stream, err := conn.OpenStreamSync(ctx)
+	stream, err := l.conn.OpenStreamSync(ctx)
 	if err != nil {
-		t.Forget(address)
+		p.release(l)
+		p.forget()
 		return nil, errors.Wrapf(err, "open stream to %s", address)
 	}
-	return newExchange(stream), nil
+	return newExchange(stream, func() { p.release(l) }), nil
 }
 
-func (t *Transport) conn(ctx context.Context, address netip.AddrPort) (*quic.Conn, error) {
-	t.mu.Lock()
-	conn := t.conns[address]
-	t.mu.Unlock()
-	if conn != nil && conn.Context().Err() == nil {
-		return conn, nil
-	}
-	conn, err := t.transport.Dial(ctx, net.UDPAddrFromAddrPort(address), t.tlsConfig, quicConfig())
-	if err != nil {
-		return nil, errors.Wrapf(err, "dial %s", address)
-	}
+func (t *Transport) peer(address netip.AddrPort) *peer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if old := t.conns[address]; old != nil && old.Context().Err() == nil {
-		_ = conn.CloseWithError(0, "duplicate")
-		return old, nil
+	p, ok := t.peers[address]
+	if !ok {
+		p = newPeer()
+		t.peers[address] = p
 	}
-	t.conns[address] = conn
-	return conn, nil
+	return p
 }
 
-// Serve serves exchanges that other daemons open until ctx ends; it returns after all handlers have.
+// Serve implements Server.
 func (t *Transport) Serve(ctx context.Context, handler Handler) error {
 	listener, err := t.transport.Listen(t.tlsConfig, quicConfig())
 	if err != nil {
@@ -130,8 +122,10 @@
 			return
 		}
 		wg.Go(func() {
-			x := newExchange(stream)
+			x := newExchange(stream, func() {})
 			defer x.Close()
+			ctx, cancel := context.WithCancel(ctx)
+			defer cancel()
 			handler(ctx, x)
 		})
 	}
--- /dev/null
+++ b/io/tglink/quic_test.go
@@ -0,0 +1,112 @@
+package tglink_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tanagergrade/core/tgframe"
+	"tanagergrade/io/tgkey"
+	"tanagergrade/io/tglink"
+)
+
+// startPair returns a transport and the address of another one that serves handler.
+func startPair(t *testing.T, handler tglink.Handler) (*tglink.Transport, netip.AddrPort) {
+	t.Helper()
+	cfg, err := tgkey.NewMemoryConfig()
+	assert.NilError(t, err)
+	loopback := netip.MustParseAddrPort("127.0.0.1:0")
+	client, err := tglink.Listen(loopback, cfg)
+	assert.NilError(t, err)
+	server, err := tglink.Listen(loopback, cfg)
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = server.Serve(ctx, handler) })
+	t.Cleanup(func() {
+		assert.NilError(t, client.Close())
+		cancel()
+		wg.Wait()
+		assert.NilError(t, server.Close())
+	})
+	return client, server.Address()
+}
+
+// Guards against frames that are cut or merged, and against an exchange that does not end after its last frame.
+func TestExchange(t *testing.T) {
+	large := bytes.Repeat([]byte("x"), 1<<20)
+	client, address := startPair(t, func(ctx context.Context, x tglink.Exchange) {
+		f, err := x.Receive(ctx)
+		for i := uint64(0); err == nil && i < 3; i++ {
+			err = x.Send(ctx, tgframe.Frame{Chunk: &tgframe.Chunk{Data: f.Execute.Body, Sequence: i}, Kind: tgframe.KindChunk})
+		}
+	})
+	for _, body := range [][]byte{{}, []byte("small"), large} {
+		x, err := client.Open(t.Context(), address)
+		assert.NilError(t, err)
+		assert.NilError(t, x.Send(t.Context(), tgframe.Frame{Execute: &tgframe.Execute{Body: body}, Kind: tgframe.KindExecute}))
+		for i := range uint64(3) {
+			f, err := x.Receive(t.Context())
+			assert.NilError(t, err)
+			assert.Equal(t, f.Chunk.Sequence, i)
+			assert.Assert(t, bytes.Equal(f.Chunk.Data, body))
+		}
+		_, err = x.Receive(t.Context())
+		assert.ErrorIs(t, err, io.EOF)
+		_ = x.Close() // the other side has closed already
+	}
+}
+
+// Guards against a receive that outlives its context, also when the context ends before the call.
+func TestReceiveEndsWithContext(t *testing.T) {
+	client, address := startPair(t, func(ctx context.Context, x tglink.Exchange) { _, _ = x.Receive(ctx) })
+	x, err := client.Open(t.Context(), address)
+	assert.NilError(t, err)
+	defer x.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(10*time.Millisecond, cancel)
+	for range 2 {
+		_, err = x.Receive(ctx)
+		assert.ErrorIs(t, err, context.Canceled)
+	}
+}
+
+// Guards against a replaced connection that cuts the exchanges of others, and against one that is used again.
+func TestForgetKeepsExchanges(t *testing.T) {
+	client, address := startPair(t, func(ctx context.Context, x tglink.Exchange) {
+		for {
+			if _, err := x.Receive(ctx); err != nil || x.Send(ctx, tgframe.Frame{Kind: tgframe.KindAccepted}) != nil {
+				return
+			}
+		}
+	})
+	old, err := client.Open(t.Context(), address)
+	assert.NilError(t, err)
+	defer old.Close()
+	echo := func() {
+		assert.NilError(t, old.Send(t.Context(), tgframe.Frame{Kind: tgframe.KindAttach}))
+		f, err := old.Receive(t.Context())
+		assert.NilError(t, err)
+		assert.Equal(t, f.Kind, tgframe.KindAccepted)
+	}
+	echo()
+	time.Sleep(1100 * time.Millisecond) // a connection is kept for its first second
+	before := client.Dials()
+	client.Forget(address)
+	client.Forget(address)
+	replacement, err := client.Open(t.Context(), address)
+	assert.NilError(t, err)
+	defer replacement.Close()
+	client.Forget(address) // the new connection is too young
+	again, err := client.Open(t.Context(), address)
+	assert.NilError(t, err)
+	defer again.Close()
+	assert.Equal(t, client.Dials()-before, 1)
+	echo()
+}
--- a/io/tgnode/node.go
+++ b/io/tgnode/node.go
@@ -39,14 +39,14 @@
 	Log         *logrus.Entry
 	LogClient   *tglogclient.Client
 	Settings    Settings
-	Transport   *tglink.Transport
+	Transport   tglink.Link
 
 	mu    sync.Mutex
 	state *tgconfig.State
 }
 
 // New returns a node that does not run yet.
-func New(settings Settings, transport *tglink.Transport, logger *logrus.Logger) *Node {
+func New(settings Settings, transport tglink.Link, logger *logrus.Logger) *Node {
 	return &Node{
 		Incarnation: uuid.New(),
 		Log:         logger.WithField("process", settings.Name),
--- a/io/tgstandin/engine.go
+++ b/io/tgstandin/engine.go
@@ -25,6 +25,9 @@
 	return &Engine{Interval: interval, Name: name}
 }
 
+// InFlight returns the number of answers being generated.
+func (e *Engine) InFlight() int64 { return e.inFlight.Load() }
+
 // SetDead makes the engine close every connection without an answer.
 func (e *Engine) SetDead(dead bool) { e.dead.Store(dead) }
 
--- /dev/null
+++ b/io/tgstandin/fault.go
@@ -0,0 +1,69 @@
+package tgstandin
+
+import (
+	"bufio"
+	"net"
+	"net/netip"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// FaultServer counts the requests that reach it and answers each with fixed bytes.
+type FaultServer struct {
+	Conns    atomic.Int64
+	Requests atomic.Int64
+	keep     bool
+	listener net.Listener
+	reply    string
+}
+
+// NewFaultServer returns a server on a loopback port that sends reply to each request as it is.
+// It closes the connection afterwards unless keep is set.
+func NewFaultServer(reply string, keep bool) (*FaultServer, error) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0") //nolint:noctx // a listener has no context
+	if err != nil {
+		return nil, errors.Wrap(err, "listen on loopback")
+	}
+	s := &FaultServer{keep: keep, listener: listener, reply: reply}
+	go s.accept()
+	return s, nil
+}
+
+// Address returns the address served.
+func (s *FaultServer) Address() netip.AddrPort {
+	address, _ := s.listener.Addr().(*net.TCPAddr)
+	return address.AddrPort()
+}
+
+// Close stops accepting connections.
+func (s *FaultServer) Close() error {
+	return errors.Wrap(s.listener.Close(), "close listener")
+}
+
+func (s *FaultServer) accept() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.Conns.Add(1)
+		go s.serve(c)
+	}
+}
+
+func (s *FaultServer) serve(c net.Conn) {
+	defer c.Close() //nolint:errcheck // the fault is the point
+	r := bufio.NewReader(c)
+	for {
+		var req fasthttp.Request
+		if req.Read(r) != nil {
+			return
+		}
+		s.Requests.Add(1)
+		if _, err := c.Write([]byte(s.reply)); err != nil || !s.keep {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/io/tgstandin/link.go
@@ -0,0 +1,235 @@
+package tgstandin
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"tanagergrade/core/tgframe"
+	"tanagergrade/io/tglink"
+)
+
+// Link is an in-memory link between daemons with faults. Its times follow the clock of testing/synctest.
+type Link struct {
+	mu       sync.Mutex
+	faults   []LinkFault
+	handlers map[netip.AddrPort]tglink.Handler
+	opened   int
+	requests []tgframe.Frame
+}
+
+// LinkFault is what happens to one exchange.
+type LinkFault struct {
+	CutAfter     int           // replies after which both directions end; 0 for none
+	Duplicate    bool          // each reply arrives twice
+	RefuseOpen   bool          // the exchange cannot be opened
+	RequestDelay time.Duration // the first frame arrives late, whatever became of the exchange
+	SilentAfter  int           // replies after which nothing arrives in either direction; negative: none arrives
+	Swap         bool          // each two replies arrive in reverse order
+}
+
+// NewLink returns a link whose exchanges have faults, in the order in which they are opened.
+func NewLink(faults ...LinkFault) *Link {
+	return &Link{faults: faults, handlers: map[netip.AddrPort]tglink.Handler{}}
+}
+
+// Register makes handler serve the exchanges opened to address.
+func (l *Link) Register(address netip.AddrPort, handler tglink.Handler) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.handlers[address] = handler
+}
+
+// Requests returns the first frame of each exchange so far.
+func (l *Link) Requests() []tgframe.Frame {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]tgframe.Frame{}, l.requests...)
+}
+
+// Forget implements tglink.Dialer.
+func (l *Link) Forget(netip.AddrPort) {}
+
+// Serve implements tglink.Server for a process that serves nothing.
+func (l *Link) Serve(ctx context.Context, _ tglink.Handler) error {
+	<-ctx.Done()
+	return nil
+}
+
+// Open implements tglink.Dialer.
+func (l *Link) Open(_ context.Context, address netip.AddrPort) (tglink.Exchange, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var fault LinkFault
+	if l.opened < len(l.faults) {
+		fault = l.faults[l.opened]
+	}
+	l.opened++
+	handler := l.handlers[address]
+	if fault.RefuseOpen || handler == nil {
+		return nil, errors.New("connection refused")
+	}
+	there, back := newFrameQueue(), newFrameQueue()
+	ctx, cancel := context.WithCancel(context.Background())
+	client := &linkEnd{cancel: cancel, fault: fault, in: back, out: there, note: l.note}
+	server := &linkEnd{cancel: cancel, fault: fault, in: there, out: back, replies: true}
+	if fault.RequestDelay > 0 {
+		client.cancel = func() {}
+	}
+	go func() {
+		defer server.Close() //nolint:errcheck // in memory
+		handler(ctx, server)
+	}()
+	return client, nil
+}
+
+func (l *Link) note(f tgframe.Frame) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.requests = append(l.requests, f)
+}
+
+// linkEnd is one side of an exchange.
+type linkEnd struct {
+	cancel  func()
+	fault   LinkFault
+	held    []byte // reply to be swapped with the next one
+	in, out *frameQueue
+	note    func(tgframe.Frame) // of the first frame; nil on the serving side
+	replies bool
+	sent    int
+}
+
+// Buffered implements tglink.Exchange.
+func (e *linkEnd) Buffered() bool { return e.in.len() > 0 }
+
+// Close implements tglink.Exchange.
+func (e *linkEnd) Close() error {
+	if e.held != nil {
+		e.out.push(e.held)
+	}
+	if !e.silent() {
+		e.out.close()
+	}
+	return nil
+}
+
+func (e *linkEnd) silent() bool {
+	return e.replies && (e.fault.SilentAfter < 0 || e.fault.SilentAfter > 0 && e.sent >= e.fault.SilentAfter)
+}
+
+// Receive implements tglink.Exchange.
+func (e *linkEnd) Receive(ctx context.Context) (tgframe.Frame, error) {
+	var f tgframe.Frame
+	data, err := e.in.pop(ctx)
+	if err != nil {
+		return f, err
+	}
+	return f, errors.Wrap(cbor.Unmarshal(data, &f), "decode frame")
+}
+
+// Send implements tglink.Exchange.
+func (e *linkEnd) Send(_ context.Context, f tgframe.Frame) error {
+	data, err := cbor.Marshal(f)
+	if err != nil {
+		return errors.Wrap(err, "encode frame")
+	}
+	if e.note != nil && e.sent == 0 {
+		e.note(f)
+	}
+	silent := e.silent()
+	e.sent++
+	switch {
+	case silent:
+	case e.replies:
+		e.reply(data)
+	case e.fault.RequestDelay > 0:
+		time.AfterFunc(e.fault.RequestDelay, func() { e.out.push(data) })
+	default:
+		e.out.push(data)
+	}
+	if e.replies && e.fault.CutAfter > 0 && e.sent >= e.fault.CutAfter {
+		e.out.close()
+		e.in.close()
+		e.cancel()
+		return errors.New("connection lost")
+	}
+	return nil
+}
+
+func (e *linkEnd) reply(data []byte) {
+	if e.fault.Swap && e.held == nil {
+		e.held = data
+		return
+	}
+	e.out.push(data)
+	if e.fault.Duplicate {
+		e.out.push(data)
+	}
+	if e.held != nil {
+		e.out.push(e.held)
+		e.held = nil
+	}
+}
+
+// frameQueue carries encoded frames in one direction.
+type frameQueue struct {
+	mu      sync.Mutex
+	changed chan struct{} // closed and replaced at each change
+	closed  bool
+	frames  [][]byte
+}
+
+func newFrameQueue() *frameQueue { return &frameQueue{changed: make(chan struct{})} }
+
+func (q *frameQueue) push(data []byte) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.frames = append(q.frames, data)
+	q.notify()
+}
+
+func (q *frameQueue) close() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.closed = true
+	q.notify()
+}
+
+func (q *frameQueue) notify() {
+	close(q.changed)
+	q.changed = make(chan struct{})
+}
+
+func (q *frameQueue) len() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.frames)
+}
+
+func (q *frameQueue) pop(ctx context.Context) ([]byte, error) {
+	for {
+		q.mu.Lock()
+		if len(q.frames) > 0 {
+			data := q.frames[0]
+			q.frames = q.frames[1:]
+			q.mu.Unlock()
+			return data, nil
+		}
+		changed, closed := q.changed, q.closed
+		q.mu.Unlock()
+		if closed {
+			return nil, io.EOF
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/io/tgstandin/pipe.go
@@ -0,0 +1,82 @@
+package tgstandin
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// PipeEngine is a stand-in of an upstream over in-memory connections with faults.
+// Its times follow the clock of testing/synctest.
+type PipeEngine struct {
+	Aborted    atomic.Int64  // answers whose connection was closed before they ended
+	DieAfter   int           // tokens of an answer before the connection closes; 0 for none
+	Executions atomic.Int64  // requests received whole
+	Interval   time.Duration // between tokens
+	Plain      bool          // answers with Content-Length instead of an event stream
+	Status     int           // 0 for 200
+	Tokens     int
+}
+
+// Dial returns a connection to the engine.
+func (e *PipeEngine) Dial(context.Context) (net.Conn, error) {
+	client, server := net.Pipe()
+	go e.serve(server)
+	return client, nil
+}
+
+func (e *PipeEngine) serve(c net.Conn) {
+	defer c.Close() //nolint:errcheck // in memory
+	r := bufio.NewReader(c)
+	var req fasthttp.Request
+	if req.Read(r) != nil {
+		return
+	}
+	e.Executions.Add(1)
+	from, _ := strconv.Atoi(string(req.Header.Peek("X-Resume-From")))
+	if err := e.answer(c, from); err != nil {
+		e.Aborted.Add(1)
+	}
+}
+
+func (e *PipeEngine) answer(w io.Writer, from int) error {
+	contentType, length := "text/event-stream", "Transfer-Encoding: chunked"
+	if e.Plain {
+		contentType, length = "application/json", fmt.Sprintf("Content-Length: %d", e.Tokens)
+	}
+	status := max(e.Status, fasthttp.StatusOK)
+	_, err := fmt.Fprintf(w, "HTTP/1.1 %d X\r\nContent-Type: %s\r\n%s\r\nConnection: close\r\n\r\n", status, contentType, length)
+	for i := from; i < e.Tokens && err == nil; i++ {
+		time.Sleep(e.Interval)
+		if e.DieAfter > 0 && i-from >= e.DieAfter {
+			return nil
+		}
+		err = e.token(w, PipeEvent(i))
+	}
+	if err == nil && !e.Plain {
+		err = e.token(w, "data: [DONE]\n\n")
+	}
+	if err == nil && !e.Plain {
+		_, err = io.WriteString(w, "0\r\n\r\n")
+	}
+	return err
+}
+
+// PipeEvent returns the event of the token with the given number.
+func PipeEvent(i int) string { return fmt.Sprintf("data: %d\n\n", i) }
+
+func (e *PipeEngine) token(w io.Writer, event string) error {
+	if e.Plain {
+		_, err := io.WriteString(w, "1")
+		return err
+	}
+	_, err := fmt.Fprintf(w, "%x\r\n%s\r\n", len(event), event)
+	return err
+}
--- a/io/tgupstream/client.go
+++ b/io/tgupstream/client.go
@@ -2,12 +2,12 @@
 package tgupstream
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net"
 	"net/netip"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,38 +17,62 @@
 )
 
 const (
-	dialTimeout = time.Second
-	readSize    = 16 << 10
+	readSize = 16 << 10
+
+	// Prefill of a long prompt and the engine's own queue delay the first byte; 10 s is six times the
+	// first-token target.
+	defaultFirstByte = 10 * time.Second
+	defaultGap       = 3 * time.Second // as between daemons; the target between tokens is 26 ms
 )
 
-// Client sends each request to its upstream at most once.
+// ErrUnframed says that an answer has neither Content-Length nor chunks, so that its end cannot be known.
+var ErrUnframed = errors.New("answer has neither a length nor chunks")
+
+// Client sends each request to its upstream at most once. It writes requests to connections of its own,
+// since fasthttp's client does not tell whether any byte was sent and cannot abort a call.
 type Client struct {
-	address netip.AddrPort
-	http    *fasthttp.Client
+	address   netip.AddrPort
+	firstByte time.Duration
+	gap       time.Duration
+	pool      pool
+}
+
+// Option changes a client.
+type Option func(*Client)
+
+// WithDial replaces the way in which connections are made.
+func WithDial(dial func(ctx context.Context) (net.Conn, error)) Option {
+	return func(c *Client) { c.pool.dial = dial }
+}
+
+// WithSilence bounds, for idempotent requests, the time to the first byte of a streamed answer and the
+// time between any two bytes of an answer. Others are bounded by their deadline alone: they cannot be run
+// again, so an early end would only lose their answer.
+func WithSilence(firstByte, gap time.Duration) Option {
+	return func(c *Client) { c.firstByte, c.gap = firstByte, gap }
 }
 
 // New returns a client of the upstream at address.
-func New(address netip.AddrPort) *Client {
-	return &Client{
-		address: address,
-		http: &fasthttp.Client{
-			Dial:                      func(a string) (net.Conn, error) { return fasthttp.DialTimeout(a, dialTimeout) },
-			MaxConnsPerHost:           4096,
-			MaxIdemponentCallAttempts: 1,
-			NoDefaultUserAgentHeader:  true,
-			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-			StreamResponseBody:        true,
-		},
+func New(address netip.AddrPort, options ...Option) *Client {
+	c := &Client{address: address, firstByte: defaultFirstByte, gap: defaultGap}
+	c.pool.dial = func(ctx context.Context) (net.Conn, error) {
+		d := net.Dialer{KeepAliveConfig: keepAlive}
+		return d.DialContext(ctx, "tcp", address.String())
+	}
+	for _, o := range options {
+		o(c)
 	}
+	return c
 }
 
 // Sink takes the parts of an answer as they arrive.
 type Sink interface {
+	// Chunk must not keep data.
 	Chunk(data []byte) error
 	Head(h tgframe.Head) error
 }
 
-// NotSentError says that the request was not sent to the upstream.
+// NotSentError says that no byte of the request was sent to the upstream.
 type NotSentError struct{ Err error }
 
 // Error implements error.
@@ -57,12 +81,80 @@
 // Unwrap returns the cause.
 func (e *NotSentError) Unwrap() error { return e.Err }
 
-// Do sends the request once and passes the answer to sink.
+// Do sends the request once and passes the answer to sink. The end of ctx closes the connection.
+// Only a NotSentError proves that the upstream has seen nothing of the request.
 func (c *Client) Do(ctx context.Context, e *tgframe.Execute, sink Sink) error {
+	if err := ctx.Err(); err != nil {
+		return &NotSentError{Err: err}
+	}
+	n, err := c.pool.acquire(ctx)
+	if err != nil {
+		return &NotSentError{Err: err}
+	}
+	stop := context.AfterFunc(ctx, n.abort)
+	reusable, err := c.exchange(n, e, sink)
+	if !stop() {
+		reusable = false
+	}
+	if reusable {
+		c.pool.release(n)
+	} else {
+		_ = n.Close()
+	}
+	if err != nil && n.written == 0 {
+		return &NotSentError{Err: err}
+	}
+	return err
+}
+
+// exchange sends the request over n and reads the answer; n can be reused if the whole answer was read.
+func (c *Client) exchange(n *conn, e *tgframe.Execute, sink Sink) (reusable bool, err error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
+	c.fill(req, e)
+	if err := req.Write(n.bw); err != nil {
+		return false, errors.Wrap(err, "send the request")
+	}
+	if err := n.bw.Flush(); err != nil {
+		return false, errors.Wrap(err, "send the request")
+	}
+	n.silence = 0
+	if e.Stream && e.Idempotent {
+		n.silence = c.firstByte
+	} else if err := n.SetReadDeadline(time.Time{}); err != nil {
+		return false, errors.Wrap(err, "reset read deadline")
+	}
+	if n.aborted.Load() { // the reset above may have undone the abort's deadline
+		return false, context.Canceled
+	}
+	resp.StreamBody = true
+	resp.SkipBody = req.Header.IsHead()
+	if err := resp.ReadLimitBody(n.br, 0); err != nil {
+		return false, errors.Wrap(n.cause(err), "read the head of the upstream's answer")
+	}
+	if e.Idempotent {
+		n.silence = c.gap
+	}
+	if err := sink.Head(head(resp)); err != nil {
+		return false, err
+	}
+	if body := resp.BodyStream(); body != nil {
+		defer resp.CloseBodyStream()
+		if err := copyBody(body, sink); err != nil {
+			return false, n.cause(err)
+		}
+		if resp.Header.ContentLength() < -1 {
+			return false, ErrUnframed
+		}
+	}
+	return !resp.ConnectionClose(), nil
+}
+
+func (c *Client) fill(req *fasthttp.Request, e *tgframe.Execute) {
+	req.Header.SetNoDefaultContentType(true)
 	req.Header.SetMethod(e.Method)
+	req.URI().DisablePathNormalizing = true
 	req.SetRequestURI("http://" + c.address.String() + e.Path)
 	for _, h := range e.Headers {
 		req.Header.Set(h.Name, h.Value)
@@ -74,23 +166,18 @@
 	if e.Delivered > 0 {
 		req.Header.Set("X-Resume-From", strconv.Itoa(e.Delivered))
 	}
-	req.SetBody(e.Body)
-	if err := c.http.DoDeadline(req, resp, e.Deadline); err != nil {
-		if errors.Is(err, fasthttp.ErrDialTimeout) || errors.Is(err, fasthttp.ErrNoFreeConns) || isDialError(err) {
-			return &NotSentError{Err: err}
-		}
-		return errors.Wrap(err, "call the upstream")
-	}
-	defer resp.CloseBodyStream()
-	if err := sink.Head(head(resp)); err != nil {
-		return err
-	}
-	return copyBody(ctx, resp, sink)
+	req.SetBodyRaw(e.Body)
+}
+
+// passedHeaders are the fields of an upstream's answer that reach the caller.
+var passedHeaders = []string{
+	"Cache-Control", "Content-Disposition", "Content-Encoding", "Content-Language", "Content-Type", "ETag",
+	"Last-Modified", "Location", "Retry-After",
 }
 
 func head(resp *fasthttp.Response) tgframe.Head {
 	h := tgframe.Head{Status: resp.StatusCode()}
-	for _, name := range []string{"Content-Type"} {
+	for _, name := range passedHeaders {
 		if v := resp.Header.Peek(name); len(v) > 0 {
 			h.Headers = append(h.Headers, tgframe.Header{Name: name, Value: string(v)})
 		}
@@ -98,16 +185,15 @@
 	return h
 }
 
-func copyBody(ctx context.Context, resp *fasthttp.Response, sink Sink) error {
-	body := resp.BodyStream()
-	if body == nil {
-		body = bytes.NewReader(resp.Body())
-	}
-	buf := make([]byte, readSize)
+var bodyBuffers = sync.Pool{New: func() any { return new([readSize]byte) }}
+
+func copyBody(body io.Reader, sink Sink) error {
+	buf, _ := bodyBuffers.Get().(*[readSize]byte)
+	defer bodyBuffers.Put(buf)
 	for {
-		n, err := body.Read(buf)
+		n, err := body.Read(buf[:])
 		if n > 0 {
-			if err := sink.Chunk(append([]byte(nil), buf[:n]...)); err != nil {
+			if err := sink.Chunk(buf[:n]); err != nil {
 				return err
 			}
 		}
@@ -117,8 +203,5 @@
 		if err != nil {
 			return errors.Wrap(err, "read the upstream's answer")
 		}
-		if err := ctx.Err(); err != nil {
-			return errors.Wrap(err, "attempt cancelled")
-		}
 	}
 }
--- /dev/null
+++ b/io/tgupstream/conn.go
@@ -0,0 +1,102 @@
+package tgupstream
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrSilent says that an upstream sent no byte for the allowed time.
+var ErrSilent = errors.New("upstream is silent")
+
+// conn is a connection to the upstream that serves one request at a time.
+type conn struct {
+	net.Conn
+	aborted atomic.Bool
+	br      *bufio.Reader
+	bw      *bufio.Writer
+	failed  error         // first failed read of the current request
+	idle    time.Time     // when the last request ended
+	silence time.Duration // bound of each read; zero for none
+	written int64         // bytes of the current request that were handed to the socket
+}
+
+func newConn(c net.Conn) *conn {
+	n := &conn{Conn: c}
+	n.br, n.bw = bufio.NewReaderSize(n, readSize), bufio.NewWriter(n)
+	return n
+}
+
+// abort makes reads and writes of the current request fail.
+func (c *conn) abort() {
+	c.aborted.Store(true)
+	_ = c.SetDeadline(time.Unix(1, 0))
+}
+
+// Read implements net.Conn with a bound on the time without a byte.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.silence > 0 {
+		_ = c.SetReadDeadline(time.Now().Add(c.silence))
+		if c.aborted.Load() { // abort may have come before the new deadline
+			return 0, context.Canceled
+		}
+	}
+	n, err := c.Conn.Read(p)
+	if err == nil {
+		return n, nil
+	}
+	var t net.Error
+	switch {
+	case c.aborted.Load():
+		err = context.Canceled
+	case errors.As(err, &t) && t.Timeout():
+		err = ErrSilent
+	}
+	c.failed = err
+	return n, err
+}
+
+// cause returns why err happened; fasthttp reports every failure of the first read as io.EOF.
+func (c *conn) cause(err error) error {
+	if errors.Is(c.failed, ErrSilent) || errors.Is(c.failed, context.Canceled) {
+		return c.failed
+	}
+	return err
+}
+
+// Write implements net.Conn and counts what was handed to the socket.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.written += int64(n)
+	return n, err
+}
+
+// usable reports whether an idle connection is still open and has nothing to read.
+// A request on a connection that the upstream has closed may or may not have run,
+// so such connections are found before the request is written.
+func (c *conn) usable() bool {
+	if time.Since(c.idle) > maxIdle || c.br.Buffered() > 0 {
+		return false
+	}
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	var b [1]byte
+	err = raw.Read(func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && open
+}
--- /dev/null
+++ b/io/tgupstream/pool.go
@@ -0,0 +1,69 @@
+package tgupstream
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+)
+
+const (
+	dialTimeout = time.Second
+	maxIdle     = 4 * time.Second // below the 5 s after which common HTTP servers close idle connections
+	maxIdleConn = 256
+)
+
+// keepAlive finds an upstream that is unreachable while a request waits for its answer.
+var keepAlive = net.KeepAliveConfig{Count: 3, Enable: true, Idle: 2 * time.Second, Interval: time.Second}
+
+// pool keeps idle connections; the one used last is reused first.
+type pool struct {
+	mu   sync.Mutex
+	dial func(ctx context.Context) (net.Conn, error)
+	idle []*conn
+}
+
+func (p *pool) acquire(ctx context.Context) (*conn, error) {
+	for {
+		c := p.pop()
+		if c == nil {
+			break
+		}
+		if c.usable() {
+			c.written = 0
+			return c, nil
+		}
+		_ = c.Close()
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	c, err := p.dial(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return newConn(c), nil
+}
+
+func (p *pool) pop() *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(p.idle)
+	if n == 0 {
+		return nil
+	}
+	c := p.idle[n-1]
+	p.idle = p.idle[:n-1]
+	return c
+}
+
+// release keeps c for another request; the caller has read the whole answer.
+func (p *pool) release(c *conn) {
+	c.idle = time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) >= maxIdleConn {
+		_ = c.Close()
+		return
+	}
+	p.idle = append(p.idle, c)
+}
