Answer every refused request with an error object and an outcome

A stopping companion closes its connections; a failed dial makes the next ones fail at once for 1 s.

--- a/io/tgentry/answer.go
+++ b/io/tgentry/answer.go
@@ -1,13 +1,17 @@
 package tgentry
 
 import (
+	"encoding/json"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/gofiber/fiber/v3"
+	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
 
 	"tanagergrade/core/tgcall"
 )
@@ -83,15 +87,37 @@
 func (e *Entry) fail(c fiber.Ctx, f *tgcall.Failure) error {
 	id := requestID(c)
 	e.finished(record{failure: f, request: id})
-	return sendFailure(c, f)
+	writeFailure(c.Response(), f)
+	return nil
 }
 
-func sendFailure(c fiber.Ctx, f *tgcall.Failure) error {
-	c.Set(headerOutcome, string(f.Outcome))
+func writeFailure(resp *fasthttp.Response, f *tgcall.Failure) {
+	resp.Header.Set(headerOutcome, string(f.Outcome))
 	if s := retryAfter(f); s > 0 {
-		c.Set(fiber.HeaderRetryAfter, strconv.Itoa(s))
+		resp.Header.Set(fiber.HeaderRetryAfter, strconv.Itoa(s))
+	}
+	resp.SetStatusCode(status(f))
+	resp.Header.SetContentType(fiber.MIMEApplicationJSON)
+	data, err := json.Marshal(newErrorBody(f))
+	if err != nil {
+		panic(err) // strings and a null always encode
+	}
+	resp.SetBody(data)
+}
+
+// refuseMethods answers requests with methods that fiber does not know, which never reach a handler.
+func (e *Entry) refuseMethods(next fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		if slices.Contains(fiber.DefaultMethods, string(ctx.Method())) {
+			next(ctx)
+			return
+		}
+		f := tgcall.NotRunFailure(tgcall.CodeMethodNotAllowed, "%s is not allowed", ctx.Method())
+		id := uuid.NewString()
+		ctx.Response.Header.Set(headerRequestID, id)
+		e.finished(record{failure: f, request: id})
+		writeFailure(&ctx.Response, f)
 	}
-	return c.Status(status(f)).JSON(newErrorBody(f))
 }
 
 // handleError answers requests that failed before a handler took them, and errors of handlers.
--- a/io/tgentry/attempt.go
+++ b/io/tgentry/attempt.go
@@ -15,9 +15,9 @@
 )
 
 const (
-	maxCoalesced  = 32 // frames taken together if they are there already
-	maxFailures   = 2  // exchanges in a row without a frame, of an idempotent attempt
-	openTimeout   = 2 * time.Second
+	maxCoalesced  = 32          // frames taken together if they are there already
+	maxFailures   = 2           // exchanges in a row without a frame, of an idempotent attempt
+	openTimeout   = time.Second // a handshake takes a few milliseconds
 	reattachPause = 200 * time.Millisecond
 )
 
--- a/io/tgentry/entry.go
+++ b/io/tgentry/entry.go
@@ -49,9 +49,10 @@
 	}
 	e.callsCtx, e.stopCalls = context.WithCancelCause(context.Background())
 	e.app = fiber.New(fiber.Config{BodyLimit: maxBodyBytes, ErrorHandler: e.handleError})
-	e.app.Get("/healthz", func(c fiber.Ctx) error { return c.SendString("ok\n") })
-	e.app.Get("/readyz", e.handleReady)
-	e.app.Get("/v1/models", e.handleModels)
+	reads := []string{fiber.MethodGet, fiber.MethodHead}
+	e.app.Add(reads, "/healthz", func(c fiber.Ctx) error { return c.SendString("ok\n") })
+	e.app.Add(reads, "/readyz", e.handleReady)
+	e.app.Add(reads, "/v1/models", e.handleModels)
 	e.app.Post("/v1/chat/completions", e.handleChat)
 	for _, path := range []string{"/healthz", "/readyz", "/v1/models", "/v1/chat/completions"} {
 		e.app.All(path, e.handleMethod)
@@ -59,6 +60,8 @@
 	// Not Use: after a malformed or oversized request fiber still runs the handlers registered with Use,
 	// which would pass the request on without its body.
 	e.app.All("/*", e.handlePlain)
+	server := e.app.Server()
+	server.Handler = e.refuseMethods(server.Handler)
 	return e
 }
 
--- a/io/tgentry/harness_test.go
+++ b/io/tgentry/harness_test.go
@@ -34,7 +34,13 @@
 	link    *tgstandin.Link
 }
 
-var upstreamNames = []string{"u1", "u2", "u3"}
+const (
+	plainUpstream = "q1"
+	testKey       = "key"
+	testKeyHash   = "2c70e12b7a0646f92279f427c7b38e7334d8e5389cff167a1dc30e73f826b683" // SHA-256 of testKey
+)
+
+var upstreamNames = []string{"u1", "u2", "u3", plainUpstream}
 
 func companionAddress(i int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(1000+i))
@@ -44,20 +50,28 @@
 	t.Helper()
 	s := &system{engines: engines, link: link}
 	s.cfg = &tgconfig.Config{
+		Accounts:    map[string]tgconfig.Account{"acc": {KeyHash: testKeyHash}},
 		DataCentres: map[string]tgconfig.DataCentre{"a": {Region: "r", State: tgconfig.Active}},
-		Pools:       map[string]tgconfig.Pool{"p": {Kind: tgconfig.ModelPool, Models: []string{"m"}}},
-		Settings:    tgconfig.DefaultSettings(),
-		Upstreams:   map[string]tgconfig.Upstream{},
+		Pools: map[string]tgconfig.Pool{
+			"p": {Kind: tgconfig.ModelPool, Models: []string{"m"}},
+			"q": {Kind: tgconfig.PlainPool, PathPrefix: "/q/", Operations: []tgconfig.Operation{{Idempotent: true, Method: "GET", Path: "/q/"}}},
+		},
+		Settings:  tgconfig.DefaultSettings(),
+		Upstreams: map[string]tgconfig.Upstream{},
 	}
 	for i := range upstreams {
 		s.cfg.Upstreams[upstreamNames[i]] = tgconfig.Upstream{
 			ChecksIdempotencyKeys: true, Companion: companionAddress(i), DataCentre: "a", Pool: "p", State: tgconfig.Active,
 		}
 	}
+	plain := s.cfg.Upstreams[upstreamNames[0]]
+	plain.Companion, plain.Pool = companionAddress(len(upstreamNames)-1), "q"
+	s.cfg.Upstreams[plainUpstream] = plain
 	s.entry = New(s.newNode(t))
 	for i := range upstreams {
 		s.startCompanion(t, i)
 	}
+	s.startCompanion(t, len(upstreamNames)-1)
 	return s
 }
 
--- a/io/tgentry/serve.go
+++ b/io/tgentry/serve.go
@@ -18,7 +18,8 @@
 	body, failure := l.begin()
 	if failure != nil {
 		l.close(failure)
-		return sendFailure(c, failure)
+		writeFailure(c.Response(), failure)
+		return nil
 	}
 	c.Status(l.head.Status)
 	for _, h := range l.head.Headers {
--- a/io/tglink/peer.go
+++ b/io/tglink/peer.go
@@ -9,14 +9,21 @@
 	"github.com/quic-go/quic-go"
 )
 
-// minConnAge keeps exchanges that found the same connection silent from replacing each other's new one.
-const minConnAge = time.Second
+const (
+	// dialPause is the time after a failed dial in which the next ones fail at once; without it every request to
+	// a companion that is gone would wait for its own dial.
+	dialPause = time.Second
+	// minConnAge keeps exchanges that found the same connection silent from replacing each other's new one.
+	minConnAge = time.Second
+)
 
 // peer is the connection to one daemon.
 type peer struct {
 	dialler chan struct{} // holds a token while one goroutine dials
 	mu      sync.Mutex
 	current *connection // nil if there is none to use
+	failed  time.Time   // of the last dial, if it failed
+	failure error
 }
 
 // connection is closed when it is retired and its last exchange has ended.
@@ -43,16 +50,30 @@
 	if l := p.use(); l != nil {
 		return l, nil
 	}
-	conn, err := dial()
-	if err != nil {
+	if err := p.recentFailure(); err != nil {
 		return nil, err
 	}
+	conn, err := dial()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.failure = err
+	if err != nil {
+		p.failed = time.Now()
+		return nil, err
+	}
 	p.current = &connection{conn: conn, made: time.Now(), open: 1}
 	return p.current, nil
 }
 
+func (p *peer) recentFailure() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.failure == nil || time.Since(p.failed) >= dialPause {
+		return nil
+	}
+	return p.failure
+}
+
 func (p *peer) use() *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -86,6 +107,6 @@
 
 func (l *connection) closeIfUnused() {
 	if l.retired && l.open == 0 {
-		_ = l.conn.CloseWithError(0, "replaced")
+		_ = l.conn.CloseWithError(codeReplaced, "replaced")
 	}
 }
--- a/io/tglink/quic.go
+++ b/io/tglink/quic.go
@@ -18,6 +18,9 @@
 	idleTimeout     = 15 * time.Second
 	keepAlivePeriod = 5 * time.Second
 	maxStreams      = 4096 // exchanges at once over one connection
+
+	codeReplaced quic.ApplicationErrorCode = 0
+	codeStopped  quic.ApplicationErrorCode = 1
 )
 
 // Transport opens and serves exchanges over one UDP socket.
@@ -115,6 +118,8 @@
 
 func serveConn(ctx context.Context, conn *quic.Conn, handler Handler) {
 	var wg conc.WaitGroup
+	// Tells the other side at once that nobody serves this connection any more.
+	defer conn.CloseWithError(codeStopped, "stopped") //nolint:errcheck // the connection may be gone already
 	defer wg.Wait()
 	for {
 		stream, err := conn.AcceptStream(ctx)
