Validate the result of a change in the accept rule

Cause: a change whose result has dangling references was accepted. Change: Config.With calls ValidateChange, so every reader rejects it as invalid. Conclusion: the accepted configuration is always valid.

--- a/core/tgconfig/change.go
+++ b/core/tgconfig/change.go
@@ -7,9 +7,16 @@
 	"github.com/fxamacker/cbor/v2"
 )
 
-// With returns a copy of c with the change made.
+// With returns a copy of c with the change made, if the result is valid.
 func (c *Config) With(change Change) (*Config, error) {
-	return c.replaced(change)
+	next, err := c.replaced(change)
+	if err != nil {
+		return nil, err
+	}
+	if err := next.ValidateChange(change); err != nil {
+		return nil, err
+	}
+	return next, nil
 }
 
 // replaced returns a copy of c with the change made and not validated.
--- a/core/tgconfig/diff.go
+++ b/core/tgconfig/diff.go
@@ -1,9 +1,7 @@
 package tgconfig
 
 import (
-	"maps"
 	"reflect"
-	"slices"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
@@ -39,13 +37,13 @@
 }
 
 func diffEntities[T any](d *differ, kind EntityKind, from, to map[string]T) {
-	for _, name := range slices.Sorted(maps.Keys(to)) {
+	for _, name := range sortedKeys(to) {
 		old, ok := from[name]
 		if !ok || !reflect.DeepEqual(old, to[name]) {
 			d.replace(Entity{Kind: kind, Name: name}, to[name])
 		}
 	}
-	for _, name := range slices.Sorted(maps.Keys(from)) {
+	for _, name := range sortedKeys(from) {
 		if _, ok := to[name]; !ok {
 			d.change.Entities = append(d.change.Entities, EntityChange{
 				Deleted: true, Entity: Entity{Kind: kind, Name: name},
