Find the limit on evidence and queue by fair shares

Cause: the limit doubled on finished attempts alone and cut on any failure; attempts at the limit were refused instead of queued. Change: the limiter takes the evidence of running attempts, grows by windows of steps while latencies stay at the warm figure, cuts to the cold limit after three slow first tokens or prefill rates, or one window of slow steps. The new queue orders by priority, then start-time fair queueing by account, and sheds by expected wait. Conclusion: `go test -race ./core/tgadmit ./core/tgqueue` passes.

--- /dev/null
+++ b/core/tgadmit/limiter_test.go
@@ -0,0 +1,164 @@
+package tgadmit
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	warmFirst = 300 * time.Millisecond
+	warmGap   = 20 * time.Millisecond
+)
+
+// upstream is a closed-form engine: beyond its capacity all latencies grow in proportion.
+type upstream struct {
+	*Limiter
+	capacity float64
+	clock    time.Time
+	slower   float64 // factor of all latencies
+}
+
+func newUpstream(capacity float64, options ...Option) *upstream {
+	u := &upstream{capacity: capacity, clock: time.Unix(0, 0), slower: 1}
+	u.Limiter = NewLimiter(2, 16, append(options, WithClock(func() time.Time { return u.clock }))...)
+	return u
+}
+
+func (u *upstream) factor() float64 { return u.slower * max(1, float64(u.InFlight())/u.capacity) }
+
+// run serves steps with as many attempts as the limit allows; each ends after a second of decoding.
+func (u *upstream) run(d time.Duration) {
+	ages := map[int]time.Duration{}
+	id := 0
+	for end := u.clock.Add(d); u.clock.Before(end); {
+		for u.TryAcquire() {
+			ages[id] = 0
+			id++
+		}
+		f := u.factor()
+		step := time.Duration(f * float64(warmGap))
+		u.clock = u.clock.Add(step)
+		for i := range ages {
+			before := ages[i]
+			ages[i] += step
+			first := time.Duration(f * float64(warmFirst))
+			switch {
+			case before < first && ages[i] >= first:
+				u.Observe(Progress{FirstToken: first, Tokens: 1})
+			case before >= first:
+				u.Observe(Progress{Gap: step, Tokens: 1})
+			}
+			if ages[i] > first+time.Second {
+				delete(ages, i)
+				u.Release(Sample{Observed: 50, OK: true, Tokens: 50, Total: ages[i]})
+			}
+		}
+	}
+	for range ages {
+		u.Release(Sample{Cancelled: true})
+	}
+}
+
+// Guards against a companion that stays at the cold limit beside a warm upstream, or is at the warm limit at once.
+func TestRestartBesideWarmUpstream(t *testing.T) {
+	for _, options := range [][]Option{nil, {WithWarmFigures(warmFirst, warmGap)}, {WithLockStep()}} {
+		u := newUpstream(16, options...)
+		u.run(500 * time.Millisecond)
+		assert.Assert(t, u.Limit() < 8, u.Limit())
+		u.run(8 * time.Second)
+		assert.Equal(t, u.Limit(), 16)
+	}
+}
+
+// Guards against a limit far from what the upstream bears, above or below.
+func TestLimitFollowsCapacity(t *testing.T) {
+	u := newUpstream(6)
+	u.run(20 * time.Second)
+	assert.Assert(t, u.Limit() >= 6 && u.Limit() <= 8, u.Limit())
+	u.capacity = 12
+	u.run(20 * time.Second)
+	assert.Assert(t, u.Limit() >= 12 && u.Limit() <= 15, u.Limit())
+}
+
+// Guards against a limit that rises with time alone.
+func TestNoGrowthWithoutEvidence(t *testing.T) {
+	u := newUpstream(16)
+	u.clock = u.clock.Add(time.Hour)
+	assert.Equal(t, u.Limit(), 2)
+	for range 100 { // one at a time shows nothing of two
+		assert.Assert(t, u.TryAcquire())
+		u.Observe(Progress{FirstToken: warmFirst, Tokens: 1})
+		u.Observe(Progress{Gap: warmGap, Tokens: 1})
+		u.clock = u.clock.Add(time.Second)
+		u.Release(Sample{Observed: 2, OK: true, Tokens: 2, Total: time.Second})
+	}
+	assert.Equal(t, u.Limit(), 2)
+}
+
+// Guards against a warm upstream that turns cold and keeps its limit for more than a few requests.
+func TestSuddenCold(t *testing.T) {
+	slowFirst := func(u *upstream) { u.Observe(Progress{FirstToken: 10 * warmFirst, Tokens: 1}) }
+	rows := []struct {
+		name   string
+		sign   func(*upstream)
+		signs  int
+		option Option
+	}{
+		{"failures", func(u *upstream) { u.TryAcquire(); u.Release(Sample{Total: time.Second}) }, 2, nil},
+		{"first tokens", slowFirst, 3, nil},
+		{"first tokens in lock-step", slowFirst, 3, WithLockStep()},
+		{"gaps", func(u *upstream) { u.Observe(Progress{Gap: 10 * warmGap, Tokens: 1}) }, 48, nil},
+		{"prefill rate", func(u *upstream) {
+			u.Observe(Progress{FirstToken: 10 * warmFirst, Prompt: 1000, Tokens: 1})
+		}, 3, nil},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			u := newUpstream(16)
+			if row.option != nil {
+				row.option(u.Limiter)
+			}
+			u.run(10 * time.Second)
+			u.Observe(Progress{FirstToken: warmFirst, Prompt: 1000, Tokens: 1})
+			u.clock = u.clock.Add(time.Second)
+			assert.Equal(t, u.Limit(), 16)
+			for range row.signs {
+				row.sign(u)
+			}
+			assert.Assert(t, u.Limit() <= 2, u.Limit())
+			u.run(10 * time.Second)
+			assert.Equal(t, u.Limit(), 16)
+		})
+	}
+}
+
+// Guards against an upstream whose requests became slower for good and that would be taken for cold for ever.
+func TestSlowerForGood(t *testing.T) {
+	u := newUpstream(16)
+	u.run(10 * time.Second)
+	u.slower = 4
+	u.run(5 * time.Second)
+	assert.Assert(t, u.Limit() <= 2, u.Limit())
+	u.run(5 * time.Minute)
+	assert.Equal(t, u.Limit(), 16)
+}
+
+// Guards against plain services whose limit never grows because they send no tokens one by one.
+func TestWholeAnswers(t *testing.T) {
+	u := newUpstream(16)
+	for range 40 {
+		n := 0
+		for u.TryAcquire() {
+			n++
+		}
+		u.clock = u.clock.Add(5 * time.Millisecond)
+		for range n {
+			u.Release(Sample{FirstToken: 5 * time.Millisecond, OK: true, Tokens: 1, Total: 5 * time.Millisecond})
+		}
+	}
+	assert.Equal(t, u.Limit(), 16)
+	u.Release(Sample{}) // not handed over
+	assert.Equal(t, u.Limit(), 16)
+}
--- /dev/null
+++ b/core/tgadmit/option.go
@@ -0,0 +1,25 @@
+package tgadmit
+
+import "time"
+
+// Option changes a Limiter.
+type Option func(*Limiter)
+
+// WithClock sets the clock; discrete-event benchmarks need it because testing/synctest has no benchmarks.
+func WithClock(now func() time.Time) Option {
+	return func(l *Limiter) { l.now = now }
+}
+
+// WithLockStep is for a rank of a group: the slowest rank sets the time between tokens of all, so the time stops
+// growth but is no evidence that this rank is cold. First tokens and the prefill rate remain evidence.
+func WithLockStep() Option {
+	return func(l *Limiter) { l.lockStep = true }
+}
+
+// WithWarmFigures sets the latencies of the warm upstream instead of learning them.
+func WithWarmFigures(firstToken, gap time.Duration) Option {
+	return func(l *Limiter) {
+		l.first = figure{fixed: true, warm: firstToken.Seconds()}
+		l.gap = figure{fixed: true, warm: gap.Seconds()}
+	}
+}
--- /dev/null
+++ b/core/tgqueue/queue.go
@@ -0,0 +1,261 @@
+// Package tgqueue has the bounded queue of requests that wait for an upstream.
+package tgqueue
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"tanagergrade/core/tgcall"
+)
+
+// Request is what the queue knows of a request.
+type Request struct {
+	Account  string
+	Deadline time.Time
+	Priority tgcall.Priority
+	Share    int // weight of the account; less than 1 counts as 1
+	Work     int // expected tokens; less than 1 counts as 1
+}
+
+// Queue holds requests by priority and within a priority by fair shares of the accounts. It keeps state of accounts
+// with queued requests, and of those served lately that are ahead of their share, at most maxAhead of the latter in each priority.
+// Priorities are strict: bulk work waits while live or standard work does, up to its deadline.
+type Queue[T any] struct {
+	bounds   map[tgcall.Priority]time.Duration
+	capacity int
+	classes  [classCount]class[T] // by rank of the priority
+	doneTime float64              // seconds in which doneWork was taken; both fade with each Pop
+	doneWork float64
+	drop     func(v T, r Refusal)
+	last     time.Time // of the last Pop, zero if the queue was empty since
+	length   int
+	mu       sync.Mutex
+	now      func() time.Time
+	pending  float64        // work taken since last
+	rand     func() float64 // in [0,1)
+}
+
+const (
+	classCount    = 3
+	minRetryAfter = 500 * time.Millisecond
+	maxRetryAfter = 30 * time.Second
+	maxWait       = time.Hour // bound of an estimate, so that it cannot overflow
+	rateMemory    = 0.95      // weight left after one Pop; about the last twenty count
+)
+
+// Option changes the settings of a Queue.
+type Option func(*settings)
+
+type settings struct {
+	bounds map[tgcall.Priority]time.Duration
+	now    func() time.Time
+	rand   func() float64
+}
+
+// WithClock sets the clock; discrete-event benchmarks need it because testing/synctest has no benchmarks.
+func WithClock(now func() time.Time) Option { return func(s *settings) { s.now = now } }
+
+// WithRand sets the source of jitter, values in [0,1).
+func WithRand(f func() float64) Option { return func(s *settings) { s.rand = f } }
+
+// WithWaitBounds sets the longest wait of each priority, beside the deadline of the request.
+func WithWaitBounds(bounds map[tgcall.Priority]time.Duration) Option {
+	return func(s *settings) { s.bounds = bounds }
+}
+
+// NewQueue returns a queue for capacity requests. It calls drop, without holding its lock, for each request that was
+// queued and will not be run.
+func NewQueue[T any](capacity int, drop func(v T, r Refusal), options ...Option) *Queue[T] {
+	s := settings{now: time.Now, rand: rand.Float64}
+	for _, o := range options {
+		o(&s)
+	}
+	q := &Queue[T]{bounds: s.bounds, capacity: capacity, drop: drop, now: s.now, rand: s.rand}
+	for i := range q.classes {
+		q.classes[i].flows = map[string]*flow[T]{}
+		q.classes[i].ahead = map[string]float64{}
+	}
+	return q
+}
+
+// Len returns the number of queued requests.
+func (q *Queue[T]) Len() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.length
+}
+
+// Work returns the expected tokens of the queued requests.
+func (q *Queue[T]) Work() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	n := 0.0
+	for i := range q.classes {
+		n += q.classes[i].work
+	}
+	return int(n)
+}
+
+// Push queues a request, or refuses it if it would wait beyond its deadline or if the queue is full of requests that
+// go before it. A full queue drops the newest request of the account that is furthest beyond its share, in the lowest
+// priority that has queued requests.
+func (q *Queue[T]) Push(r Request, v T) (*Ticket[T], *Refusal) {
+	q.mu.Lock()
+	now := q.now()
+	t := q.newTicket(r, v, now)
+	c := &q.classes[r.Priority.Rank()]
+	wait := q.expectedWait(t)
+	if !now.Add(wait).Before(t.deadline) {
+		q.mu.Unlock()
+		return nil, q.refusal(ReasonDeadline, wait)
+	}
+	var dropped []*Ticket[T]
+	if q.length >= q.capacity {
+		dropped = q.expire(now)
+	}
+	c.push(t)
+	q.length++
+	refused := false
+	if q.length > q.capacity {
+		victim := q.victim()
+		q.remove(victim)
+		if refused = victim == t; !refused {
+			dropped = append(dropped, victim)
+		}
+	}
+	q.mu.Unlock()
+	for _, d := range dropped {
+		q.drop(d.value, *q.refusal(d.reason, wait))
+	}
+	if refused {
+		return nil, q.refusal(ReasonFull, wait)
+	}
+	return t, nil
+}
+
+// Pop takes the next request. Requests past their deadline are dropped, never returned.
+func (q *Queue[T]) Pop() (T, bool) {
+	q.mu.Lock()
+	now := q.now()
+	var dropped []*Ticket[T]
+	var next *Ticket[T]
+	for i := range q.classes {
+		c := &q.classes[i]
+		for next == nil && len(c.heap) > 0 {
+			t := c.heap[0].queued[0]
+			if now.Before(t.deadline) {
+				c.take(t)
+				next = t
+			} else {
+				c.remove(t)
+				dropped = append(dropped, t)
+			}
+			q.length--
+		}
+	}
+	q.measure(now, next)
+	q.mu.Unlock()
+	for _, d := range dropped {
+		q.drop(d.value, *q.refusal(ReasonDeadline, 0))
+	}
+	if next == nil {
+		var zero T
+		return zero, false
+	}
+	return next.value, true
+}
+
+// Remove takes a request out of the queue without running it; it reports false if the request is not queued any more.
+func (q *Queue[T]) Remove(t *Ticket[T]) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !t.queued {
+		return false
+	}
+	q.remove(t)
+	return true
+}
+
+func (q *Queue[T]) newTicket(r Request, v T, now time.Time) *Ticket[T] {
+	t := &Ticket[T]{
+		account: r.Account, deadline: r.Deadline, rank: r.Priority.Rank(),
+		share: float64(max(r.Share, 1)), value: v, work: float64(max(r.Work, 1)),
+	}
+	if bound, ok := q.bounds[r.Priority]; ok && now.Add(bound).Before(t.deadline) {
+		t.deadline = now.Add(bound)
+	}
+	return t
+}
+
+func (q *Queue[T]) remove(t *Ticket[T]) {
+	q.classes[t.rank].remove(t)
+	q.length--
+}
+
+// expire removes all requests past their deadline.
+func (q *Queue[T]) expire(now time.Time) []*Ticket[T] {
+	var expired []*Ticket[T]
+	for i := range q.classes {
+		for _, f := range q.classes[i].heap {
+			for _, t := range f.queued {
+				if !now.Before(t.deadline) {
+					t.reason = ReasonDeadline
+					expired = append(expired, t)
+				}
+			}
+		}
+	}
+	for _, t := range expired {
+		q.remove(t)
+	}
+	return expired
+}
+
+// victim returns the request to drop from a queue that is too full.
+func (q *Queue[T]) victim() *Ticket[T] {
+	for rank := classCount - 1; ; rank-- {
+		if c := &q.classes[rank]; len(c.heap) > 0 {
+			t := c.furthestBeyondShare()
+			t.reason = ReasonFull
+			return t
+		}
+	}
+}
+
+// expectedWait returns the time until t would be taken at the present rate.
+func (q *Queue[T]) expectedWait(t *Ticket[T]) time.Duration {
+	if q.doneWork <= 0 {
+		return 0
+	}
+	seconds := q.doneTime
+	if !q.last.IsZero() {
+		seconds += q.now().Sub(q.last).Seconds() // an upstream that stopped taking work shows here
+	}
+	ahead := 0.0
+	for rank := range t.rank {
+		ahead += q.classes[rank].work
+	}
+	ahead += q.classes[t.rank].workBefore(t)
+	return time.Duration(min(ahead/q.doneWork*seconds, maxWait.Seconds()) * float64(time.Second))
+}
+
+// measure updates the rate. Intervals in which the queue was empty do not count: they show demand, not capacity.
+func (q *Queue[T]) measure(now time.Time, taken *Ticket[T]) {
+	if taken == nil {
+		q.last, q.pending = time.Time{}, 0
+		return
+	}
+	if d := now.Sub(q.last).Seconds(); !q.last.IsZero() && d > 0 {
+		q.doneWork = rateMemory*q.doneWork + q.pending
+		q.doneTime = rateMemory*q.doneTime + d
+		q.pending = 0
+	}
+	q.pending += taken.work
+	q.last = now
+}
+
+func (q *Queue[T]) refusal(reason Reason, wait time.Duration) *Refusal {
+	base := min(max(wait, minRetryAfter), maxRetryAfter)
+	return &Refusal{Reason: reason, RetryAfter: base/2 + time.Duration(q.rand()*float64(base))}
+}
