Choose upstreams on evidence, index prefixes, budget retries

Cause: the router compared all candidates by their last hint, knew no slow or dead upstream, and every failure could be retried. Change: the chooser takes its policy as a type parameter (two choices, round robin, least connections), fades the others' part of a hint, excludes slow, stalled, silent and failing upstreams, probes them and raises their weight with answers. Conclusion: `go test -race ./core/...` passes.

--- /dev/null
+++ b/core/tgprefix/blocks.go
@@ -0,0 +1,25 @@
+package tgprefix
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Block identifies a part of a prompt together with all that precedes it.
+type Block uint64
+
+// Blocks returns the blocks of size bytes of a prompt; an incomplete last block is not cached and left out.
+func Blocks(prompt []byte, size int) []Block {
+	blocks := make([]Block, 0, len(prompt)/size)
+	var previous [8]byte
+	for ; len(prompt) >= size; prompt = prompt[size:] {
+		d := xxhash.New()
+		_, _ = d.Write(previous[:])
+		_, _ = d.Write(prompt[:size])
+		sum := d.Sum64()
+		blocks = append(blocks, Block(sum))
+		binary.LittleEndian.PutUint64(previous[:], sum)
+	}
+	return blocks
+}
--- /dev/null
+++ b/core/tgretry/budget.go
@@ -0,0 +1,112 @@
+// Package tgretry decides which attempts may follow the first one of a request.
+package tgretry
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"tanagergrade/core/tgcall"
+)
+
+// Verdict says what may follow a failed attempt.
+type Verdict string
+
+// Verdicts, sorted.
+const (
+	Redirect Verdict = "redirect" // try elsewhere at once; the refusal cost no upstream any work
+	Retry    Verdict = "retry"    // try elsewhere after a backoff, paid from the budget
+	Stop     Verdict = "stop"
+)
+
+// Budget bounds retries and hedges to a part of the requests, so that failures do not multiply the load. It is safe
+// for concurrent use.
+type Budget struct {
+	balance float64
+	mu      sync.Mutex
+	rand    func() float64
+	ratio   float64
+}
+
+const (
+	// The start balance is spent on top of the deposits, so a deposit is a little less than the ratio; attempts then
+	// stay under 1+ratio times the requests from about a thousand requests on.
+	depositPart    = 0.9
+	startBalance   = 10.0
+	maxBalance     = 20.0
+	reserve        = maxBalance / 4 // kept for failures; hedges and retries of overload may not use it
+	backoffBase    = 20 * time.Millisecond
+	backoffMax     = time.Second
+	backoffDoubles = 6 // beyond this the bound is reached anyway
+)
+
+// Option changes a Budget.
+type Option func(*Budget)
+
+// WithRand sets the source of jitter, values in [0,1).
+func WithRand(f func() float64) Option { return func(b *Budget) { b.rand = f } }
+
+// NewBudget returns a budget that allows ratio retries for each request.
+func NewBudget(ratio float64, options ...Option) *Budget {
+	b := &Budget{balance: startBalance, rand: rand.Float64, ratio: ratio}
+	for _, o := range options {
+		o(b)
+	}
+	return b
+}
+
+// Deposit counts a new request; retries and hedges are not counted.
+func (b *Budget) Deposit() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.balance = min(b.balance+depositPart*b.ratio, maxBalance)
+}
+
+// SetRatio changes the ratio of later deposits.
+func (b *Budget) SetRatio(ratio float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ratio = ratio
+}
+
+// AfterFailure says what may follow f and pays for it. A request that may have run is only run again if it is
+// idempotent.
+func (b *Budget) AfterFailure(f *tgcall.Failure, idempotent bool) Verdict {
+	if f.Outcome != tgcall.NotRun && !idempotent {
+		return Stop
+	}
+	switch f.Code {
+	case tgcall.CodeDataCentreWithdrawn, tgcall.CodeDraining:
+		return Redirect
+	case tgcall.CodeOverloaded:
+		return b.pay(reserve)
+	case tgcall.CodeAccountUnknown, tgcall.CodeCancelled, tgcall.CodeDeadlineExceeded, tgcall.CodeIdempotencyKeyExpired,
+		tgcall.CodeIdempotencyKeyInvalid, tgcall.CodeIdempotencyKeyRequired, tgcall.CodeIdempotencyKeyReused,
+		tgcall.CodeLogUnavailable, tgcall.CodeModelUnknown, tgcall.CodeRequestInvalid, tgcall.CodeRequestTooLarge,
+		tgcall.CodeRequestUnresolved, tgcall.CodeRouteUnknown:
+		return Stop // another upstream would answer the same
+	default:
+		return b.pay(0)
+	}
+}
+
+// AllowHedge pays for a second attempt beside a slow first one; only idempotent requests may have one.
+func (b *Budget) AllowHedge(idempotent bool) bool {
+	return idempotent && b.pay(reserve) == Retry
+}
+
+func (b *Budget) pay(keep float64) Verdict {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.balance-1 < keep {
+		return Stop
+	}
+	b.balance--
+	return Retry
+}
+
+// Backoff returns the wait before retry n, counted from 0: a random part of a doubling bound.
+func (b *Budget) Backoff(n int) time.Duration {
+	bound := min(backoffBase<<min(n, backoffDoubles), backoffMax)
+	return time.Duration((0.5 + 0.5*b.rand()) * float64(bound))
+}
--- /dev/null
+++ b/core/tgroute/chooser.go
@@ -0,0 +1,271 @@
+package tgroute
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"tanagergrade/core/tgframe"
+)
+
+const (
+	absentAfter  = 5 * time.Second // not offered for so long: it may return cold, so its limit is not known any more
+	forgetAfter  = time.Hour       // not offered for so long: it left
+	hintMemory   = 3 * time.Second // time in which the part of others in a hint fades to 1/e
+	poolInterval = 100 * time.Millisecond
+	unknownLimit = 1
+)
+
+// Router is the chooser of the entries.
+type Router = Chooser[TwoChoices]
+
+// Chooser chooses by the load that companions last reported plus what this process has sent since, and leaves out
+// upstreams that are slow, stalled, silent or failing.
+type Chooser[P Policy] struct {
+	local     string // data centre of this process
+	mu        sync.Mutex
+	now       func() time.Time
+	policy    P
+	pools     map[string]*pool
+	rand      *rand.Rand
+	upstreams map[string]*upstream
+	views     []View // reused
+}
+
+// upstream is what this process knows of one upstream.
+type upstream struct {
+	health
+	hint       tgframe.Load
+	hintAt     time.Time // zero if there is no hint
+	offered    time.Time // when it was last a candidate
+	sent       int       // attempts in flight from this process
+	sentAtHint int       // those that the hint may include
+}
+
+// Evidence is what an entry saw of an attempt.
+type Evidence struct {
+	Failed     bool          // the upstream or its companion could not be reached or broke off
+	FirstToken time.Duration // set with the first token
+	Gap        time.Duration // time since the last token, set with the later ones
+}
+
+// Option changes the settings of a Chooser.
+type Option func(*settings)
+
+type settings struct {
+	now  func() time.Time
+	rand *rand.Rand
+}
+
+// WithClock sets the clock; discrete-event benchmarks need it because testing/synctest has no benchmarks.
+func WithClock(now func() time.Time) Option { return func(s *settings) { s.now = now } }
+
+// WithRand sets the source of random choices.
+func WithRand(r *rand.Rand) Option { return func(s *settings) { s.rand = r } }
+
+// NewChooser returns a chooser with the given policy for a process in the data centre local.
+func NewChooser[P Policy](local string, policy P, options ...Option) *Chooser[P] {
+	s := settings{now: time.Now, rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))} //nolint:gosec // no secret
+	for _, o := range options {
+		o(&s)
+	}
+	return &Chooser[P]{local: local, now: s.now, policy: policy, rand: s.rand, upstreams: map[string]*upstream{},
+		pools: map[string]*pool{}}
+}
+
+// NewRouter returns a router for a process in the data centre local.
+func NewRouter(local string, options ...Option) *Router {
+	return NewChooser(local, TwoChoices{}, options...)
+}
+
+// Choose returns the upstream of an attempt, which Done ends.
+func (c *Chooser[P]) Choose(candidates []Candidate) (Candidate, bool) {
+	return c.ChooseWithGain(candidates, func(string) float64 { return 0 })
+}
+
+// ChooseWithGain is Choose with the part of the request's work that a cached prefix saves at an upstream.
+func (c *Chooser[P]) ChooseWithGain(candidates []Candidate, gain func(name string) float64) (Candidate, bool) {
+	if len(candidates) == 0 {
+		return Candidate{}, false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	c.updatePool(candidates[0].Pool, now)
+	c.views = c.views[:0]
+	usable := make([]Candidate, 0, len(candidates))
+	for _, v := range candidates {
+		u := c.offer(v, now)
+		c.judge(u, now)
+		switch {
+		case u.excluded == "":
+			usable = append(usable, v)
+			c.views = append(c.views, c.view(u, v, gain(v.Name), now))
+		case !u.probing && !now.Before(u.until):
+			u.probing = true
+			return c.send(v, now), true
+		}
+	}
+	if len(usable) == 0 { // all are excluded: any is better than none
+		for _, v := range candidates {
+			c.views = append(c.views, c.view(c.upstreams[v.Name], v, gain(v.Name), now))
+		}
+		usable = candidates
+	}
+	return c.send(usable[c.policy.Pick(c.views, c.rand)], now), true
+}
+
+// Done ends an attempt that Choose started.
+func (c *Chooser[P]) Done(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	u := c.upstream(name)
+	u.sent--
+	u.running = min(u.running, u.sent)
+	if u.probing && u.sent == 0 { // a probe that ended without a good first token
+		u.exclude(u.excluded, c.now(), c.rand)
+	}
+}
+
+// Observe takes a companion's load report.
+func (c *Chooser[P]) Observe(name string, l tgframe.Load) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	u := c.upstream(name)
+	u.hint, u.hintAt, u.sentAtHint = l, c.now(), u.sent
+	u.lastFrame = u.hintAt
+}
+
+// Report takes what an attempt showed of its upstream.
+func (c *Chooser[P]) Report(name string, e Evidence) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	u := c.upstream(name)
+	if e.Failed {
+		if u.excluded == "" || u.probing {
+			u.exclude(Failed, now, c.rand)
+		}
+		return
+	}
+	u.lastFrame, u.lastToken = now, now
+	if e.FirstToken > 0 {
+		u.first.add(e.FirstToken)
+		u.running++
+		slow := u.pool.first > 0 && e.FirstToken.Seconds() > slowRatio*u.pool.first
+		switch {
+		case u.probing && slow:
+			u.exclude(u.excluded, now, c.rand)
+		case u.probing, u.excluded == "" && u.weight < 1 && !slow:
+			u.readmit()
+		}
+	}
+	if e.Gap > 0 {
+		u.gap.add(e.Gap)
+	}
+	if u.excluded == Silent || u.excluded == Stalled {
+		u.until = now // it is alive; a probe may test it at once
+	}
+}
+
+// Excluded returns why an upstream is left out; the empty reason if it is not.
+func (c *Chooser[P]) Excluded(name string) Reason {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.upstream(name).excluded
+}
+
+func (c *Chooser[P]) upstream(name string) *upstream {
+	u, ok := c.upstreams[name]
+	if !ok {
+		u = &upstream{health: health{pool: &pool{}, weight: 1}, offered: c.now()}
+		c.upstreams[name] = u
+	}
+	return u
+}
+
+func (c *Chooser[P]) offer(v Candidate, now time.Time) *upstream {
+	u := c.upstream(v.Name)
+	u.pool = c.pools[v.Pool]
+	if now.Sub(u.offered) > absentAfter {
+		u.hintAt = time.Time{}
+	}
+	u.offered = now
+	return u
+}
+
+func (c *Chooser[P]) send(v Candidate, now time.Time) Candidate {
+	u := c.upstreams[v.Name]
+	if u.sent == 0 {
+		u.lastFrame, u.lastToken = now, now
+	}
+	u.sent++
+	return v
+}
+
+// judge excludes an upstream on evidence.
+func (c *Chooser[P]) judge(u *upstream, now time.Time) {
+	if u.sent > 0 && (u.excluded == "" || u.probing) {
+		if reason := u.pool.silence(u, now); reason != "" {
+			u.exclude(reason, now, c.rand)
+			return
+		}
+	}
+	if u.excluded == "" && u.pool.isSlow(&u.health) && (u.pool.slow+1)*excludedPart <= u.pool.size {
+		u.exclude(Slow, now, c.rand)
+		u.pool.slow++
+	}
+}
+
+func (c *Chooser[P]) view(u *upstream, v Candidate, gain float64, now time.Time) View {
+	limit, others := unknownLimit, 0.0
+	if !u.hintAt.IsZero() {
+		limit = max(u.hint.Limit, 1)
+		fade := math.Exp(-now.Sub(u.hintAt).Seconds() / hintMemory.Seconds())
+		others = fade * float64(max(0, u.hint.InFlight+u.hint.Queued-u.sentAtHint))
+	} else if u.sent == 0 {
+		limit = max(limit, u.pool.limit) // one request finds out
+	}
+	return View{
+		Gain: gain, InFlight: u.sent, Limit: max(1, u.weight*float64(limit)), Load: float64(u.sent) + others,
+		Local: v.DataCentre == c.local,
+	}
+}
+
+// updatePool computes what is usual in a pool and forgets upstreams that left it.
+func (c *Chooser[P]) updatePool(name string, now time.Time) {
+	p, ok := c.pools[name]
+	if !ok {
+		p = &pool{}
+		c.pools[name] = p
+	}
+	if now.Sub(p.updated) < poolInterval {
+		return
+	}
+	*p = pool{updated: now}
+	var firsts, gaps, limits []float64
+	for name, u := range c.upstreams {
+		if u.sent == 0 && now.Sub(u.offered) > forgetAfter {
+			delete(c.upstreams, name)
+			continue
+		}
+		if u.pool != p {
+			continue
+		}
+		p.size++
+		if u.excluded == Slow {
+			p.slow++
+		}
+		if !u.hintAt.IsZero() {
+			limits = append(limits, float64(u.hint.Limit))
+		}
+		if u.first.n >= evidenceMin {
+			firsts = append(firsts, u.first.value)
+		}
+		if u.gap.n >= evidenceMin {
+			gaps = append(gaps, u.gap.value)
+		}
+	}
+	p.first, p.gap, p.limit = median(firsts), median(gaps), int(median(limits))
+}
--- /dev/null
+++ b/core/tgroute/policy.go
@@ -0,0 +1,109 @@
+package tgroute
+
+import "math/rand/v2"
+
+// View is what a policy sees of a candidate.
+type View struct {
+	Gain     float64 // part of the request's work that a cached prefix saves here, weighted by the confidence in it
+	InFlight int     // attempts of this process
+	Limit    float64 // attempts that the upstream bears, at least 1
+	Load     float64 // attempts expected there, running and waiting
+	Local    bool    // in the data centre of this process
+}
+
+// Policy picks one of the candidates.
+type Policy interface {
+	// Pick returns an index of views, which is never empty.
+	Pick(views []View, r *rand.Rand) int
+}
+
+// RoundRobin is the baseline that ignores load.
+type RoundRobin struct {
+	next int
+}
+
+// Pick implements Policy.
+func (p *RoundRobin) Pick(views []View, _ *rand.Rand) int {
+	p.next++
+	return p.next % len(views)
+}
+
+// LeastConnections is the baseline that knows only the attempts of this process.
+type LeastConnections struct{}
+
+// Pick implements Policy.
+func (LeastConnections) Pick(views []View, r *rand.Rand) int {
+	start := r.IntN(len(views)) // spreads ties
+	best := start
+	for i := range views {
+		if j := (start + i) % len(views); views[j].InFlight < views[best].InFlight {
+			best = j
+		}
+	}
+	return best
+}
+
+// TwoChoices compares two candidates, sampled by what they bear, and takes the less utilised one. Comparing all would
+// send every entry to the upstream whose hint is the oldest low one.
+type TwoChoices struct{}
+
+const (
+	affinityWeight   = 4.0  // attempts of skew that are worth a wholly cached prompt
+	remoteAdvantage  = 0.1  // utilisation by which a remote upstream must be better
+	spillUtilisation = 0.85 // local utilisation from which remote upstreams are considered
+)
+
+// Pick implements Policy.
+func (TwoChoices) Pick(views []View, r *rand.Rand) int {
+	best := sample(views, r, func(v View) bool { return v.Local })
+	if best < 0 || score(views[best]) > spillUtilisation {
+		remote := sample(views, r, func(v View) bool { return !v.Local })
+		if best < 0 || remote >= 0 && score(views[remote])+remoteAdvantage < score(views[best]) {
+			best = remote
+		}
+	}
+	full := score(views[best]) > 1
+	for i, v := range views {
+		if (full || v.Gain > 0) && score(v) < score(views[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
+// score is the utilisation with the request. A cached prefix lowers it, so affinity holds only while its gain exceeds
+// the skew that it adds.
+func score(v View) float64 { return (v.Load + 1 - affinityWeight*v.Gain) / v.Limit }
+
+// sample returns the better of two members, each taken with a probability in proportion to its limit; -1 if there is
+// none.
+func sample(views []View, r *rand.Rand, member func(View) bool) int {
+	total := 0.0
+	for _, v := range views {
+		if member(v) {
+			total += v.Limit
+		}
+	}
+	if total == 0 {
+		return -1
+	}
+	a, b := draw(views, r.Float64()*total, member), draw(views, r.Float64()*total, member)
+	if score(views[b]) < score(views[a]) {
+		return b
+	}
+	return a
+}
+
+func draw(views []View, at float64, member func(View) bool) int {
+	last := -1
+	for i, v := range views {
+		if !member(v) {
+			continue
+		}
+		last = i
+		if at -= v.Limit; at < 0 {
+			break
+		}
+	}
+	return last
+}
