Wire queue, evidence, subset and retry budget into the daemons

Cause: a companion refused at its limit, took evidence only of finished attempts and reported no queue; an entry looked at every upstream of the configuration for each request and retried without a budget. Change: admit waits in the queue, bounded by priority; each event of a stream is evidence for the limiter; the load report has queue and work. choose uses a cached subset and the prefixes that this entry sent; frames are evidence for exclusion; mayRetry pays from the budget and waits its backoff, so call.run no longer sleeps. Signatures of admit, load, choose and mayRetry are unchanged.

--- a/core/tgadmit/limiter.go
+++ b/core/tgadmit/limiter.go
@@ -58,6 +58,14 @@
 	return l
 }
 
+// Configure changes the bounds, and whether the upstream is a rank of a group; see WithLockStep.
+func (l *Limiter) Configure(cold, warm int, lockStep bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cold, l.warm, l.lockStep = cold, warm, lockStep
+	l.limit = min(l.limit, float64(warm))
+}
+
 // TryAcquire admits one attempt if the limit allows it.
 func (l *Limiter) TryAcquire() bool {
 	l.mu.Lock()
--- a/core/tgqueue/class.go
+++ b/core/tgqueue/class.go
@@ -22,6 +22,9 @@
 	work     float64
 }
 
+// Deadline returns the time after which the request is not run any more.
+func (t *Ticket[T]) Deadline() time.Time { return t.deadline }
+
 // flow is the queued requests of one account in one priority.
 type flow[T any] struct {
 	account string
--- a/core/tgqueue/queue.go
+++ b/core/tgqueue/queue.go
@@ -86,6 +86,13 @@
 	return q.length
 }
 
+// SetCapacity changes the number of requests that may be queued; what is queued stays.
+func (q *Queue[T]) SetCapacity(n int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.capacity = n
+}
+
 // Work returns the expected tokens of the queued requests.
 func (q *Queue[T]) Work() int {
 	q.mu.Lock()
--- a/core/tgroute/chooser.go
+++ b/core/tgroute/chooser.go
@@ -151,15 +151,7 @@
 	}
 	u.lastFrame, u.lastToken = now, now
 	if e.FirstToken > 0 {
-		u.first.add(e.FirstToken)
-		u.running++
-		slow := u.pool.first > 0 && e.FirstToken.Seconds() > slowRatio*u.pool.first
-		switch {
-		case u.probing && slow:
-			u.exclude(u.excluded, now, c.rand)
-		case u.probing, u.excluded == "" && u.weight < 1 && !slow:
-			u.readmit()
-		}
+		c.reportFirst(u, e.FirstToken, now)
 	}
 	if e.Gap > 0 {
 		u.gap.add(e.Gap)
@@ -169,6 +161,21 @@
 	}
 }
 
+// reportFirst takes a first token, which decides on an upstream that is probed or was lately let back.
+func (c *Chooser[P]) reportFirst(u *upstream, d time.Duration, now time.Time) {
+	if u.hint.Queued == 0 || u.probing { // otherwise it may be the wait in the queue
+		u.first.add(d)
+	}
+	u.running++
+	slow := u.pool.first > 0 && d.Seconds() > slowRatio*u.pool.first
+	switch {
+	case u.probing && slow:
+		u.exclude(u.excluded, now, c.rand)
+	case u.probing, u.excluded == "" && u.weight < 1 && !slow:
+		u.readmit()
+	}
+}
+
 // Excluded returns why an upstream is left out; the empty reason if it is not.
 func (c *Chooser[P]) Excluded(name string) Reason {
 	c.mu.Lock()
--- a/core/tgroute/subset.go
+++ b/core/tgroute/subset.go
@@ -12,13 +12,17 @@
 // Subset returns the upstreams that the entry self uses, about size of them and some in every data centre. In each
 // data centre the upstreams are in the order of their hash, and the entries, also in the order of their hash, start at
 // equal distances in it. So every upstream is used by the same number of entries, give or take one, and a change of
-// an upstream or an entry shifts the starts by little. All entries must be known, self included; an unknown self is
-// added.
+// an upstream or an entry shifts the starts by little. Without a list of entries the start is the hash of self, which
+// is stable but uneven. A self that is missing in the list is added.
 func Subset(entries []string, self string, upstreams []Candidate, size int) []Candidate {
 	if len(upstreams) <= size {
 		return upstreams
 	}
-	index, count := position(entries, self)
+	start := func(n int) int { return int(xxhash.Sum64String(self) % uint64(n)) }
+	if len(entries) > 0 {
+		index, count := position(entries, self)
+		start = func(n int) int { return index * n / count }
+	}
 	byDataCentre := map[string][]Candidate{}
 	for _, u := range upstreams {
 		byDataCentre[u.DataCentre] = append(byDataCentre[u.DataCentre], u)
@@ -28,9 +32,8 @@
 		sortByHash(members, func(c Candidate) string { return c.Name })
 		n := len(members)
 		width := min(max((size*n+len(upstreams)-1)/len(upstreams), minPerDataCentre), n)
-		start := index * n / count
 		for i := range width {
-			subset = append(subset, members[(start+i)%n])
+			subset = append(subset, members[(start(n)+i)%n])
 		}
 	}
 	slices.SortFunc(subset, func(a, b Candidate) int { return cmp.Compare(a.Name, b.Name) })
--- a/io/tgcompanion/attempt.go
+++ b/io/tgcompanion/attempt.go
@@ -83,9 +83,11 @@
 
 // call hands the attempt to the upstream, once.
 func (c *Companion) call(ctx context.Context, a *attempt) tgadmit.Sample {
-	s := &sink{buffer: a.buffer, started: time.Now()}
+	s := &sink{buffer: a.buffer, observe: c.observe(a.execute), started: time.Now()}
 	err := c.client.Do(ctx, a.execute, s)
-	sample := tgadmit.Sample{FirstToken: s.first, OK: err == nil, Tokens: s.chunks, Total: time.Since(s.started)}
+	sample := tgadmit.Sample{
+		FirstToken: s.first, Observed: s.observed, OK: err == nil, Tokens: s.chunks, Total: time.Since(s.started),
+	}
 	var notSent *tgupstream.NotSentError
 	switch {
 	case errors.As(err, &notSent):
--- a/io/tgcompanion/companion.go
+++ b/io/tgcompanion/companion.go
@@ -7,10 +7,8 @@
 
 	"github.com/sourcegraph/conc"
 
-	"tanagergrade/core/tgadmit"
 	"tanagergrade/core/tgcall"
 	"tanagergrade/core/tgclaim"
-	"tanagergrade/core/tgconfig"
 	"tanagergrade/core/tgframe"
 	"tanagergrade/core/tgshard"
 	"tanagergrade/io/tglink"
@@ -25,25 +23,24 @@
 
 // Companion admits and runs the attempts of one upstream.
 type Companion struct {
-	attempts *tgshard.Map[*attempt]
-	claims   *tgclaim.Table
-	limiter  *tgadmit.Limiter
-	node     *tgnode.Node
-	running  conc.WaitGroup
-	upstream string // name in the configuration
-	client   *tgupstream.Client
+	admission *admission
+	attempts  *tgshard.Map[*attempt]
+	claims    *tgclaim.Table
+	node      *tgnode.Node
+	running   conc.WaitGroup
+	upstream  string // name in the configuration
+	client    *tgupstream.Client
 }
 
 // New returns a companion of the upstream with the given name.
 func New(node *tgnode.Node, upstream string, client *tgupstream.Client) *Companion {
-	defaults := tgconfig.DefaultSettings()
 	return &Companion{
-		attempts: tgshard.NewMap[*attempt](),
-		claims:   tgclaim.NewTable(),
-		client:   client,
-		limiter:  tgadmit.NewLimiter(defaults.ColdConcurrency, defaults.WarmConcurrency),
-		node:     node,
-		upstream: upstream,
+		admission: newAdmission(),
+		attempts:  tgshard.NewMap[*attempt](),
+		claims:    tgclaim.NewTable(),
+		client:    client,
+		node:      node,
+		upstream:  upstream,
 	}
 }
 
--- a/io/tgcompanion/sink.go
+++ b/io/tgcompanion/sink.go
@@ -4,6 +4,7 @@
 	"strings"
 	"time"
 
+	"tanagergrade/core/tgadmit"
 	"tanagergrade/core/tganswer"
 	"tanagergrade/core/tgframe"
 )
@@ -14,6 +15,9 @@
 	chunks   int
 	events   bool // the answer is a server-sent event stream
 	first    time.Duration
+	last     time.Time              // of the last event
+	observe  func(tgadmit.Progress) // takes the evidence of each event
+	observed int                    // events given to observe
 	splitter tganswer.EventSplitter
 	started  time.Time
 }
@@ -28,10 +32,12 @@
 		s.chunks++
 		return nil
 	}
+	before := s.chunks
 	for _, event := range s.splitter.Split(data) {
 		s.buffer.Append(event)
 		s.chunks++
 	}
+	s.report(s.chunks - before)
 	return nil
 }
 
@@ -45,3 +51,20 @@
 	s.buffer.SetHead(h)
 	return nil
 }
+
+// report gives the evidence of n events to the limiter.
+func (s *sink) report(n int) {
+	if n == 0 {
+		return
+	}
+	now := time.Now()
+	p := tgadmit.Progress{Tokens: n}
+	if s.observed == 0 {
+		p.FirstToken = s.first
+	} else {
+		p.Gap = now.Sub(s.last)
+	}
+	s.last = now
+	s.observed += n
+	s.observe(p)
+}
--- a/io/tgentry/call.go
+++ b/io/tgentry/call.go
@@ -14,11 +14,10 @@
 )
 
 const (
-	eventQueue   = 64 // parts of an answer between receiver and writer
-	maxAttempts  = 4
-	maxReattach  = 3
-	openTimeout  = 2 * time.Second
-	retryBackoff = 20 * time.Millisecond
+	eventQueue  = 64 // parts of an answer between receiver and writer
+	maxAttempts = 4
+	maxReattach = 3
+	openTimeout = 2 * time.Second
 )
 
 // call is one request on its way, over all its attempts.
@@ -30,6 +29,7 @@
 	execute   *tgframe.Execute
 	headed    bool
 	nextChunk uint64 // sequence number of the next chunk for the caller
+	timing    timing
 	tried     map[string]bool
 }
 
@@ -91,7 +91,6 @@
 		if !l.mayRetry(failure) {
 			break
 		}
-		time.Sleep(retryBackoff)
 	}
 	if failure == nil {
 		failure = tgcall.NotRunFailure(tgcall.CodeNoUpstream, "no upstream of pool %q takes work", l.execute.Pool).
@@ -167,6 +166,7 @@
 
 // take passes one frame on and reports whether it was the last.
 func (l *call) take(target tgroute.Candidate, r tgframe.Frame) (bool, *tgcall.Failure) {
+	l.observe(target, r)
 	switch r.Kind {
 	case tgframe.KindChunk:
 		if r.Chunk.Sequence == l.nextChunk {
@@ -174,7 +174,6 @@
 			l.emit(event{chunk: r.Chunk.Data})
 		}
 	case tgframe.KindEnd:
-		l.entry.router.Observe(target.Name, r.End.Load)
 		if r.End.Outcome != tgcall.Answered {
 			return true, r.End.Failure
 		}
@@ -187,8 +186,6 @@
 			l.headed = true
 			l.emit(event{head: r.Head})
 		}
-	case tgframe.KindProgress:
-		l.entry.router.Observe(target.Name, r.Progress.Load)
 	default:
 	}
 	return false, nil
--- a/io/tgentry/entry.go
+++ b/io/tgentry/entry.go
@@ -16,14 +16,15 @@
 
 // Entry serves callers over HTTP.
 type Entry struct {
-	app    *fiber.App
-	node   *tgnode.Node
-	router *tgroute.Router
+	app     *fiber.App
+	node    *tgnode.Node
+	router  *tgroute.Router
+	routing *routing
 }
 
 // New returns an entry that does not run yet.
 func New(node *tgnode.Node) *Entry {
-	e := &Entry{node: node, router: tgroute.NewRouter(node.Settings.DataCentre)}
+	e := &Entry{node: node, router: tgroute.NewRouter(node.Settings.DataCentre), routing: newRouting()}
 	e.app = fiber.New(fiber.Config{BodyLimit: maxBodyBytes, ErrorHandler: e.handleError})
 	e.app.Get("/healthz", func(c fiber.Ctx) error { return c.SendString("ok\n") })
 	e.app.Get("/readyz", e.handleReady)
--- a/io/tgentry/routing.go
+++ b/io/tgentry/routing.go
@@ -1,31 +1,170 @@
 package tgentry
 
 import (
+	"sync"
+	"time"
+
 	"tanagergrade/core/tgcall"
 	"tanagergrade/core/tgconfig"
+	"tanagergrade/core/tgframe"
+	"tanagergrade/core/tgprefix"
+	"tanagergrade/core/tgretry"
 	"tanagergrade/core/tgroute"
 )
 
+const (
+	blockBytes     = 512  // of a prompt, the unit of the prefix index
+	blocksPerIndex = 4096 // of an upstream, about 200 KB
+	prefillPart    = 0.2  // of a request's work, saved if its whole prompt is cached
+	subsetSize     = 64   // upstreams of a pool that one entry uses
+)
+
+// routing is what all calls of an entry share to choose upstreams and to retry.
+type routing struct {
+	budget   *tgretry.Budget
+	cfg      *tgconfig.Config // the configuration that subsets and homes are from
+	homes    map[string][]tgroute.Candidate
+	mu       sync.Mutex
+	prefixes *tgprefix.Index
+	stored   uint64 // sequence number of the prefix index
+	subsets  map[string][]tgroute.Candidate
+}
+
+func newRouting() *routing {
+	return &routing{
+		budget:   tgretry.NewBudget(tgconfig.DefaultSettings().RetryBudgetRatio),
+		prefixes: tgprefix.NewIndex(blocksPerIndex),
+	}
+}
+
+// timing is when the present attempt of a call began and last showed a chunk.
+type timing struct {
+	chunk  time.Time
+	start  time.Time
+	target tgroute.Candidate
+}
+
+// candidates returns the usable upstreams of a pool: all for the home of an idempotency key, on which all entries must
+// agree, and this entry's subset for other requests.
+func (r *routing) candidates(cfg *tgconfig.Config, pool, self string, home bool) []tgroute.Candidate {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cfg != cfg {
+		r.cfg, r.homes, r.subsets = cfg, map[string][]tgroute.Candidate{}, map[string][]tgroute.Candidate{}
+		r.budget.SetRatio(cfg.Settings.RetryBudgetRatio)
+		for name, u := range cfg.Upstreams {
+			if usable(cfg, u) {
+				c := tgroute.Candidate{DataCentre: u.DataCentre, Name: name, Pool: u.Pool}
+				r.homes[u.Pool] = append(r.homes[u.Pool], c)
+			}
+		}
+		for name, upstreams := range r.homes {
+			r.subsets[name] = tgroute.Subset(nil, self, upstreams, subsetSize)
+		}
+	}
+	if home {
+		return r.homes[pool]
+	}
+	return r.subsets[pool]
+}
+
+// remember notes that an upstream has the prompt of a request in its cache.
+func (r *routing) remember(upstream string, blocks []tgprefix.Block) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.prefixes.Apply(upstream, tgprefix.Event{Sequence: r.stored, Stored: blocks})
+	r.stored++
+}
+
 // choose returns the upstream of the next attempt.
 func (l *call) choose() (tgroute.Candidate, bool) {
-	cfg := l.entry.node.Config()
+	target, ok := l.nextTarget()
+	l.timing = timing{start: time.Now(), target: target}
+	return target, ok
+}
+
+func (l *call) nextTarget() (tgroute.Candidate, bool) {
+	e := l.entry
+	if len(l.tried) == 0 {
+		e.routing.budget.Deposit()
+	}
+	cfg := e.node.Config()
 	var candidates []tgroute.Candidate
-	for name, u := range cfg.Upstreams {
-		if u.Pool == l.execute.Pool && !l.tried[name] && usable(cfg, u) {
-			candidates = append(candidates, tgroute.Candidate{DataCentre: u.DataCentre, Name: name})
+	for _, c := range e.routing.candidates(cfg, l.execute.Pool, e.node.Settings.Name, !l.execute.Idempotent) {
+		if !l.tried[c.Name] {
+			candidates = append(candidates, c)
 		}
 	}
 	if !l.execute.Idempotent {
 		return tgroute.Home(candidates, l.execute.IdempotencyKey)
 	}
-	return l.entry.router.Choose(candidates)
+	if cfg.Pools[l.execute.Pool].Kind != tgconfig.ModelPool {
+		return e.router.Choose(candidates)
+	}
+	blocks := tgprefix.Blocks(l.execute.Body, blockBytes)
+	target, ok := e.router.ChooseWithGain(candidates, func(name string) float64 {
+		n, confidence := e.routing.prefixes.Match(name, blocks)
+		return prefillPart * confidence * float64(n) / float64(len(blocks)+1)
+	})
+	if ok && len(blocks) > 0 {
+		e.routing.remember(target.Name, blocks)
+	}
+	return target, ok
 }
 
 func usable(cfg *tgconfig.Config, u tgconfig.Upstream) bool {
 	return u.State != tgconfig.Drained && cfg.DataCentres[u.DataCentre].State != tgconfig.Withdrawn
 }
 
-// mayRetry reports whether another attempt is allowed after failure.
+// observe takes the evidence of a frame from an upstream's companion.
+func (l *call) observe(target tgroute.Candidate, r tgframe.Frame) {
+	router := l.entry.router
+	switch r.Kind {
+	case tgframe.KindChunk:
+		if !l.execute.Idempotent { // these are not counted as sent by the router
+			return
+		}
+		now := time.Now()
+		if l.timing.chunk.IsZero() {
+			router.Report(target.Name, tgroute.Evidence{FirstToken: now.Sub(l.timing.start)})
+		} else if l.execute.Stream && len(l.events) == 0 { // otherwise the caller may be what is slow
+			router.Report(target.Name, tgroute.Evidence{Gap: now.Sub(l.timing.chunk)})
+		}
+		l.timing.chunk = now
+	case tgframe.KindEnd:
+		router.Observe(target.Name, r.End.Load)
+	case tgframe.KindProgress:
+		router.Observe(target.Name, r.Progress.Load)
+	default:
+	}
+}
+
+// mayRetry takes the evidence of a failed attempt and reports whether another one is allowed; it waits before it
+// allows one that is paid from the budget.
 func (l *call) mayRetry(failure *tgcall.Failure) bool {
-	return l.ctx.Err() == nil && (failure.Outcome == tgcall.NotRun || l.execute.Idempotent)
+	e := l.entry
+	switch failure.Code {
+	case tgcall.CodeAnswerIncomplete, tgcall.CodeUpstreamLost, tgcall.CodeUpstreamUnreachable:
+		e.router.Report(l.timing.target.Name, tgroute.Evidence{Failed: true})
+		e.routing.prefixes.Forget(l.timing.target.Name) // it may have restarted
+	default:
+	}
+	if l.ctx.Err() != nil {
+		return false
+	}
+	switch e.routing.budget.AfterFailure(failure, l.execute.Idempotent) {
+	case tgretry.Redirect:
+		return true
+	case tgretry.Retry:
+	default:
+		return false
+	}
+	timer := time.NewTimer(e.routing.budget.Backoff(len(l.tried) - 1))
+	defer timer.Stop()
+	select {
+	case <-l.ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
 }
