Measure request policies with a discrete-event model

Cause: the policies had no figures. Change: a model of engines, companions and entries drives the policies; a retry goes to another data centre first (Untried), since a withdrawn or crashed one used up all attempts.

--- /dev/null
+++ b/core/tgmeasure/cluster.go
@@ -0,0 +1,270 @@
+package tgmeasure
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"tanagergrade/core/tgcall"
+	"tanagergrade/core/tgretry"
+	"tanagergrade/core/tgroute"
+)
+
+// Routing is how the entries of a run choose upstreams.
+type Routing string
+
+// Ways of routing; the first two are baselines.
+const (
+	RouteLeast      Routing = "leastConnections"
+	RouteRoundRobin Routing = "roundRobin"
+	RouteTwoChoices Routing = "twoChoices"
+)
+
+const (
+	dataCentres = 3
+	engines     = 12
+	entries     = 6
+	requestTime = 60 * time.Second
+	configDelay = 2 * time.Second // longest time until a daemon has a change; within the bound of 5 s
+)
+
+// Account is a client account of a run; Offer is its part of all requests.
+type Account struct {
+	Name  string
+	Offer float64
+	Share int
+}
+
+// Options are the settings of a run.
+type Options struct {
+	Accounts  []Account
+	Admission Admission
+	Mix       map[tgcall.Priority]float64 // parts of the priorities; all standard if empty
+	Rate      float64                     // requests per second
+	Routing   Routing
+	Seed      uint64
+	Warmth    func(engine int) float64 // 0 or 1; warm if nil
+}
+
+// Cluster is a run: engines with companions in three data centres, entries and callers.
+type Cluster struct {
+	Results
+	companions map[string]*companion
+	names      []string
+	entries    []*entry
+	from       time.Duration // results count requests that arrive from here on
+	options    Options
+	sim        *simulation
+	stop       time.Duration // of arrivals; 0 for none
+	traffic    *rand.Rand    // apart from the other choices, so that all variants get the same requests
+}
+
+// NewCluster returns a run that has not begun.
+func NewCluster(o Options) *Cluster {
+	s := newSimulation(o.Seed)
+	c := &Cluster{Results: newResults(), companions: map[string]*companion{}, options: o, sim: s}
+	c.traffic = rand.New(rand.NewPCG(o.Seed, 1)) //nolint:gosec // a reproducible choice
+	var candidates []tgroute.Candidate
+	for i := range engines {
+		v := tgroute.Candidate{DataCentre: dataCentre(i), Name: fmt.Sprintf("engine-%02d", i)}
+		warmth := 1.0
+		if o.Warmth != nil {
+			warmth = o.Warmth(i)
+		}
+		candidates = append(candidates, v)
+		c.names = append(c.names, v.Name)
+		c.companions[v.Name] = newCompanion(s, v, o.Admission, warmth)
+	}
+	for i := range entries {
+		c.entries = append(c.entries, &entry{
+			budget:     tgretry.NewBudget(retryRatio, tgretry.WithRand(s.rand.Float64)),
+			candidates: candidates, cluster: c, router: newChooser(o.Routing, dataCentre(i), s),
+		})
+	}
+	s.after(c.interval(), c.arrive)
+	return c
+}
+
+func dataCentre(i int) string { return string(rune('a' + i%dataCentres)) }
+
+func newChooser(r Routing, local string, s *simulation) chooser {
+	options := []tgroute.Option{
+		tgroute.WithClock(s.now), tgroute.WithRand(rand.New(rand.NewPCG(s.rand.Uint64(), 0))), //nolint:gosec // reproducible
+	}
+	switch r {
+	case RouteLeast:
+		return tgroute.NewChooser(local, tgroute.LeastConnections{}, options...)
+	case RouteRoundRobin:
+		return tgroute.NewChooser(local, &tgroute.RoundRobin{}, options...)
+	default:
+		return tgroute.NewRouter(local, options...)
+	}
+}
+
+// Run goes on until the time d after the start.
+func (c *Cluster) Run(d time.Duration) { c.sim.runUntil(d) }
+
+// Finish lets requests arrive until the time d after the start and runs on until they have ended.
+func (c *Cluster) Finish(d time.Duration) {
+	c.stop = d
+	c.Run(d + requestTime)
+}
+
+// Count forgets the results so far; those of requests that arrive from now on count.
+func (c *Cluster) Count() {
+	c.from = c.sim.elapsed()
+	suspect := c.Suspect
+	c.Results = newResults()
+	c.Suspect = suspect
+}
+
+// Withdraw takes a data centre out or back; each daemon learns of it after its own delay. A data centre that comes
+// back has restarted.
+func (c *Cluster) Withdraw(name string, out bool) {
+	for _, n := range c.names {
+		m := c.companions[n]
+		if m.DataCentre != name {
+			continue
+		}
+		if !out {
+			m.engine.warmth = 0
+			m.restart(0)
+		}
+		c.sim.after(c.delay(), func() { m.withdrawn = out })
+	}
+	for _, e := range c.entries {
+		c.sim.after(c.delay(), func() {
+			e.candidates = nil
+			for _, n := range c.names {
+				if m := c.companions[n]; !out || m.DataCentre != name {
+					e.candidates = append(e.candidates, m.Candidate)
+				}
+			}
+		})
+	}
+}
+
+// Crash ends the processes of a data centre at once.
+func (c *Cluster) Crash(name string) {
+	for _, n := range c.names {
+		if m := c.companions[n]; m.DataCentre == name {
+			m.dead = true
+			m.engine.crash()
+		}
+	}
+}
+
+func (c *Cluster) delay() time.Duration {
+	return time.Duration(c.sim.rand.Float64() * float64(configDelay))
+}
+
+// interval returns the time until the next request of a Poisson process.
+func (c *Cluster) interval() time.Duration {
+	return time.Duration(c.traffic.ExpFloat64() / c.options.Rate * float64(time.Second))
+}
+
+// arrive makes a request and plans the next one.
+func (c *Cluster) arrive() {
+	s, r := c.sim, c.traffic
+	if c.stop > 0 && s.elapsed() >= c.stop {
+		return
+	}
+	q := &request{
+		arrived: s.now(), deadline: s.now().Add(requestTime), idempotent: true, priority: tgcall.Standard,
+		prefill: prefillSteps*2/3 + r.IntN(prefillSteps*2/3+1), share: 1, tokens: meanTokens/2 + r.IntN(meanTokens+1),
+		tried: map[string]bool{},
+	}
+	at := r.Float64()
+	for _, a := range c.options.Accounts {
+		if at -= a.Offer; at < 0 {
+			q.account, q.share = a.Name, a.Share
+			break
+		}
+	}
+	at = r.Float64()
+	for _, p := range []tgcall.Priority{tgcall.Live, tgcall.Standard, tgcall.Bulk} {
+		if at -= c.options.Mix[p]; at < 0 {
+			q.priority = p
+			break
+		}
+	}
+	q.idempotent = r.Float64() >= 0.1
+	if s.elapsed() >= c.from {
+		c.Arrived++
+	}
+	e := c.entries[r.IntN(len(c.entries))]
+	e.budget.Deposit()
+	e.next(q)
+	s.after(c.interval(), c.arrive)
+}
+
+func (c *Cluster) counts(r *request) bool { return r.arrived.Sub(time.Unix(0, 0)) >= c.from }
+
+// token counts a token as its caller sees it, pauses between attempts included.
+func (c *Cluster) token(r *request) {
+	now, p := c.sim.now(), c.of(r.priority)
+	last := r.last
+	r.delivered++
+	r.last = now
+	c.Tokens++ // of all requests, since it is compared with what the engines bear in the same time
+	if !c.counts(r) {
+		return
+	}
+	others := !slices.Contains(r.upstreams, c.Suspect)
+	if r.delivered == 1 {
+		p.First = append(p.First, now.Sub(r.arrived))
+		if others {
+			c.Others.First = append(c.Others.First, now.Sub(r.arrived))
+		}
+		return
+	}
+	p.Gaps = append(p.Gaps, now.Sub(last))
+	if others {
+		c.Others.Gaps = append(c.Others.Gaps, now.Sub(last))
+	}
+}
+
+func (c *Cluster) finish(r *request) *ByPriority {
+	if r.runs > 1 && !r.idempotent {
+		c.RunTwice++
+	}
+	return c.of(r.priority)
+}
+
+func (c *Cluster) answered(r *request) {
+	if !c.counts(r) {
+		return
+	}
+	p := c.finish(r)
+	p.Answered++
+	c.Work[r.account] += r.tokens
+	if r.delivered != r.tokens {
+		c.CutOff++
+	}
+}
+
+func (c *Cluster) refused(r *request) {
+	if c.counts(r) {
+		c.finish(r).Refused++
+	}
+}
+
+func (c *Cluster) lost(r *request) {
+	if !c.counts(r) {
+		return
+	}
+	c.finish(r).Lost++
+	if r.delivered > 0 {
+		c.CutOff++
+	}
+}
+
+// Quantile returns the quantile q of d, 0 if there is none.
+func Quantile(d []time.Duration, q float64) time.Duration {
+	if len(d) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(d))
+	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
+}
--- /dev/null
+++ b/core/tgmeasure/companion.go
@@ -0,0 +1,156 @@
+package tgmeasure
+
+import (
+	"time"
+
+	"tanagergrade/core/tgadmit"
+	"tanagergrade/core/tgcall"
+	"tanagergrade/core/tgframe"
+	"tanagergrade/core/tgqueue"
+	"tanagergrade/core/tgroute"
+)
+
+const (
+	queueCapacity = 64
+	coldLimit     = 2
+)
+
+// Admission is how the companions of a run admit work.
+type Admission string
+
+// Ways of admission; all but evidence are baselines.
+const (
+	AdmitAll    Admission = "noAdmission" // everything at once
+	AdmitFixed  Admission = "noRamp"      // the warm limit, also to a cold upstream
+	AdmitLimit  Admission = "evidence"    // tgadmit
+	AdmitOracle Admission = "oracle"      // what the engine bears, known from the model
+)
+
+var waitBounds = map[tgcall.Priority]time.Duration{
+	tgcall.Bulk: 15 * time.Second, tgcall.Live: time.Second, tgcall.Standard: 4 * time.Second,
+}
+
+// companion admits the attempts of one engine with the policies of the daemon.
+type companion struct {
+	tgroute.Candidate
+	admission Admission
+	engine    *engine
+	limiter   *tgadmit.Limiter
+	queue     *tgqueue.Queue[*attempt]
+	sim       *simulation
+	dead      bool // connections are refused
+	silent    bool // connections stay open and show nothing
+	withdrawn bool
+	lastNew   time.Duration // when the engine last began work
+}
+
+func newCompanion(s *simulation, c tgroute.Candidate, admission Admission, warmth float64) *companion {
+	m := &companion{Candidate: c, admission: admission, engine: newEngine(s, warmth), sim: s}
+	m.restart(warmth)
+	return m
+}
+
+// restart forgets the limit and the queue. With warmth the run begins with an upstream that was warm for long.
+func (m *companion) restart(warmth float64) {
+	limit := coldLimit
+	if m.admission == AdmitFixed || m.admission == AdmitLimit && warmth == 1 {
+		limit = slots
+	}
+	m.limiter = tgadmit.NewLimiter(limit, slots, tgadmit.WithClock(m.sim.now))
+	m.limiter.Configure(coldLimit, slots, false)
+	m.queue = tgqueue.NewQueue(queueCapacity, func(a *attempt, r tgqueue.Refusal) {
+		a.refuse(tgcall.NotRunFailure(tgcall.CodeOverloaded, "").WithRetryAfter(r.RetryAfter))
+	}, tgqueue.WithClock(m.sim.now), tgqueue.WithRand(m.sim.rand.Float64), tgqueue.WithWaitBounds(waitBounds))
+}
+
+// execute takes an attempt.
+func (m *companion) execute(a *attempt) {
+	switch {
+	case m.dead:
+		a.refuse(tgcall.NotRunFailure(tgcall.CodeUpstreamUnreachable, ""))
+		return
+	case m.withdrawn:
+		a.refuse(tgcall.NotRunFailure(tgcall.CodeDataCentreWithdrawn, ""))
+		return
+	case m.admission == AdmitAll:
+		m.run(a)
+		return
+	}
+	r := a.request
+	ticket, refusal := m.queue.Push(tgqueue.Request{
+		Account: r.account, Deadline: r.deadline, Priority: r.priority, Share: r.share, Work: r.tokens,
+	}, a)
+	if refusal != nil {
+		a.refuse(tgcall.NotRunFailure(tgcall.CodeOverloaded, "").WithRetryAfter(refusal.RetryAfter))
+		return
+	}
+	m.sim.after(ticket.Deadline().Sub(m.sim.now()), func() {
+		if m.queue.Remove(ticket) {
+			a.refuse(tgcall.NotRunFailure(tgcall.CodeOverloaded, ""))
+		}
+	})
+	m.advance()
+}
+
+// advance runs queued attempts while there is room, as the daemon does.
+func (m *companion) advance() {
+	for m.queue.Len() > 0 && m.acquire() {
+		a, ok := m.queue.Pop()
+		if !ok {
+			m.limiter.Release(tgadmit.Sample{})
+			return
+		}
+		m.run(a)
+	}
+}
+
+func (m *companion) acquire() bool {
+	if m.admission == AdmitOracle {
+		m.limiter.Configure(slots, slots, false)
+		return float64(len(m.engine.jobs)) < m.engine.capacity()
+	}
+	return m.limiter.TryAcquire()
+}
+
+func (m *companion) run(a *attempt) {
+	m.lastNew = m.sim.elapsed()
+	r := a.request
+	r.runs++
+	limiter, start, seen := m.limiter, m.sim.now(), 0
+	evidence := m.admission == AdmitLimit
+	m.engine.start(&job{
+		prefill: r.prefill,
+		tokens:  r.tokens - r.delivered,
+		token: func(first, gap time.Duration) {
+			seen++
+			if evidence {
+				limiter.Observe(tgadmit.Progress{FirstToken: first, Gap: gap, Tokens: 1})
+				m.advance()
+			}
+			if !m.silent {
+				a.token(first, gap)
+			}
+		},
+		end: func(ok bool) {
+			switch {
+			case evidence:
+				limiter.Release(tgadmit.Sample{Observed: seen, OK: ok, Tokens: seen, Total: m.sim.now().Sub(start)})
+			case m.admission == AdmitFixed:
+				limiter.Release(tgadmit.Sample{})
+			default:
+			}
+			m.advance()
+			if !m.silent {
+				a.end(ok)
+			}
+		},
+	})
+}
+
+func (m *companion) load() tgframe.Load {
+	l := tgframe.Load{InFlight: len(m.engine.jobs), Limit: m.limiter.Limit(), Queued: m.queue.Len()}
+	if m.admission == AdmitAll || m.admission == AdmitOracle {
+		l.Limit = slots
+	}
+	return l
+}
--- /dev/null
+++ b/core/tgmeasure/entry.go
@@ -0,0 +1,152 @@
+package tgmeasure
+
+import (
+	"time"
+
+	"tanagergrade/core/tgcall"
+	"tanagergrade/core/tgframe"
+	"tanagergrade/core/tgretry"
+	"tanagergrade/core/tgroute"
+)
+
+const (
+	heartbeat   = time.Second     // load reports of running attempts
+	lostAfter   = 7 * time.Second // 3 s of silence, then two openings that fail after 2 s each
+	maxAttempts = 4
+	oneWay      = 500 * time.Microsecond
+	retryRatio  = 0.1
+)
+
+// chooser is what the entries use of tgroute.Chooser, for any policy.
+type chooser interface {
+	Choose(candidates []tgroute.Candidate) (tgroute.Candidate, bool)
+	Done(name string)
+	Observe(name string, l tgframe.Load)
+	Report(name string, e tgroute.Evidence)
+}
+
+// entry routes requests with the policies of the daemon.
+type entry struct {
+	budget     *tgretry.Budget
+	candidates []tgroute.Candidate // as this entry's configuration has them
+	cluster    *Cluster
+	router     chooser
+}
+
+// request is one request of a caller, over all its attempts.
+type request struct {
+	account    string
+	arrived    time.Time
+	deadline   time.Time
+	delivered  int
+	idempotent bool
+	last       time.Time // of the last token
+	prefill    int
+	priority   tgcall.Priority
+	runs       int // times that an engine began it
+	share      int
+	tokens     int
+	tried      map[string]bool
+	upstreams  []string
+}
+
+// attempt is a request at one companion.
+type attempt struct {
+	companion *companion
+	entry     *entry
+	over      bool
+	request   *request
+	sent      time.Time
+}
+
+func (e *entry) next(r *request) {
+	c, ok := e.router.Choose(tgroute.Untried(e.candidates, r.tried))
+	if !ok {
+		e.cluster.refused(r)
+		return
+	}
+	r.tried[c.Name] = true
+	r.upstreams = append(r.upstreams, c.Name)
+	a := &attempt{companion: e.cluster.companions[c.Name], entry: e, request: r, sent: e.cluster.sim.now()}
+	e.cluster.Attempts++
+	e.cluster.sim.after(oneWay, func() { a.companion.execute(a) })
+	e.cluster.sim.after(heartbeat, a.beat)
+	if a.companion.silent {
+		e.cluster.sim.after(lostAfter, a.lost)
+	}
+}
+
+// beat is the heartbeat of the companion, which carries its load.
+func (a *attempt) beat() {
+	if a.over || a.companion.silent || a.companion.dead {
+		return
+	}
+	a.entry.router.Observe(a.companion.Name, a.companion.load())
+	a.entry.cluster.sim.after(heartbeat, a.beat)
+}
+
+func (a *attempt) token(first, gap time.Duration) {
+	if a.over {
+		return
+	}
+	now := a.entry.cluster.sim.now()
+	if first > 0 {
+		a.entry.router.Report(a.companion.Name, tgroute.Evidence{FirstToken: now.Sub(a.sent)})
+	} else {
+		a.entry.router.Report(a.companion.Name, tgroute.Evidence{Gap: gap})
+	}
+	a.entry.cluster.token(a.request)
+}
+
+func (a *attempt) end(ok bool) {
+	if a.over {
+		return
+	}
+	if !ok {
+		a.entry.cluster.sim.after(lostAfter-heartbeat, a.lost)
+		return
+	}
+	a.over = true
+	a.entry.router.Observe(a.companion.Name, a.companion.load())
+	a.entry.router.Done(a.companion.Name)
+	a.entry.cluster.answered(a.request)
+}
+
+// lost ends an attempt whose companion shows nothing any more.
+func (a *attempt) lost() {
+	if !a.over {
+		a.fail(tgcall.UnknownFailure(tgcall.CodeUpstreamLost, ""))
+	}
+}
+
+func (a *attempt) refuse(f *tgcall.Failure) {
+	a.entry.cluster.sim.after(oneWay, func() {
+		if !a.companion.dead && !a.companion.silent {
+			a.entry.router.Observe(a.companion.Name, a.companion.load())
+		}
+		a.fail(f)
+	})
+}
+
+func (a *attempt) fail(f *tgcall.Failure) {
+	a.over = true
+	e, r := a.entry, a.request
+	e.router.Done(a.companion.Name)
+	if f.Code == tgcall.CodeUpstreamLost || f.Code == tgcall.CodeUpstreamUnreachable {
+		e.router.Report(a.companion.Name, tgroute.Evidence{Failed: true})
+	}
+	verdict := tgretry.Stop
+	if len(r.tried) < maxAttempts && e.cluster.sim.now().Before(r.deadline) {
+		verdict = e.budget.AfterFailure(f, r.idempotent)
+	}
+	switch {
+	case verdict == tgretry.Redirect:
+		e.next(r)
+	case verdict == tgretry.Retry:
+		e.cluster.sim.after(e.budget.Backoff(len(r.tried)-1), func() { e.next(r) })
+	case r.runs > 0:
+		e.cluster.lost(r)
+	default:
+		e.cluster.refused(r)
+	}
+}
--- /dev/null
+++ b/core/tgmeasure/measure_test.go
@@ -0,0 +1,134 @@
+package tgmeasure
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"tanagergrade/core/tgcall"
+)
+
+const seed = 1
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// report reports the outcomes and the latencies by priority.
+func report(b *testing.B, c *Cluster) {
+	b.Helper()
+	t := c.Total()
+	b.ReportMetric(float64(t.Answered), "answered")
+	b.ReportMetric(float64(t.Refused), "refused")
+	b.ReportMetric(float64(t.Lost), "lost")
+	b.ReportMetric(float64(c.Unfinished()), "unfinished")
+	b.ReportMetric(float64(c.RunTwice), "runTwice")
+	b.ReportMetric(float64(c.CutOff), "cutOff")
+	b.ReportMetric(float64(c.Attempts)/float64(c.Arrived), "attempts/request")
+	for _, p := range []tgcall.Priority{tgcall.Live, tgcall.Standard, tgcall.Bulk} {
+		v, ok := c.Priority[p]
+		if !ok {
+			continue
+		}
+		b.ReportMetric(float64(v.Refused), string(p)+"-refused")
+		for _, q := range []float64{0.95, 0.99} {
+			b.ReportMetric(milliseconds(Quantile(v.First, q)), fmt.Sprintf("%s-first-p%.0f-ms", p, 100*q))
+			b.ReportMetric(milliseconds(Quantile(v.Gaps, q)), fmt.Sprintf("%s-gap-p%.0f-ms", p, 100*q))
+		}
+	}
+}
+
+func BenchmarkDataCentreLeaves(b *testing.B) {
+	for _, load := range []float64{0.60, 0.80, 0.95} {
+		for _, v := range Variants {
+			b.Run(fmt.Sprintf("load=%.0f%%/%s", 100*load, v.Name), func(b *testing.B) {
+				for b.Loop() {
+					c, last := Leave(v, load, seed, nil)
+					report(b, c)
+					b.ReportMetric(last.Seconds(), "lastNew-s")
+				}
+			})
+		}
+	}
+}
+
+func BenchmarkColdStart(b *testing.B) {
+	const bound = 120 * time.Second
+	for _, n := range []int{1, 3, 12} {
+		_, best := ColdStart(Variant{"oracle", AdmitOracle, RouteTwoChoices}, n, bound, seed, nil)
+		for _, v := range Variants {
+			b.Run(fmt.Sprintf("cold=%d/%s", n, v.Name), func(b *testing.B) {
+				for b.Loop() {
+					c, full := ColdStart(v, n, bound, seed, nil)
+					report(b, c)
+					b.ReportMetric(best.Seconds(), "best-s")
+					b.ReportMetric(full.Seconds(), "full-s")
+					b.ReportMetric(full.Seconds()/best.Seconds(), "full/best")
+				}
+			})
+		}
+	}
+}
+
+func BenchmarkOverload(b *testing.B) {
+	for _, factor := range []float64{2, 5} {
+		for _, v := range Variants {
+			b.Run(fmt.Sprintf("load=%.0fx/%s", factor, v.Name), func(b *testing.B) {
+				for b.Loop() {
+					c, d := Overload(v, factor, seed)
+					report(b, c)
+					b.ReportMetric(float64(c.Tokens)/(d.Seconds()*capacityOf(engines)*meanTokens), "goodput/capacity")
+					b.ReportMetric(shareError(c), "worstShareError")
+				}
+			})
+		}
+	}
+}
+
+// shareError returns the largest relative distance of an account's part of the work from its share.
+func shareError(c *Cluster) float64 {
+	total, shares := 0, 0
+	for _, a := range callAccounts {
+		total += c.Work[a.Name]
+		shares += a.Share
+	}
+	worst := 0.0
+	for _, a := range callAccounts {
+		got := float64(c.Work[a.Name]) / float64(max(total, 1))
+		want := float64(a.Share) / float64(shares)
+		worst = max(worst, max(got-want, want-got)/want)
+	}
+	return worst
+}
+
+func BenchmarkUnhealthyEngine(b *testing.B) {
+	harms := []struct {
+		name string
+		harm func(*Cluster, string)
+	}{{"silent", HarmSilent}, {"slow", HarmSlow}, {"stalled", HarmStalled}}
+	for _, v := range Variants {
+		healthy := Unhealthy(v, seed, HarmNone)
+		first, gap := Quantile(healthy.Others.First, 0.99), Quantile(healthy.Others.Gaps, 0.99)
+		for _, h := range harms {
+			b.Run(h.name+"/"+v.Name, func(b *testing.B) {
+				for b.Loop() {
+					c := Unhealthy(v, seed, h.harm)
+					report(b, c)
+					b.ReportMetric(milliseconds(first), "healthy-first-p99-ms")
+					b.ReportMetric(float64(Quantile(c.Others.First, 0.99))/float64(first), "others-first-p99/healthy")
+					b.ReportMetric(float64(Quantile(c.Others.Gaps, 0.99))/float64(gap), "others-gap-p99/healthy")
+				}
+			})
+		}
+	}
+}
+
+func BenchmarkThirdVanishes(b *testing.B) {
+	for _, load := range []float64{0.6, 1.5} {
+		for _, v := range Variants {
+			b.Run(fmt.Sprintf("load=%.0f%%/%s", 100*load, v.Name), func(b *testing.B) {
+				for b.Loop() {
+					report(b, Vanish(v, load, seed))
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/core/tgmeasure/scenario.go
@@ -0,0 +1,157 @@
+package tgmeasure
+
+import (
+	"time"
+
+	"tanagergrade/core/tgcall"
+)
+
+var (
+	callMix      = map[tgcall.Priority]float64{tgcall.Bulk: 0.2, tgcall.Live: 0.5, tgcall.Standard: 0.3}
+	callAccounts = []Account{
+		{Name: "large-1", Offer: 0.50, Share: 50}, {Name: "large-2", Offer: 0.20, Share: 20},
+		{Name: "middle-1", Offer: 0.10, Share: 10}, {Name: "middle-2", Offer: 0.10, Share: 10},
+		{Name: "small-1", Offer: 0.05, Share: 5}, {Name: "small-2", Offer: 0.05, Share: 5},
+	}
+)
+
+// Variant is a way of admission and routing; all but the first of Variants are baselines.
+type Variant struct {
+	Name      string
+	Admission Admission
+	Routing   Routing
+}
+
+// Variants are compared in every measurement.
+var Variants = []Variant{
+	{"tanagergrade", AdmitLimit, RouteTwoChoices},
+	{"roundRobin", AdmitLimit, RouteRoundRobin},
+	{"leastConnections", AdmitLimit, RouteLeast},
+	{"noAdmission", AdmitAll, RouteTwoChoices},
+	{"noRamp", AdmitFixed, RouteTwoChoices},
+}
+
+// Times of the measurement in which a data centre leaves and returns.
+const (
+	LeaveAt   = 30 * time.Second
+	ReturnAt  = 60 * time.Second
+	LeaveEnds = 150 * time.Second
+)
+
+// Leave takes one of three data centres out and back, cold, at a load that is a part of what the others bear. It
+// returns the time from the withdrawal until the last engine of that data centre began new work.
+func Leave(v Variant, load float64, seed uint64, each func(c *Cluster)) (*Cluster, time.Duration) {
+	c := NewCluster(Options{
+		Accounts: callAccounts, Admission: v.Admission, Mix: callMix, Rate: load * capacityOf(engines*2/3),
+		Routing: v.Routing, Seed: seed,
+	})
+	c.Run(LeaveAt / 2)
+	c.Count()
+	watch(c, each)
+	c.Run(LeaveAt)
+	c.Withdraw("c", true)
+	c.Run(ReturnAt)
+	last := time.Duration(0)
+	for _, m := range c.companions {
+		if m.DataCentre == "c" {
+			last = max(last, m.lastNew-LeaveAt)
+		}
+	}
+	c.Withdraw("c", false)
+	c.Finish(LeaveEnds)
+	return c, last
+}
+
+// ColdStart starts the first n engines cold under the full load of all. It returns the time until all are warm and
+// admit what they bear, or the bound if they are not by then.
+func ColdStart(v Variant, n int, bound time.Duration, seed uint64, each func(c *Cluster)) (*Cluster, time.Duration) {
+	c := NewCluster(Options{
+		Accounts: callAccounts, Admission: v.Admission, Mix: callMix, Rate: capacityOf(engines),
+		Routing: v.Routing, Seed: seed,
+		Warmth: func(i int) float64 {
+			if i < n {
+				return 0
+			}
+			return 1
+		},
+	})
+	watch(c, each)
+	full := bound
+	for d := time.Duration(0); d < bound; d += 100 * time.Millisecond {
+		c.Run(d)
+		if full == bound && c.full() {
+			full = d
+		}
+	}
+	return c, full
+}
+
+// Overload offers a multiple of what the engines bear, all in one priority, so that only the shares decide.
+func Overload(v Variant, factor float64, seed uint64) (c *Cluster, measured time.Duration) {
+	c = NewCluster(Options{
+		Accounts: callAccounts, Admission: v.Admission, Rate: factor * capacityOf(engines), Routing: v.Routing, Seed: seed,
+	})
+	c.Run(10 * time.Second)
+	c.Count()
+	c.Run(100 * time.Second)
+	return c, 90 * time.Second
+}
+
+// Unhealthy makes one engine bad at 70% load and measures the requests at the others.
+func Unhealthy(v Variant, seed uint64, harm func(c *Cluster, name string)) *Cluster {
+	c := NewCluster(Options{
+		Accounts: callAccounts, Admission: v.Admission, Mix: callMix, Rate: 0.7 * capacityOf(engines),
+		Routing: v.Routing, Seed: seed,
+	})
+	c.Run(20 * time.Second)
+	c.Suspect = c.names[0]
+	harm(c, c.Suspect)
+	c.Count()
+	c.Finish(80 * time.Second)
+	return c
+}
+
+// Harms of one engine.
+var (
+	HarmNone    = func(*Cluster, string) {}
+	HarmSilent  = func(c *Cluster, name string) { c.companions[name].silent = true }
+	HarmSlow    = func(c *Cluster, name string) { c.companions[name].engine.slow = 10 }
+	HarmStalled = func(c *Cluster, name string) { c.companions[name].engine.stalled = true }
+)
+
+// Vanish crashes one of three data centres at a load that is a part of what the others bear.
+func Vanish(v Variant, load float64, seed uint64) *Cluster {
+	c := NewCluster(Options{
+		Accounts: callAccounts, Admission: v.Admission, Mix: callMix, Rate: load * capacityOf(engines*2/3),
+		Routing: v.Routing, Seed: seed,
+	})
+	c.Run(20 * time.Second)
+	c.Count()
+	c.Crash("c")
+	c.Finish(80 * time.Second)
+	return c
+}
+
+// full reports whether every engine is warm and admits at least 95% of what it bears.
+func (c *Cluster) full() bool {
+	for _, m := range c.companions {
+		limited := m.admission == AdmitLimit && float64(m.limiter.Limit()) < 0.95*slots-1
+		if limited || m.engine.capacity() < 0.95*slots {
+			return false
+		}
+	}
+	return true
+}
+
+// watch calls each every second, if it is set.
+func watch(c *Cluster, each func(c *Cluster)) {
+	if each == nil {
+		return
+	}
+	var tick func()
+	tick = func() {
+		each(c)
+		c.sim.after(time.Second, tick)
+	}
+	c.sim.after(time.Second, tick)
+}
--- a/core/tgroute/candidate.go
+++ b/core/tgroute/candidate.go
@@ -21,3 +21,31 @@
 	}
 	return best, found
 }
+
+// Untried returns the candidates that were not tried, without the data centres of those that were if others are left:
+// what failed in one data centre often fails for all of it.
+func Untried(candidates []Candidate, tried map[string]bool) []Candidate {
+	if len(tried) == 0 {
+		return candidates
+	}
+	triedDataCentres := map[string]bool{}
+	for _, c := range candidates {
+		if tried[c.Name] {
+			triedDataCentres[c.DataCentre] = true
+		}
+	}
+	var elsewhere, untried []Candidate
+	for _, c := range candidates {
+		if tried[c.Name] {
+			continue
+		}
+		untried = append(untried, c)
+		if !triedDataCentres[c.DataCentre] {
+			elsewhere = append(elsewhere, c)
+		}
+	}
+	if len(elsewhere) > 0 {
+		return elsewhere
+	}
+	return untried
+}
--- a/io/tgentry/routing.go
+++ b/io/tgentry/routing.go
@@ -1,6 +1,7 @@
 package tgentry
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -89,15 +90,12 @@
 		e.routing.budget.Deposit()
 	}
 	cfg := e.node.Config()
-	var candidates []tgroute.Candidate
-	for _, c := range e.routing.candidates(cfg, l.execute.Pool, e.node.Settings.Name, !l.execute.Idempotent) {
-		if !l.tried[c.Name] {
-			candidates = append(candidates, c)
-		}
-	}
+	candidates := e.routing.candidates(cfg, l.execute.Pool, e.node.Settings.Name, !l.execute.Idempotent)
 	if !l.execute.Idempotent {
-		return tgroute.Home(candidates, l.execute.IdempotencyKey)
+		untried := slices.DeleteFunc(slices.Clone(candidates), func(c tgroute.Candidate) bool { return l.tried[c.Name] })
+		return tgroute.Home(untried, l.execute.IdempotencyKey)
 	}
+	candidates = tgroute.Untried(candidates, l.tried)
 	if cfg.Pools[l.execute.Pool].Kind != tgconfig.ModelPool {
 		return e.router.Choose(candidates)
 	}
