--- a/io/tgcompanion/companion_test.go
+++ b/io/tgcompanion/companion_test.go
@@ -29,13 +29,15 @@
 	logger.SetOutput(io.Discard)
 	node := tgnode.New(tgnode.Settings{Name: "c"}, link, logger)
 	cfg := &tgconfig.Config{
-		DataCentres: map[string]tgconfig.DataCentre{"a": {State: tgconfig.Active}},
+		DataCentres: map[string]tgconfig.DataCentre{"a": {Region: "r", State: tgconfig.Active}},
+		Pools:       map[string]tgconfig.Pool{"p": {Kind: tgconfig.ModelPool, Models: []string{"m"}}},
 		Settings:    tgconfig.DefaultSettings(),
 		Upstreams: map[string]tgconfig.Upstream{"u": {
-			ChecksIdempotencyKeys: true, DataCentre: "a", Pool: "p", State: tgconfig.Active,
+			Address: testAddress, ChecksIdempotencyKeys: true, Companion: testAddress, DataCentre: "a", Pool: "p", State: tgconfig.Active,
 		}},
 	}
 	cfg.Settings.DrainTimeout = 50 * time.Second // below the deadline of the attempts
+	assert.NilError(t, cfg.Validate())
 	change, err := tgconfig.Diff(tgconfig.NewState().Config(), cfg)
 	assert.NilError(t, err)
 	record, err := tgrecord.New(tgrecord.KindConfigChange, "test", 0, change)
--- a/io/tgcompanion/sink.go
+++ b/io/tgcompanion/sink.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"tanagergrade/core/tgadmit"
 	"tanagergrade/core/tganswer"
 	"tanagergrade/core/tgframe"
 )
@@ -26,6 +27,9 @@
 	ctx      context.Context //nolint:containedctx // of the call that the sink belongs to
 	events   bool            // the answer is a server-sent event stream
 	first    time.Duration
+	last     time.Time              // of the last event
+	observe  func(tgadmit.Progress) // takes the evidence of each event
+	observed int                    // events given to observe
 	splitter tganswer.EventSplitter
 	started  time.Time
 	status   int
@@ -45,6 +49,7 @@
 		return err
 	}
 	s.chunks += len(events)
+	s.report(len(events))
 	return s.attempt.buffer.Append(s.ctx, events...)
 }
 
@@ -67,3 +72,17 @@
 	}
 	return false
 }
+
+// report gives the evidence of n events to the limiter.
+func (s *sink) report(n int) {
+	now := time.Now()
+	p := tgadmit.Progress{Tokens: n}
+	if s.observed == 0 {
+		p.FirstToken = s.first
+	} else {
+		p.Gap = now.Sub(s.last)
+	}
+	s.last = now
+	s.observed += n
+	s.observe(p)
+}
--- a/io/tgentry/entry.go
+++ b/io/tgentry/entry.go
@@ -30,6 +30,7 @@
 	draining  atomic.Bool // new requests are refused
 	node      *tgnode.Node
 	router    *tgroute.Router
+	routing   *routing
 	stopCalls context.CancelCauseFunc
 	stopping  atomic.Bool // not ready any more
 }
@@ -46,6 +47,7 @@
 func New(node *tgnode.Node) *Entry {
 	e := &Entry{
 		calls: tgshard.NewMap[*call](), node: node, router: tgroute.NewRouter(node.Settings.DataCentre),
+		routing: newRouting(),
 	}
 	e.callsCtx, e.stopCalls = context.WithCancelCause(context.Background())
 	e.app = fiber.New(fiber.Config{BodyLimit: maxBodyBytes, ErrorHandler: e.handleError})
--- a/io/tgentry/harness_test.go
+++ b/io/tgentry/harness_test.go
@@ -46,11 +46,15 @@
 	return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(1000+i))
 }
 
+func engineAddress(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(2000+i))
+}
+
 func newSystem(t *testing.T, upstreams int, link *tgstandin.Link, engines ...*tgstandin.PipeEngine) *system {
 	t.Helper()
 	s := &system{engines: engines, link: link}
 	s.cfg = &tgconfig.Config{
-		Accounts:    map[string]tgconfig.Account{"acc": {KeyHash: testKeyHash}},
+		Accounts:    map[string]tgconfig.Account{"acc": {KeyHash: testKeyHash, Priority: "live", Share: 1}},
 		DataCentres: map[string]tgconfig.DataCentre{"a": {Region: "r", State: tgconfig.Active}},
 		Pools: map[string]tgconfig.Pool{
 			"p": {Kind: tgconfig.ModelPool, Models: []string{"m"}},
@@ -61,11 +65,11 @@
 	}
 	for i := range upstreams {
 		s.cfg.Upstreams[upstreamNames[i]] = tgconfig.Upstream{
-			ChecksIdempotencyKeys: true, Companion: companionAddress(i), DataCentre: "a", Pool: "p", State: tgconfig.Active,
+			Address: engineAddress(i), ChecksIdempotencyKeys: true, Companion: companionAddress(i), DataCentre: "a", Pool: "p", State: tgconfig.Active,
 		}
 	}
 	plain := s.cfg.Upstreams[upstreamNames[0]]
-	plain.Companion, plain.Pool = companionAddress(len(upstreamNames)-1), "q"
+	plain.Address, plain.Companion, plain.Pool = engineAddress(len(upstreamNames)-1), companionAddress(len(upstreamNames)-1), "q"
 	s.cfg.Upstreams[plainUpstream] = plain
 	s.entry = New(s.newNode(t))
 	for i := range upstreams {
@@ -92,11 +96,13 @@
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	node := tgnode.New(tgnode.Settings{DataCentre: "a", Name: "n"}, s.link, logger)
+	assert.NilError(t, s.cfg.Validate())
 	change, err := tgconfig.Diff(tgconfig.NewState().Config(), s.cfg)
 	assert.NilError(t, err)
 	record, err := tgrecord.New(tgrecord.KindConfigChange, "test", 0, change)
 	assert.NilError(t, err)
 	assert.NilError(t, node.Fold(tglogclient.Entry{Records: []tgrecord.Record{record}}))
+	assert.Equal(t, len(node.Config().Upstreams), len(s.cfg.Upstreams), "test configuration was not accepted")
 	return node
 }
 
