--- a/core/tgframe/frame.go
+++ b/core/tgframe/frame.go
@@ -2,6 +2,7 @@
 package tgframe
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/google/uuid"
@@ -20,7 +21,11 @@
 	KindChunk    Kind = "chunk"
 	KindEnd      Kind = "end"
 	KindExecute  Kind = "execute"
+	KindFetch    Kind = "fetch"
+	KindFetched  Kind = "fetched"
+	KindGossip   Kind = "gossip"
 	KindHead     Kind = "head"
+	KindProbe    Kind = "probe"
 	KindProgress Kind = "progress"
 )
 
@@ -31,17 +36,22 @@
 	Chunk    *Chunk    `cbor:"chunk,omitempty"`
 	End      *End      `cbor:"end,omitempty"`
 	Execute  *Execute  `cbor:"execute,omitempty"`
+	Fetch    *Fetch    `cbor:"fetch,omitempty"`
+	Fetched  *Fetched  `cbor:"fetched,omitempty"`
+	Gossip   *Gossip   `cbor:"gossip,omitempty"`
 	Head     *Head     `cbor:"head,omitempty"`
 	Kind     Kind      `cbor:"kind"`
+	Probe    *Probe    `cbor:"probe,omitempty"`
 	Progress *Progress `cbor:"progress,omitempty"`
 	Sender   *Sender   `cbor:"sender,omitempty"` // set on the first frame of each direction
 }
 
 // Sender identifies the process that sent a frame.
 type Sender struct {
-	Applied     uint64    `cbor:"applied"` // highest configuration offset applied
-	Incarnation uuid.UUID `cbor:"incarnation"`
-	Name        string    `cbor:"name"`
+	Address     netip.AddrPort `cbor:"address"` // where the sender serves exchanges; a receiver that is behind fetches from it
+	Applied     uint64         `cbor:"applied"` // highest configuration offset applied
+	Incarnation uuid.UUID      `cbor:"incarnation"`
+	Name        string         `cbor:"name"`
 }
 
 // Header is one HTTP header field.
--- /dev/null
+++ b/core/tggossip/peers.go
@@ -0,0 +1,209 @@
+// Package tggossip chooses whom a daemon talks to and remembers what others have shown.
+package tggossip
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"tanagergrade/core/tgframe"
+)
+
+const (
+	// Readers is the number of daemons of each data centre that read the log and the VM list directly.
+	Readers = 3
+	// rings is the number of fixed neighbours in the own data centre. Fixed neighbours keep connections few: a TLS
+	// handshake with a new peer costs more bytes than a second of all other control traffic.
+	rings = 4
+)
+
+// Peers chooses the peers of one daemon.
+type Peers struct {
+	foreign    map[string][]tgframe.Member // peers of other data centres
+	local      []tgframe.Member            // all peers of the own data centre
+	mu         sync.Mutex
+	neighbours []tgframe.Member // fixed neighbours of the own data centre
+	next       map[string]int   // round robin position by data centre
+	reader     bool
+	self       tgframe.Member
+	shown      map[string]uint64 // highest offset that each peer has shown
+}
+
+// NewPeers returns the peers of a daemon that knows nobody.
+func NewPeers(self tgframe.Member) *Peers {
+	return &Peers{
+		foreign: map[string][]tgframe.Member{}, next: map[string]int{}, reader: true, self: self, shown: map[string]uint64{},
+	}
+}
+
+// Update takes the members that may be contacted.
+func (p *Peers) Update(members []tgframe.Member) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.local, p.foreign = nil, map[string][]tgframe.Member{}
+	known := make(map[string]uint64, len(members))
+	for _, m := range members {
+		if shown, ok := p.shown[m.Name]; ok {
+			known[m.Name] = shown
+		}
+		if m.DataCentre == p.self.DataCentre {
+			p.local = append(p.local, m)
+		} else {
+			p.foreign[m.DataCentre] = append(p.foreign[m.DataCentre], m)
+		}
+	}
+	p.shown = known
+	p.neighbours = successors(p.self, p.local)
+	p.reader = isReader(p.self, p.local)
+}
+
+// successors returns the next member after self on each of several hash rings. Together the rings form a graph in which
+// each daemon also has about as many predecessors, which watch it.
+func successors(self tgframe.Member, members []tgframe.Member) []tgframe.Member {
+	var chosen []tgframe.Member
+	for ring := range rings {
+		salt := strconv.Itoa(ring) + "\x00"
+		own := xxhash.Sum64String(salt + self.Name)
+		var best tgframe.Member
+		distance, found := uint64(0), false
+		for _, m := range members {
+			if contains(chosen, m.Name) {
+				continue
+			}
+			// The difference wraps around, as positions on a ring do.
+			if d := xxhash.Sum64String(salt+m.Name) - own; !found || d < distance {
+				best, distance, found = m, d, true
+			}
+		}
+		if found {
+			chosen = append(chosen, best)
+		}
+	}
+	return chosen
+}
+
+func contains(members []tgframe.Member, name string) bool {
+	return slices.ContainsFunc(members, func(m tgframe.Member) bool { return m.Name == name })
+}
+
+// isReader reports whether self is among the first Readers of its data centre by rendezvous hashing.
+func isReader(self tgframe.Member, members []tgframe.Member) bool {
+	own, before := readerHash(self.Name), 0
+	for _, m := range members {
+		usable := m.Status == tgframe.MemberAlive || m.Status == tgframe.MemberListed
+		if usable && readerHash(m.Name) > own {
+			before++
+		}
+	}
+	return before < Readers
+}
+
+func readerHash(name string) uint64 { return xxhash.Sum64String("reader\x00" + name) }
+
+// Reader reports whether this daemon reads the log directly.
+func (p *Peers) Reader() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reader
+}
+
+// Neighbours returns the fixed neighbours in the own data centre.
+func (p *Peers) Neighbours() []tgframe.Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.neighbours)
+}
+
+// DataCentres returns the other data centres that have known members, sorted.
+func (p *Peers) DataCentres() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	names := make([]string, 0, len(p.foreign))
+	for name := range p.foreign {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Next returns the next peer in dataCentre, round robin over the neighbours or the known representatives.
+func (p *Peers) Next(dataCentre string) (tgframe.Member, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	peers := p.foreign[dataCentre]
+	if dataCentre == p.self.DataCentre {
+		peers = p.neighbours
+	}
+	if len(peers) == 0 {
+		return tgframe.Member{}, false
+	}
+	i, ok := p.next[dataCentre]
+	if !ok {
+		i = rand.IntN(len(peers)) // daemons that start together begin at different representatives
+	}
+	p.next[dataCentre] = i + 1
+	return peers[i%len(peers)], true
+}
+
+// Random returns up to count peers of the own data centre other than the excluded one.
+func (p *Peers) Random(count int, excluded string) []tgframe.Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var chosen []tgframe.Member
+	for range 2 * count {
+		if len(p.local) == 0 || len(chosen) == count {
+			break
+		}
+		m := p.local[rand.IntN(len(p.local))]
+		if m.Name != excluded && !contains(chosen, m.Name) {
+			chosen = append(chosen, m)
+		}
+	}
+	return chosen
+}
+
+// Shown notes the highest offset that a peer has shown.
+func (p *Peers) Shown(name string, offset uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.shown[name] = max(p.shown[name], offset)
+}
+
+// Lagging returns those of peers that have not shown offset yet.
+func (p *Peers) Lagging(peers []tgframe.Member, offset uint64) []tgframe.Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var lagging []tgframe.Member
+	for _, m := range peers {
+		if p.shown[m.Name] < offset {
+			lagging = append(lagging, m)
+		}
+	}
+	return lagging
+}
+
+// Ahead returns the known peers that have shown more than applied, the furthest first.
+func (p *Peers) Ahead(applied uint64) []tgframe.Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var ahead []tgframe.Member
+	for _, m := range p.local {
+		if p.shown[m.Name] > applied {
+			ahead = append(ahead, m)
+		}
+	}
+	for _, peers := range p.foreign {
+		for _, m := range peers {
+			if p.shown[m.Name] > applied {
+				ahead = append(ahead, m)
+			}
+		}
+	}
+	rand.Shuffle(len(ahead), func(i, j int) { ahead[i], ahead[j] = ahead[j], ahead[i] })
+	slices.SortStableFunc(ahead, func(a, b tgframe.Member) int { return cmp.Compare(p.shown[b.Name], p.shown[a.Name]) })
+	return ahead
+}
--- /dev/null
+++ b/core/tgmember/table.go
@@ -0,0 +1,326 @@
+// Package tgmember has each daemon's view of the other daemons.
+package tgmember
+
+import (
+	"cmp"
+	"maps"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"tanagergrade/core/tgframe"
+)
+
+const (
+	deadRetention    = 10 * time.Minute // a dead member is remembered, so that late rumours of its life are judged
+	leavingRetention = time.Hour        // the daemons that poll the VM list repeat a mark that still holds
+	maxForeign       = 8                // members kept of each other data centre
+	maxLeaving       = 4096             // leaving members of other data centres; more than one data centre holds
+	silentFailures   = 5                // exchanges in sequence; with 30% of messages lost, a living peer fails so often in 3% of the cases
+	suspicionPeriod  = 4 * time.Second  // time to refute; several gossip rounds
+)
+
+// Table is a member view: all of the own data centre and a few of each other one.
+type Table struct {
+	mu      sync.Mutex
+	members map[string]*entry
+	self    tgframe.Member
+	version uint64 // grows when the set of usable members may have changed
+}
+
+type entry struct {
+	tgframe.Member
+	changed   time.Time
+	failures  int // consecutive failed exchanges
+	transmits int // times the update may still be passed on
+}
+
+// NewTable returns the view of a process that knows only itself.
+func NewTable(self tgframe.Member) *Table {
+	self.Status = tgframe.MemberAlive
+	t := &Table{members: map[string]*entry{}, self: self}
+	t.members[self.Name] = &entry{Member: self, changed: time.Now(), transmits: minTransmits}
+	return t
+}
+
+// Self returns this process as it announces itself.
+func (t *Table) Self() tgframe.Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.self
+}
+
+// Version grows with each change of the set of live members.
+func (t *Table) Version() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.version
+}
+
+// Observe takes direct evidence that m lives: it answered or called. It reports whether that is news.
+func (t *Table) Observe(m tgframe.Member) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m.Status = tgframe.MemberAlive
+	if m.Name == t.self.Name {
+		return false
+	}
+	e := t.members[m.Name]
+	if e == nil || newer(m, e.Member) {
+		return t.set(m)
+	}
+	e.failures = 0
+	switch e.Status {
+	case tgframe.MemberListed:
+		return t.set(m)
+	case tgframe.MemberDead, tgframe.MemberSuspect:
+		// The member refutes when it hears of the suspicion; only it can choose its next incarnation.
+		e.transmits = max(e.transmits, repeatTransmits)
+	default:
+	}
+	return false
+}
+
+// Merge takes updates that another daemon passed on and reports whether any names a leaving member anew.
+func (t *Table) Merge(updates []tgframe.Member) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	leaving := false
+	for _, m := range updates {
+		if m.Name == t.self.Name {
+			leaving = t.mergeSelf(m) || leaving
+			continue
+		}
+		if e := t.members[m.Name]; e != nil && !supersedes(m, e.Member) {
+			continue
+		}
+		if t.set(m) && m.Status == tgframe.MemberLeaving {
+			leaving = true
+		}
+	}
+	return leaving
+}
+
+// mergeSelf refutes a rumour that this process is dead, and believes that it is leaving.
+func (t *Table) mergeSelf(m tgframe.Member) bool {
+	e := t.members[t.self.Name]
+	switch m.Status {
+	case tgframe.MemberLeaving:
+		if m.Generation < t.self.Generation || e.Status == tgframe.MemberLeaving {
+			return false
+		}
+		m.Address, m.DataCentre = t.self.Address, t.self.DataCentre
+		t.self.Generation, t.self.Status = m.Generation, tgframe.MemberLeaving
+		return t.set(m)
+	case tgframe.MemberDead, tgframe.MemberSuspect:
+		// After a restart with a clock set back, the rumour may name a later generation than this process has.
+		if m.Generation > t.self.Generation {
+			t.self.Generation, t.self.Incarnation = m.Generation+1, 0
+		} else if m.Generation == t.self.Generation && m.Incarnation >= t.self.Incarnation {
+			t.self.Incarnation = m.Incarnation + 1
+		} else {
+			return false
+		}
+		t.set(t.self)
+	case tgframe.MemberAlive, tgframe.MemberListed:
+		if m.Generation > t.self.Generation {
+			t.self.Generation, t.self.Incarnation = m.Generation+1, 0
+			t.set(t.self)
+		}
+	}
+	return false
+}
+
+// List takes the VM list. A leaving mark is believed at once, a live mark only as a place to look for evidence.
+func (t *Table) List(vms []tgframe.Member) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	leaving := false
+	for _, m := range vms {
+		e := t.members[m.Name]
+		switch {
+		case m.Status == tgframe.MemberLeaving && (e == nil || e.Status != tgframe.MemberLeaving):
+			if e != nil {
+				m.Generation, m.Incarnation = e.Generation, e.Incarnation
+			}
+			if m.Name == t.self.Name {
+				t.self.Status = tgframe.MemberLeaving
+			}
+			leaving = t.set(m) || leaving
+		case m.Status == tgframe.MemberLeaving:
+		case e == nil:
+			m.Status = tgframe.MemberListed
+			t.set(m)
+		}
+	}
+	return leaving
+}
+
+// Failed counts a failed exchange with a member and returns the number of failures in sequence.
+func (t *Table) Failed(name string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.members[name]
+	if e == nil {
+		return 0
+	}
+	e.failures++
+	return e.failures
+}
+
+// Suspect starts the time in which a member must refute; to be called after direct and indirect probes failed.
+func (t *Table) Suspect(name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.members[name]
+	if e == nil || e.Status != tgframe.MemberAlive && e.Status != tgframe.MemberListed {
+		return
+	}
+	m := e.Member
+	m.Status = tgframe.MemberSuspect
+	t.set(m)
+}
+
+// Expire turns suspicions that were not refuted into deaths and forgets members that died long ago.
+func (t *Table) Expire() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name, e := range t.members {
+		age := time.Since(e.changed)
+		switch {
+		case e.Status == tgframe.MemberSuspect && age >= suspicionPeriod:
+			m := e.Member
+			m.Status = tgframe.MemberDead
+			t.set(m)
+		case e.Status == tgframe.MemberDead && age >= deadRetention,
+			e.Status == tgframe.MemberLeaving && age >= leavingRetention && name != t.self.Name:
+			delete(t.members, name)
+		}
+	}
+}
+
+// Peers returns the members other than this process that may be contacted, sorted by name.
+func (t *Table) Peers() []tgframe.Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	peers := make([]tgframe.Member, 0, len(t.members))
+	for _, e := range t.members {
+		if e.Name != t.self.Name && e.Status != tgframe.MemberDead {
+			peers = append(peers, e.Member)
+		}
+	}
+	slices.SortFunc(peers, func(a, b tgframe.Member) int { return cmp.Compare(a.Name, b.Name) })
+	return peers
+}
+
+// Leaving returns the addresses of the daemons on leaving VMs.
+func (t *Table) Leaving() map[netip.AddrPort]bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	addresses := map[netip.AddrPort]bool{}
+	for _, e := range t.members {
+		if e.Status == tgframe.MemberLeaving {
+			addresses[e.Address] = true
+		}
+	}
+	return addresses
+}
+
+// HasLeavingNews reports whether a leaving mark is still to be passed on.
+func (t *Table) HasLeavingNews() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.members {
+		if e.Status == tgframe.MemberLeaving && e.transmits > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Members returns a copy of the view.
+func (t *Table) Members() map[string]tgframe.Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	members := make(map[string]tgframe.Member, len(t.members))
+	for name, e := range t.members {
+		members[name] = e.Member
+	}
+	return members
+}
+
+// set stores m if the view has room for it and reports whether it did. The caller holds mu.
+func (t *Table) set(m tgframe.Member) bool {
+	old := t.members[m.Name]
+	if old == nil && m.DataCentre != t.self.DataCentre && !t.makeRoom(m) {
+		return false
+	}
+	if old == nil || (old.Status != m.Status && (old.Status != tgframe.MemberListed || m.Status != tgframe.MemberAlive)) ||
+		old.Address != m.Address || old.Status == tgframe.MemberListed {
+		t.version++
+	}
+	e := &entry{Member: m, changed: time.Now()}
+	// A listed member is no news: every daemon can read the VM list.
+	if m.Status != tgframe.MemberListed {
+		e.transmits = transmits(len(t.members))
+	}
+	t.members[m.Name] = e
+	return true
+}
+
+// makeRoom keeps the view of another data centre bounded. Which members stay depends on a hash with the own name, so
+// that daemons know different representatives.
+func (t *Table) makeRoom(m tgframe.Member) bool {
+	var others []*entry
+	for _, e := range t.members {
+		if e.DataCentre == m.DataCentre && (e.Status == tgframe.MemberLeaving) == (m.Status == tgframe.MemberLeaving) {
+			others = append(others, e)
+		}
+	}
+	if m.Status == tgframe.MemberLeaving {
+		return len(others) < maxLeaving
+	}
+	if len(others) < maxForeign {
+		return true
+	}
+	worst := slices.MinFunc(others, func(a, b *entry) int {
+		return cmp.Or(cmp.Compare(a.weight(), b.weight()), cmp.Compare(t.hash(a.Name), t.hash(b.Name)))
+	})
+	joining := (&entry{Member: m}).weight()
+	if worst.weight() < joining || worst.weight() == joining && t.hash(worst.Name) < t.hash(m.Name) {
+		delete(t.members, worst.Name)
+		return true
+	}
+	return false
+}
+
+// weight says how much a representative is worth keeping. One that is silent stays until there is another, since its
+// data centre may be cut off.
+func (e *entry) weight() int {
+	switch {
+	case e.failures >= silentFailures:
+		return 0
+	case e.Status == tgframe.MemberAlive:
+		return 2
+	case e.Status == tgframe.MemberDead, e.Status == tgframe.MemberLeaving:
+		return 0
+	default:
+		return 1
+	}
+}
+
+func (t *Table) hash(name string) uint64 { return xxhash.Sum64String(t.self.Name + "\x00" + name) }
+
+// Count returns the number of members by status.
+func (t *Table) Count() map[tgframe.MemberStatus]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	counts := map[tgframe.MemberStatus]int{}
+	for e := range maps.Values(t.members) {
+		counts[e.Status]++
+	}
+	return counts
+}
--- /dev/null
+++ b/core/tgmember/table_test.go
@@ -0,0 +1,100 @@
+package tgmember
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tanagergrade/core/tgframe"
+)
+
+func member(name, dataCentre string, status tgframe.MemberStatus, generation uint64, incarnation uint32) tgframe.Member {
+	return tgframe.Member{
+		Address: netip.MustParseAddrPort("127.0.0.1:1000"), DataCentre: dataCentre, Generation: generation,
+		Incarnation: incarnation, Name: name, Status: status,
+	}
+}
+
+// Guards against members that are believed alive without evidence, or lost because of a rumour of an earlier process.
+func TestTableBeliefs(t *testing.T) {
+	const alive, dead, leaving = tgframe.MemberAlive, tgframe.MemberDead, tgframe.MemberLeaving
+	const listed, suspect = tgframe.MemberListed, tgframe.MemberSuspect
+	list := func(m tgframe.Member) func(*Table) { return func(x *Table) { x.List([]tgframe.Member{m}) } }
+	merge := func(m tgframe.Member) func(*Table) { return func(x *Table) { x.Merge([]tgframe.Member{m}) } }
+	observe := func(m tgframe.Member) func(*Table) { return func(x *Table) { x.Observe(m) } }
+	for _, row := range []struct {
+		name  string
+		steps []func(*Table)
+		want  tgframe.MemberStatus
+	}{
+		{"a live mark alone is no evidence", []func(*Table){list(member("b", "x", listed, 0, 0))}, listed},
+		{"a heartbeat is evidence", []func(*Table){
+			list(member("b", "x", listed, 0, 0)), observe(member("b", "x", "", 5, 0)),
+		}, alive},
+		{"a leaving mark is believed at once", []func(*Table){
+			observe(member("b", "x", "", 5, 0)), list(member("b", "x", leaving, 0, 0)),
+		}, leaving},
+		{"a leaving member that answers still leaves", []func(*Table){
+			observe(member("b", "x", "", 5, 0)), list(member("b", "x", leaving, 0, 0)), observe(member("b", "x", "", 5, 1)),
+		}, leaving},
+		{"a later process on a leaving VM is alive", []func(*Table){
+			observe(member("b", "x", "", 5, 0)), list(member("b", "x", leaving, 0, 0)), observe(member("b", "x", "", 6, 0)),
+		}, alive},
+		{"a rumour of an earlier process is ignored", []func(*Table){
+			observe(member("b", "x", "", 5, 0)), merge(member("b", "x", dead, 4, 9)),
+		}, alive},
+		{"a suspicion is refuted by the next incarnation", []func(*Table){
+			observe(member("b", "x", "", 5, 0)), merge(member("b", "x", suspect, 5, 0)), merge(member("b", "x", alive, 5, 1)),
+		}, alive},
+		{"a late rumour of life does not undo a death", []func(*Table){
+			merge(member("b", "x", dead, 5, 0)), merge(member("b", "x", alive, 5, 0)),
+		}, dead},
+		{"a suspicion that is not refuted ends in death", []func(*Table){
+			observe(member("b", "x", "", 5, 0)), func(x *Table) { x.Suspect("b"); time.Sleep(suspicionPeriod); x.Expire() },
+		}, dead},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				table := NewTable(member("a", "x", alive, 1, 0))
+				for _, step := range row.steps {
+					step(table)
+				}
+				assert.Equal(t, table.Members()["b"].Status, row.want)
+			})
+		})
+	}
+}
+
+// Guards against a process that stays dead for others because it does not hear or outbid a rumour of its death, also
+// after a restart with a clock that was set back.
+func TestTableRefutesRumoursOfItself(t *testing.T) {
+	for _, generation := range []uint64{5, 9} {
+		table := NewTable(member("a", "x", tgframe.MemberAlive, 5, 0))
+		rumour := member("a", "x", tgframe.MemberDead, generation, 3)
+		table.Merge([]tgframe.Member{rumour})
+		updates := table.Updates("b", "x", 1)
+		assert.Equal(t, len(updates), 1)
+		assert.Assert(t, newer(updates[0], rumour), "refutation %+v does not replace %+v", updates[0], rumour)
+	}
+}
+
+// Guards against views that grow with the deployment instead of the own data centre.
+func TestTableIsBounded(t *testing.T) {
+	table := NewTable(member("a", "x", tgframe.MemberAlive, 1, 0))
+	for i := range 100 {
+		table.Observe(member(fmt.Sprintf("x%d", i), "x", "", 1, 0))
+		table.Observe(member(fmt.Sprintf("y%d", i), "y", "", 1, 0))
+	}
+	assert.Equal(t, table.Count()[tgframe.MemberAlive], 101+maxForeign)
+	for range silentFailures {
+		for name := range table.Members() {
+			table.Failed(name)
+		}
+	}
+	table.List([]tgframe.Member{member("new", "y", tgframe.MemberListed, 0, 0)})
+	assert.Equal(t, table.Members()["new"].Status, tgframe.MemberListed, "a silent representative is not replaced")
+}
--- /dev/null
+++ b/core/tgmember/update.go
@@ -0,0 +1,95 @@
+package tgmember
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"tanagergrade/core/tgframe"
+)
+
+// transmitFactor times ln(n) transmissions reach all n members with 30% of messages lost: the share missed is about
+// exp(-0.7 * transmissions).
+const (
+	minTransmits    = 8
+	repeatTransmits = 4 // of a suspicion that its subject seems not to have heard
+	transmitFactor  = 3
+)
+
+func transmits(members int) int {
+	return minTransmits + int(transmitFactor*math.Log(float64(members+1)))
+}
+
+// Updates returns up to limit member updates to pass on to a receiver, what concerns it first, then leaving marks, then
+// the least transmitted, and counts them as passed on. Only leaving marks cross data centres.
+func (t *Table) Updates(receiver, dataCentre string, limit int) []tgframe.Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var pending []*entry
+	for _, e := range t.members {
+		local := e.DataCentre == dataCentre && dataCentre == t.self.DataCentre
+		if e.transmits > 0 && (local || e.Status == tgframe.MemberLeaving) {
+			pending = append(pending, e)
+		}
+	}
+	slices.SortFunc(pending, func(a, b *entry) int {
+		return cmp.Or(-cmp.Compare(urgency(a, receiver), urgency(b, receiver)), -cmp.Compare(a.transmits, b.transmits),
+			cmp.Compare(a.Name, b.Name))
+	})
+	updates := make([]tgframe.Member, 0, min(limit, len(pending)))
+	for _, e := range pending[:min(limit, len(pending))] {
+		e.transmits--
+		updates = append(updates, e.Member)
+	}
+	return updates
+}
+
+func urgency(e *entry, receiver string) int {
+	switch {
+	case e.Name == receiver:
+		return 2
+	case e.Status == tgframe.MemberLeaving:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// newer reports whether m is a later process or a later refutation than old.
+func newer(m, old tgframe.Member) bool {
+	if old.Status == tgframe.MemberLeaving {
+		// A leaving process still answers; only a later process on that VM shows that it stays.
+		return m.Generation > old.Generation && old.Generation > 0
+	}
+	return m.Generation > old.Generation || m.Generation == old.Generation && m.Incarnation > old.Incarnation
+}
+
+// supersedes reports whether the passed-on update m replaces old.
+func supersedes(m, old tgframe.Member) bool {
+	if newer(m, old) {
+		return true
+	}
+	if old.Status == tgframe.MemberLeaving || m.Generation < old.Generation && m.Status != tgframe.MemberLeaving {
+		return false
+	}
+	if m.Status == tgframe.MemberLeaving {
+		return m.Generation >= old.Generation || m.Generation == 0
+	}
+	return m.Generation == old.Generation && m.Incarnation == old.Incarnation && rank(m.Status) > rank(old.Status)
+}
+
+// rank orders beliefs of one incarnation: what is worse replaces what is better.
+func rank(s tgframe.MemberStatus) int {
+	switch s {
+	case tgframe.MemberAlive:
+		return 1
+	case tgframe.MemberSuspect:
+		return 2
+	case tgframe.MemberDead:
+		return 3
+	case tgframe.MemberLeaving:
+		return 4
+	default:
+		return 0
+	}
+}
