--- a/core/tgconfig/state.go
+++ b/core/tgconfig/state.go
@@ -64,6 +64,12 @@
 // Config returns the accepted configuration.
 func (s *State) Config() *Config { return s.cfg }
 
+// Decided reports whether a change with the ID has been folded within Window, with whatever verdict.
+func (s *State) Decided(id uuid.UUID) bool {
+	_, ok := s.seen[id]
+	return ok
+}
+
 // Touched returns the offset after the last accepted change of e, or 0 if it is older than Window.
 func (s *State) Touched(e Entity) uint64 { return s.touched[e] }
 
