Add the two-phase change of the expert map

Cause: all ranks of a group have to use one expert map in every step, also when messages are lost, late or repeated and processes restart or pause.

Change: state machines of controller and rank (stage, arm, commit or abort, read, form), fencing tokens on every message, formations for restarted, spare and missing ranks, and a breadth-first exploration of their states. The exploration found that giving up during a formation left the group without one; GiveUp now leaves formations alone.

--- /dev/null
+++ b/core/tgstep/controller.go
@@ -0,0 +1,316 @@
+package tgstep
+
+// Phase is what a controller is doing.
+type Phase string
+
+// Phases of a controller.
+const (
+	PhaseAborting   Phase = "aborting"
+	PhaseArming     Phase = "arming"
+	PhaseCommitting Phase = "committing"
+	PhaseFenced     Phase = "fenced" // a rank has seen a higher token; this controller is finished
+	PhaseForming    Phase = "forming"
+	PhaseIdle       Phase = "idle"
+	PhaseReading    Phase = "reading" // after a start or when a rank has lost its state
+	PhaseStaging    Phase = "staging"
+)
+
+// Controller is the state machine of the holder of a group's lease. It only says which messages are due; the caller
+// sends them again until a reply changes the phase. A controller that restarts needs a new token.
+type Controller struct {
+	change    ID
+	committed ID // decision that is never reversed
+	fault     fault
+	formation ID // of the members
+	lead      uint64
+	mapID     ID // map in use, or the one that a formation starts with
+	members   uint64
+	newMap    bool // the next formation starts with a map of its own
+	phase     Phase
+	replies   []reply // by rank, of the present round
+	round     uint64
+	sequence  uint64
+	step      uint64
+	token     uint64
+}
+
+type reply struct {
+	known bool
+	state State
+}
+
+// NewController returns the controller that holds token for a group of n ranks (at most 64). A change is armed lead
+// steps ahead. Members have their bit set in members.
+func NewController(token uint64, n int, members, lead uint64) *Controller {
+	return &Controller{lead: lead, members: members, phase: PhaseReading, replies: make([]reply, n), token: token}
+}
+
+// Change returns the change or formation in progress or last finished.
+func (c *Controller) Change() ID { return c.change }
+
+// Formation returns the formation of the members.
+func (c *Controller) Formation() ID { return c.formation }
+
+// Map returns the map in use.
+func (c *Controller) Map() ID { return c.mapID }
+
+// Members returns the members of the group; bit i is set for rank i.
+func (c *Controller) Members() uint64 { return c.members }
+
+// Phase returns the phase.
+func (c *Controller) Phase() Phase { return c.phase }
+
+// Waiting returns the members that have not replied in the present phase.
+func (c *Controller) Waiting() []int {
+	var waiting []int
+	for i := range c.replies {
+		if c.isMember(i) && !c.replies[i].known {
+			waiting = append(waiting, i)
+		}
+	}
+	return waiting
+}
+
+// Propose starts a change to a new map and returns its ID, or false while another one is in progress. The caller
+// must hold the lease; a change that was started is finished without it, since the token protects it.
+func (c *Controller) Propose() (ID, bool) {
+	if c.phase != PhaseIdle {
+		return ID{}, false
+	}
+	c.change = c.nextID()
+	c.enter(PhaseStaging)
+	return c.change, true
+}
+
+// GiveUp abandons a change that is not decided. A commit that has begun and a formation are never given up.
+func (c *Controller) GiveUp() {
+	switch {
+	case c.phase == PhaseArming:
+		c.enter(PhaseAborting)
+	case c.phase == PhaseStaging && !c.forming():
+		c.enter(PhaseIdle)
+	}
+}
+
+// Reform starts a formation of other members with a new map. It is safe while a rank is unreachable, since that rank
+// cannot run a step of its old formation without the others.
+func (c *Controller) Reform(members uint64) {
+	if c.phase != PhaseFenced {
+		c.members, c.newMap = members, true
+		c.enter(PhaseReading)
+	}
+}
+
+// Observe takes the state of rank i that was read outside the protocol. A rank that has lost its state or is armed
+// without a change in progress makes an idle controller read all ranks.
+func (c *Controller) Observe(i int, s State) {
+	if c.phase == PhaseIdle && c.isMember(i) && (s.Formation != c.formation || !s.Armed.IsZero() && s.Committed != s.Armed) {
+		c.enter(PhaseReading)
+	}
+}
+
+// Messages returns the messages that are due.
+func (c *Controller) Messages() []Message {
+	var due []Message
+	for i := range c.replies {
+		if !c.isMember(i) || c.replies[i].known {
+			continue
+		}
+		if m, ok := c.message(); ok {
+			m.Round, m.To, m.Token = c.round, i, c.token
+			due = append(due, m)
+		}
+	}
+	return due
+}
+
+func (c *Controller) message() (Message, bool) {
+	switch c.phase {
+	case PhaseAborting:
+		return Message{Change: c.change, Kind: KindAbort}, true
+	case PhaseArming:
+		return Message{Change: c.change, Formation: c.formation, Kind: KindArm, Step: c.step}, true
+	case PhaseCommitting:
+		return Message{Change: c.change, Kind: KindCommit, Step: c.step}, true
+	case PhaseForming:
+		return Message{
+			Formation: c.change, Kind: KindForm, Map: c.mapID, Members: c.members, Step: c.step,
+		}, true
+	case PhaseReading:
+		return Message{Kind: KindRead}, true
+	case PhaseStaging:
+		m := Message{Change: c.change, Kind: KindStage, Map: c.change}
+		if c.forming() {
+			m.Formation, m.Map = c.change, c.mapID
+		}
+		return m, true
+	default:
+		return Message{}, false
+	}
+}
+
+// Receive takes a reply; replies to messages of an earlier phase are ignored.
+func (c *Controller) Receive(r Reply) {
+	if r.Refusal == RefusalStale && r.State.Token > c.token {
+		c.phase = PhaseFenced
+		return
+	}
+	if r.Round == c.round && r.Refusal != RefusalTokenUnknown && c.isMember(r.From) {
+		c.accept(r)
+	}
+}
+
+func (c *Controller) accept(r Reply) {
+	lost := r.State.Formation != c.formation && !c.forming()
+	switch {
+	case c.phase == PhaseIdle || c.phase == PhaseFenced:
+	case c.phase != PhaseReading && lost:
+		c.enter(PhaseReading)
+	case c.satisfied(r):
+		c.replies[r.From] = reply{known: true, state: r.State}
+		c.advance()
+	case r.Refusal != "" && c.phase == PhaseArming:
+		c.enter(PhaseAborting)
+	case r.Refusal == RefusalNotStaged && c.phase == PhaseForming:
+		c.enter(PhaseReading)
+	}
+}
+
+// satisfied reports whether the rank has done what the phase asks.
+func (c *Controller) satisfied(r Reply) bool {
+	s := r.State
+	switch c.phase {
+	case PhaseAborting:
+		return !s.Closed.Less(c.change) && s.Armed != c.change
+	case PhaseArming:
+		return s.Armed == c.change
+	case PhaseCommitting:
+		return s.Committed == c.change
+	case PhaseForming:
+		return s.Formation == c.change
+	case PhaseStaging:
+		return s.Staged == c.change || c.forming() && (s.Staged == c.mapID || s.Map == c.mapID)
+	default:
+		return true
+	}
+}
+
+func (c *Controller) advance() {
+	if waiting := len(c.Waiting()); waiting > 0 {
+		early := c.fault == faultCommitFirstAck && c.phase == PhaseArming ||
+			c.fault == faultPartialRead && c.phase == PhaseReading
+		if !early {
+			return
+		}
+	}
+	switch c.phase {
+	case PhaseAborting, PhaseForming:
+		c.settle()
+	case PhaseArming:
+		c.committed = c.change
+		c.enter(PhaseCommitting)
+	case PhaseCommitting:
+		c.mapID = c.change
+		c.settle()
+	case PhaseReading:
+		c.recover()
+	case PhaseStaging:
+		c.afterStaging()
+	}
+}
+
+func (c *Controller) settle() {
+	if c.phase == PhaseForming {
+		c.formation, c.newMap = c.change, false
+	}
+	c.enter(PhaseIdle)
+}
+
+func (c *Controller) afterStaging() {
+	c.step = 0
+	c.each(func(s State) { c.step = max(c.step, s.Next) })
+	if c.forming() {
+		c.enter(PhaseForming)
+		return
+	}
+	c.step += c.lead
+	if c.fault == faultSkipArm {
+		c.committed = c.change
+		c.enter(PhaseCommitting)
+		return
+	}
+	c.enter(PhaseArming)
+}
+
+// recover continues from the state of all ranks. Each of them has seen this controller's token by now, so none can
+// accept a decision of an older controller after it was read.
+func (c *Controller) recover() {
+	var armed, committed, mapID ID
+	formation, whole, first := ID{}, true, true
+	c.each(func(s State) {
+		if first {
+			formation, first = s.Formation, false
+		}
+		whole = whole && s.Formation == formation && s.Members == c.members && !s.Formation.IsZero()
+		if armed.Less(s.Armed) {
+			armed = s.Armed
+		}
+		if committed.Less(s.Committed) {
+			committed = s.Committed
+		}
+		if mapID.Less(s.Map) {
+			mapID = s.Map
+		}
+	})
+	if !whole || c.newMap {
+		c.reform(mapID)
+		return
+	}
+	c.formation, c.mapID = formation, mapID
+	switch {
+	case armed.IsZero():
+		c.enter(PhaseIdle)
+	case (armed == committed || armed == c.committed) && c.fault != faultRecoverAbort:
+		c.change = armed
+		c.enter(PhaseCommitting)
+	default:
+		c.change = armed
+		c.enter(PhaseAborting)
+	}
+}
+
+// reform starts a formation with the map last in use, which most ranks hold already, or with a new one if the
+// members have changed or no rank holds any.
+func (c *Controller) reform(mapID ID) {
+	c.change = c.nextID()
+	c.formation, c.mapID = ID{}, mapID
+	if c.newMap || mapID.IsZero() {
+		c.newMap = true
+		c.mapID = c.change
+	}
+	c.enter(PhaseStaging)
+}
+
+// forming reports whether a formation is in progress.
+func (c *Controller) forming() bool { return c.formation.IsZero() }
+
+func (c *Controller) each(f func(State)) {
+	for i := range c.replies {
+		if c.isMember(i) && c.replies[i].known {
+			f(c.replies[i].state)
+		}
+	}
+}
+
+func (c *Controller) enter(p Phase) {
+	c.phase = p
+	c.round++
+	clear(c.replies)
+}
+
+func (c *Controller) isMember(i int) bool { return c.members&(1<<uint(i)) != 0 }
+
+func (c *Controller) nextID() ID {
+	c.sequence++
+	return ID{Sequence: c.sequence, Token: c.token}
+}
--- /dev/null
+++ b/core/tgstep/rank.go
@@ -0,0 +1,178 @@
+package tgstep
+
+// fault selects a broken variant of the protocol; tests set it to show that the exploration finds the fault.
+type fault string
+
+const (
+	faultArmPassed      fault = "armPassed"      // rank arms for a step that it has entered
+	faultBlindRestart   fault = "blindRestart"   // companion accepts orders after a restart without the token
+	faultCommitFirstAck fault = "commitFirstAck" // controller commits when the first rank is armed
+	faultIgnoreToken    fault = "ignoreToken"    // rank accepts stale tokens
+	faultKeepFormation  fault = "keepFormation"  // a restarted rank returns to its formation with the map it had
+	faultPartialRead    fault = "partialRead"    // new controller decides before it has read all ranks
+	faultRecoverAbort   fault = "recoverAbort"   // new controller aborts although a rank has committed
+	faultRunUndecided   fault = "runUndecided"   // rank runs the armed step without a decision
+	faultSkipArm        fault = "skipArm"        // controller commits staged ranks without arming them
+)
+
+// Rank is the state machine of one rank together with its companion. The companion holds the token; a restart of the
+// engine keeps it, a restart of the companion loses it.
+type Rank struct {
+	State
+
+	blind bool // the companion restarted and has not learnt the token
+	fault fault
+	index int
+}
+
+// NewRank returns the rank with the given index; it accepts nothing before Learn.
+func NewRank(index int) *Rank { return &Rank{blind: true, index: index} }
+
+// Learn tells the highest token that the log shows, which ends the refusals after a restart of the companion.
+func (r *Rank) Learn(token uint64) {
+	r.Token = max(r.Token, token)
+	r.blind = false
+}
+
+// RestartCompanion loses the token; the engine keeps its state.
+func (r *Rank) RestartCompanion() {
+	r.Token = 0
+	r.blind = r.fault != faultBlindRestart
+}
+
+// RestartEngine loses map, formation and armed change; the rank enters no step before it is formed again.
+func (r *Rank) RestartEngine() {
+	if r.fault == faultKeepFormation {
+		r.Armed, r.ArmedStep = ID{}, 0
+		return
+	}
+	r.State = State{Token: r.Token}
+}
+
+// Loaded reports that the weights of the map id are in memory.
+func (r *Rank) Loaded(id ID) { r.Staged = id }
+
+// Enter returns the map for the next step and moves on, or false while the rank has to wait.
+func (r *Rank) Enter() (ID, bool) {
+	if r.Formation.IsZero() {
+		return ID{}, false
+	}
+	if !r.Armed.IsZero() && r.Next == r.ArmedStep {
+		switch {
+		case r.Committed == r.Armed:
+			r.Map, r.Armed, r.ArmedStep = r.Armed, ID{}, 0
+		case r.fault != faultRunUndecided:
+			return ID{}, false
+		}
+	}
+	r.Next++
+	return r.Map, true
+}
+
+// Receive carries out m and returns the reply. A stage message is carried out by the caller, who loads the weights
+// and then calls Loaded; it is refused here if it comes too late.
+func (r *Rank) Receive(m Message) Reply {
+	refusal := r.receive(m)
+	return Reply{From: r.index, Kind: m.Kind, Refusal: refusal, Round: m.Round, State: r.State}
+}
+
+func (r *Rank) receive(m Message) Refusal {
+	if r.blind {
+		return RefusalTokenUnknown
+	}
+	if m.Token < r.Token && r.fault != faultIgnoreToken {
+		return RefusalStale
+	}
+	r.Token = max(r.Token, m.Token)
+	switch m.Kind {
+	case KindAbort:
+		return r.abort(m)
+	case KindArm:
+		return r.arm(m)
+	case KindCommit:
+		return r.commit(m)
+	case KindForm:
+		return r.form(m)
+	case KindStage:
+		return r.stage(m)
+	default:
+		return ""
+	}
+}
+
+func (r *Rank) stage(m Message) Refusal {
+	switch {
+	case !r.Closed.Less(m.Change) || m.Change.Less(r.Latest):
+		return RefusalClosed
+	case !r.Armed.IsZero() && m.Formation.IsZero():
+		return RefusalBusy
+	case !r.Armed.IsZero() && m.Map != r.Armed:
+		// Loading overwrites the weights of the armed map, so the rank can no longer run its step.
+		r.Armed, r.ArmedStep, r.Formation = ID{}, 0, ID{}
+	}
+	r.Latest = m.Change
+	return ""
+}
+
+func (r *Rank) arm(m Message) Refusal {
+	switch {
+	case r.Armed == m.Change:
+		return ""
+	case !r.Closed.Less(m.Change):
+		return RefusalClosed
+	case r.Formation != m.Formation:
+		return RefusalFormation
+	case !r.Armed.IsZero():
+		return RefusalBusy
+	case r.Staged != m.Change:
+		return RefusalNotStaged
+	case m.Step < r.Next && r.fault != faultArmPassed:
+		return RefusalStepPassed
+	}
+	r.Armed, r.ArmedStep = m.Change, max(m.Step, r.Next)
+	return ""
+}
+
+func (r *Rank) commit(m Message) Refusal {
+	switch {
+	case r.Committed == m.Change:
+		return ""
+	case r.fault == faultSkipArm && r.Staged == m.Change:
+		r.Armed, r.ArmedStep = m.Change, max(m.Step, r.Next)
+	case r.Armed != m.Change:
+		return RefusalNotArmed
+	}
+	r.Committed, r.Closed = m.Change, m.Change
+	return ""
+}
+
+func (r *Rank) abort(m Message) Refusal {
+	if r.Committed == m.Change && r.fault != faultSkipArm {
+		return RefusalClosed
+	}
+	if r.Armed == m.Change {
+		r.Armed, r.ArmedStep = ID{}, 0
+	}
+	if r.Closed.Less(m.Change) {
+		r.Closed = m.Change
+	}
+	return ""
+}
+
+// form moves the rank to another formation. Steps are counted per formation, and a step needs all members of its
+// formation, so whatever was armed or committed in the old formation cannot complete a step any more.
+func (r *Rank) form(m Message) Refusal {
+	switch {
+	case r.Formation == m.Formation:
+		return ""
+	case !r.Formation.Less(m.Formation) || m.Formation.Less(r.Closed):
+		return RefusalClosed
+	case r.Map != m.Map && r.Staged != m.Map:
+		return RefusalNotStaged
+	}
+	r.State = State{
+		Closed: m.Formation, Formation: m.Formation, Latest: m.Formation, Map: m.Map, Members: m.Members, Next: m.Step,
+		Staged: r.Staged, Token: r.Token,
+	}
+	return ""
+}
--- /dev/null
+++ b/core/tgstep/world_test.go
@@ -0,0 +1,296 @@
+package tgstep
+
+import (
+	"encoding/binary"
+	"fmt"
+	"slices"
+	"strconv"
+)
+
+// bounds limits an exploration.
+type bounds struct {
+	companionRestarts, controllers, engineRestarts, held, proposals, ranks, reforms int
+	steps                                                                           uint64
+}
+
+type delivery struct {
+	controller int
+	reply      Reply
+}
+
+type entry struct {
+	formation, mapID ID
+	rank             int
+	step             uint64
+}
+
+// world is one state of the explored system. Messages and replies stay in it after their delivery, so each can be
+// lost, delayed, duplicated and overtaken. A controller that takes no action is paused or has crashed; a lease that
+// cannot be acquired in a log outage is a run without a new controller.
+type world struct {
+	controllers []Controller
+	entered     []entry
+	left        bounds
+	ranks       []Rank
+	replies     []delivery
+	requests    []Message
+}
+
+func newWorld(b bounds, f fault) world {
+	w := world{left: b, ranks: make([]Rank, b.ranks)}
+	first := ID{Sequence: 1, Token: 1}
+	for i := range w.ranks {
+		w.ranks[i] = *NewRank(i)
+		w.ranks[i].fault = f
+		w.ranks[i].Learn(1)
+		w.ranks[i].State = State{Closed: first, Formation: first, Map: first, Members: 1<<b.ranks - 1, Next: 1, Token: 1}
+	}
+	return w
+}
+
+func (w *world) clone() world {
+	c := *w
+	c.controllers = slices.Clone(w.controllers)
+	for i := range c.controllers {
+		c.controllers[i].replies = slices.Clone(c.controllers[i].replies)
+	}
+	c.entered, c.ranks = slices.Clone(w.entered), slices.Clone(w.ranks)
+	c.replies, c.requests = slices.Clone(w.replies), slices.Clone(w.requests)
+	return c
+}
+
+// send adds what the controller has to say.
+func (w *world) send(i int) {
+	for _, m := range w.controllers[i].Messages() {
+		if !slices.Contains(w.requests, m) {
+			w.requests = append(w.requests, m)
+		}
+	}
+	w.prune()
+}
+
+// prune drops what can have no effect any more: replies that their controller ignores, and requests of the unbroken
+// protocol whose token or change the rank refuses for good.
+func (w *world) prune() {
+	w.replies = slices.DeleteFunc(w.replies, func(d delivery) bool {
+		c := &w.controllers[d.controller]
+		return d.reply.Round != c.round || c.phase == PhaseFenced || c.phase == PhaseIdle
+	})
+	w.requests = slices.DeleteFunc(w.requests, func(m Message) bool {
+		r := &w.ranks[m.To]
+		if r.fault != "" || r.blind {
+			return false
+		}
+		old := w.controllers[m.Token-2].round != m.Round
+		closed := w.left.engineRestarts == 0 && !m.Change.IsZero() && !r.Closed.Less(m.Change)
+		return m.Token < r.Token || old && (m.Kind == KindRead && m.Token == r.Token || closed)
+	})
+}
+
+// deliver gives m to its rank, whose reply arrives at once, is lost or is held back.
+func (w *world) deliver(m Message, reply string) {
+	r := &w.ranks[m.To]
+	d := delivery{controller: int(m.Token) - 2, reply: r.Receive(m)}
+	if m.Kind == KindStage && d.reply.Refusal == "" && r.Map != m.Map {
+		r.Loaded(m.Map)
+		d.reply.State = r.State
+	}
+	switch reply {
+	case "arrives":
+		w.controllers[d.controller].Receive(d.reply)
+	case "held":
+		w.left.held--
+		w.replies = append(w.replies, d)
+	}
+	w.send(d.controller)
+}
+
+// mayEnter holds a rank back until all members have entered the step before, as the collective operations do.
+func (w *world) mayEnter(i int) bool {
+	r := &w.ranks[i]
+	if r.Next > w.left.steps {
+		return false
+	}
+	for j := range w.ranks {
+		started := slices.ContainsFunc(w.entered, func(e entry) bool {
+			return e.rank == j && e.formation == r.Formation && e.step == r.Next-1
+		})
+		begins := !slices.ContainsFunc(w.entered, func(e entry) bool {
+			return e.formation == r.Formation && e.step < r.Next
+		})
+		if r.Members&(1<<j) != 0 && !started && !begins {
+			return false
+		}
+	}
+	return true
+}
+
+// enter runs rank i into its next step and returns an error if another rank has run the step with another map.
+func (w *world) enter(i int) error {
+	formation, step := w.ranks[i].Formation, w.ranks[i].Next
+	mapID, ok := w.ranks[i].Enter()
+	if !ok {
+		return nil
+	}
+	e := entry{formation: formation, mapID: mapID, rank: i, step: step}
+	for _, other := range w.entered {
+		if other.formation == formation && other.step == step && other.mapID != mapID {
+			return fmt.Errorf("step %d of formation %v: rank %d uses map %v, rank %d uses map %v",
+				step, formation, other.rank, other.mapID, i, mapID)
+		}
+	}
+	if !slices.Contains(w.entered, e) {
+		w.entered = append(w.entered, e)
+	}
+	return nil
+}
+
+// successors calls visit for every state that one action leads to.
+func (w *world) successors(f fault, visit func(world, error)) {
+	try := func(allowed bool, action func(n *world) error) {
+		if allowed {
+			n := w.clone()
+			visit(n, action(&n))
+		}
+	}
+	quiet := func(action func(n *world)) func(*world) error {
+		return func(n *world) error { action(n); return nil }
+	}
+	try(w.left.controllers > 0, quiet(func(n *world) {
+		n.left.controllers--
+		all := uint64(1)<<len(n.ranks) - 1
+		n.controllers = append(n.controllers, *NewController(uint64(len(n.controllers)+2), len(n.ranks), all, 1))
+		n.controllers[len(n.controllers)-1].fault = f
+		n.send(len(n.controllers) - 1)
+	}))
+	for i := range w.controllers {
+		act := func(allowed bool, action func(c *Controller, n *world)) {
+			try(allowed, quiet(func(n *world) { action(&n.controllers[i], n); n.send(i) }))
+		}
+		phase := w.controllers[i].phase
+		act(phase == PhaseIdle && w.left.proposals > 0, func(c *Controller, n *world) { n.left.proposals--; c.Propose() })
+		act(phase == PhaseArming || phase == PhaseStaging, func(c *Controller, _ *world) { c.GiveUp() })
+		act(w.left.reforms > 0 && phase != PhaseFenced, func(c *Controller, n *world) {
+			n.left.reforms--
+			c.Reform(c.members &^ 1) // without rank 0
+		})
+		for r := range w.ranks {
+			act(phase == PhaseIdle, func(c *Controller, n *world) { c.Observe(r, n.ranks[r].State) })
+		}
+	}
+	for _, m := range w.requests {
+		for _, reply := range []string{"arrives", "lost", "held"} {
+			try(reply != "held" || w.left.held > 0, quiet(func(n *world) { n.deliver(m, reply) }))
+		}
+	}
+	for _, d := range w.replies {
+		try(true, quiet(func(n *world) { n.controllers[d.controller].Receive(d.reply); n.send(d.controller) }))
+	}
+	for i := range w.ranks {
+		try(w.mayEnter(i), func(n *world) error { return n.enter(i) })
+		try(w.left.engineRestarts > 0, quiet(func(n *world) { n.left.engineRestarts--; n.ranks[i].RestartEngine() }))
+		try(w.left.companionRestarts > 0, quiet(func(n *world) {
+			n.left.companionRestarts--
+			n.ranks[i].RestartCompanion()
+		}))
+		try(w.ranks[i].blind, quiet(func(n *world) { n.ranks[i].Learn(uint64(len(n.controllers) + 1)) }))
+	}
+}
+
+// heal runs a new controller without faults and returns an error unless the group then runs a step on one map.
+func (w *world) heal() error {
+	token := uint64(len(w.controllers) + 2)
+	members := uint64(1)<<len(w.ranks) - 1
+	c := NewController(token, len(w.ranks), members, 1)
+	for range 200 {
+		for _, m := range c.Messages() {
+			w.ranks[m.To].Learn(token - 1)
+			reply := w.ranks[m.To].Receive(m)
+			if m.Kind == KindStage && reply.Refusal == "" && w.ranks[m.To].Map != m.Map {
+				w.ranks[m.To].Loaded(m.Map)
+				reply.State = w.ranks[m.To].State
+			}
+			c.Receive(reply)
+		}
+	}
+	if c.Phase() != PhaseIdle {
+		return fmt.Errorf("new controller is still %s", c.Phase())
+	}
+	w.left.steps = 1000
+	steps := make([]uint64, len(w.ranks))
+	for range 10 {
+		for i := range w.ranks {
+			if w.mayEnter(i) {
+				before := w.ranks[i].Next
+				if err := w.enter(i); err != nil {
+					return err
+				}
+				steps[i] += w.ranks[i].Next - before
+			}
+		}
+	}
+	if slices.Min(steps) == 0 {
+		return fmt.Errorf("a rank enters no step: %v", steps)
+	}
+	return nil
+}
+
+func (w *world) key() string {
+	b := []byte{byte(w.left.companionRestarts), byte(w.left.controllers), byte(w.left.engineRestarts), byte(w.left.held),
+		byte(w.left.proposals), byte(w.left.reforms)}
+	id := func(ids ...ID) {
+		for _, v := range ids {
+			b = append(b, byte(v.Token), byte(v.Sequence))
+		}
+	}
+	num := func(values ...uint64) {
+		for _, v := range values {
+			b = binary.AppendUvarint(b, v)
+		}
+	}
+	state := func(s State) {
+		id(s.Armed, s.Closed, s.Committed, s.Formation, s.Latest, s.Map, s.Staged)
+		num(s.ArmedStep, s.Members, s.Next, s.Token)
+	}
+	for i := range w.ranks {
+		state(w.ranks[i].State)
+		b = strconv.AppendBool(b, w.ranks[i].blind)
+	}
+	for _, c := range w.controllers {
+		id(c.change, c.committed, c.formation, c.mapID)
+		num(c.members, c.round, c.sequence, c.step)
+		b = append(b, c.phase...)
+		b = strconv.AppendBool(b, c.newMap)
+		for _, r := range c.replies {
+			if b = append(b, '-'); r.known {
+				state(r.state)
+			}
+		}
+	}
+	start := len(b)
+	var parts []string
+	add := func() { parts = append(parts, string(b[start:])); b = b[:start] }
+	for _, m := range w.requests {
+		num(m.Token, m.Round, uint64(m.To)) // the round of a controller determines the rest
+		id(m.Change, m.Formation, m.Map)
+		num(m.Members, m.Step)
+		b = append(b, m.Kind...)
+		add()
+	}
+	for _, d := range w.replies {
+		num(uint64(d.controller), uint64(d.reply.From), d.reply.Round)
+		state(d.reply.State)
+		b = append(b, d.reply.Refusal...)
+		add()
+	}
+	for _, e := range w.entered {
+		id(e.formation, e.mapID)
+		num(uint64(e.rank), e.step)
+		add()
+	}
+	slices.Sort(parts)
+	for _, p := range parts {
+		b = append(append(b, '|'), p...)
+	}
+	return string(b)
+}
