--- a/core/tgconfig/decode.go
+++ b/core/tgconfig/decode.go
@@ -59,7 +59,8 @@
 			d.decodeMap(t, path, v)
 		}
 	case reflect.Slice:
-		if d.want(t, path, "an array", unstable.Array) {
+		// An empty array is nil, so that it equals a missing one and the same value read from the log.
+		if d.want(t, path, "an array", unstable.Array) && len(t.items) > 0 {
 			v.Set(reflect.MakeSlice(v.Type(), len(t.items), len(t.items)))
 			for i, item := range t.items {
 				d.decode(item, path.child(index(i)), v.Index(i))
--- a/core/tgconfig/document_test.go
+++ b/core/tgconfig/document_test.go
@@ -106,12 +106,15 @@
 func TestLinesAreReadBack(t *testing.T) {
 	cfg := newSizedConfig(20, 12)
 	cfg.Pools["plain"] = Pool{
-		Kind: PlainPool, Models: []string{}, PathPrefix: "/\"\\\u007f/",
+		Kind: PlainPool, PathPrefix: "/\"\\\u007f/",
 		Operations: []Operation{{Idempotent: true, Method: "GET", Path: "/\"\\\u007f/x", Priority: "live"}},
 	}
 	d, err := Parse(file("lines", strings.Join(cfg.Lines(), "\n")))
 	assert.NilError(t, err)
 	assert.DeepEqual(t, d.Config.Lines(), cfg.Lines())
+	change, err := Diff(cfg, d.Config)
+	assert.NilError(t, err)
+	assert.Equal(t, len(change.Entities), 0, "publishing the output must change nothing")
 }
 
 // Guards against a file that crashes the program.
--- a/io/tgcommand/script_test.go
+++ b/io/tgcommand/script_test.go
@@ -189,7 +189,7 @@
 			assert.DeepEqual(t, codes, tt.codes)
 			if codes[1] == tgexit.Conflict {
 				both := stderrs[0].String() + stderrs[1].String()
-				assert.Assert(t, strings.Contains(both, "dataCentre a changed after it was made"), both)
+				assert.Assert(t, strings.Contains(both, "data centre a changed after it was made"), both)
 			}
 		})
 	}
--- a/io/tgpublisher/errors.go
+++ b/io/tgpublisher/errors.go
@@ -72,8 +72,12 @@
 
 // FormatEntity returns kind and name of e for messages.
 func FormatEntity(e tgconfig.Entity) string {
-	if e.Name == "" {
+	switch {
+	case e.Name == "":
 		return string(e.Kind)
+	case e.Kind == tgconfig.EntityDataCentre:
+		return "data centre " + e.Name
+	default:
+		return string(e.Kind) + " " + e.Name
 	}
-	return string(e.Kind) + " " + e.Name
 }
