--- a/core/tgconfig/sized_test.go
+++ b/core/tgconfig/sized_test.go
@@ -78,27 +78,9 @@
 		deleted := e.Kind != EntitySettings && rng.IntN(4) == 0
 		change.Entities = append(change.Entities, EntityChange{Deleted: deleted, Entity: e, Value: raw})
 	}
-	next := *cfg
-	cloned := map[EntityKind]bool{}
-	for _, e := range change.Entities {
-		var err error
-		switch e.Entity.Kind {
-		case EntityAccount:
-			next.Accounts, err = replaceEntity(next.Accounts, e, cloned)
-		case EntityDataCentre:
-			next.DataCentres, err = replaceEntity(next.DataCentres, e, cloned)
-		case EntityGroup:
-			next.Groups, err = replaceEntity(next.Groups, e, cloned)
-		case EntityPool:
-			next.Pools, err = replaceEntity(next.Pools, e, cloned)
-		case EntitySettings:
-			err = cbor.Unmarshal(e.Value, &next.Settings)
-		case EntityUpstream:
-			next.Upstreams, err = replaceEntity(next.Upstreams, e, cloned)
-		}
-		assert.NilError(t, err)
-	}
-	return &next, change
+	next, err := cfg.replaced(change)
+	assert.NilError(t, err)
+	return next, change
 }
 
 // BenchmarkValidateChange compares the validation of one change with that of everything, at the size in two years.
--- a/io/tgcommand/daemon.go
+++ b/io/tgcommand/daemon.go
@@ -109,8 +109,9 @@
 	err := run(ctx)
 	stop()
 	wg.Wait()
-	d.log.WithError(err).Info("stopped")
-	return errors.CombineErrors(err, d.transport.Close())
+	err = errors.CombineErrors(err, d.transport.Close())
+	d.log.Info("stopped")
+	return err
 }
 
 // register adds the sources that every daemon has; parts that are Registrars add or replace their own.
--- a/io/tgpublisher/errors.go
+++ b/io/tgpublisher/errors.go
@@ -12,12 +12,15 @@
 
 // ConflictError says that a change lost against an accepted change of the same entities. Nothing has changed.
 type ConflictError struct {
-	Entities []tgconfig.Entity
+	Entities []tgconfig.Entity // empty if the change was too old to be judged
 	ID       uuid.UUID
 }
 
 // Error implements error.
 func (e *ConflictError) Error() string {
+	if len(e.Entities) == 0 {
+		return fmt.Sprintf("change %s is too old to be judged; nothing was changed, run the command again", e.ID)
+	}
 	names := make([]string, len(e.Entities))
 	for i, entity := range e.Entities {
 		names[i] = FormatEntity(entity)
--- a/io/tgpublisher/publisher.go
+++ b/io/tgpublisher/publisher.go
@@ -49,11 +49,7 @@
 	if err != nil || len(change.Entities) == 0 {
 		return Result{}, err
 	}
-	next, err := state.Config().With(change)
-	if err == nil {
-		err = next.ValidateChange(change)
-	}
-	if err != nil {
+	if _, err := state.Config().With(change); err != nil {
 		return Result{}, &InvalidError{Reason: err.Error()}
 	}
 	record, err := tgrecord.New(tgrecord.KindConfigChange, p.writer, state.Applied(), change)
@@ -71,7 +67,7 @@
 	switch decision.Verdict {
 	case tgconfig.Accepted:
 		return result, nil
-	case tgconfig.Conflict:
+	case tgconfig.Conflict, tgconfig.Stale:
 		return Result{}, &ConflictError{Entities: decision.Conflicts, ID: record.ID}
 	default:
 		return Result{}, &InvalidError{Reason: decision.Reason}
--- a/io/tgpublisher/reader.go
+++ b/io/tgpublisher/reader.go
@@ -5,20 +5,25 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"tanagergrade/core/tgconfig"
 	"tanagergrade/core/tgrecord"
 	"tanagergrade/io/tglogclient"
 	"tanagergrade/io/tgnode"
 )
 
-// Observer sees each record with the decision on it.
+// Observer sees each change that the reader folds with the decision on it.
 type Observer func(offset uint64, r tgrecord.Record, d tgconfig.Decision)
 
-// Reader folds the config stream of the log.
+// Reader folds the config stream of the log. If the log has dropped its oldest records, folding starts at a snapshot.
 type Reader struct {
-	client *tglogclient.Client
-	next   uint64
-	state  *tgconfig.State
+	assembler tgconfig.Assembler
+	client    *tglogclient.Client
+	first     uint64              // first offset read
+	next      uint64              // next offset to read
+	state     *tgconfig.State     // nil while a snapshot is needed
+	waiting   []tglogclient.Entry // read while a snapshot is needed
 }
 
 // NewReader returns a reader at the start of the stream.
@@ -26,7 +31,7 @@
 	return &Reader{client: client, state: tgconfig.NewState()}
 }
 
-// State returns the state folded so far.
+// State returns the state folded so far; call it after ReadAll.
 func (r *Reader) State() *tgconfig.State { return r.state }
 
 // ReadAll folds the stream up to its end; observe can be nil. The error is a *LogError.
@@ -36,6 +41,9 @@
 		if err == nil {
 			err = ctx.Err()
 		}
+		if err == nil && end && r.state == nil {
+			err = errors.Newf("log has dropped the records before offset %d and has no snapshot of them", r.first)
+		}
 		if err != nil {
 			return &LogError{Err: err}
 		}
@@ -48,16 +56,59 @@
 // read folds one page and reports whether it reached the end of the stream.
 func (r *Reader) read(ctx context.Context, wait time.Duration, observe Observer) (bool, error) {
 	page, err := r.client.Read(ctx, tgnode.ConfigStream, r.next, wait)
+	if errors.Is(err, tglogclient.ErrTruncated) && page.First > r.next {
+		r.assembler, r.state, r.waiting = tgconfig.Assembler{}, nil, nil
+		r.first, r.next = page.First, page.First
+		return false, nil
+	}
 	if err != nil {
 		return false, err
 	}
 	for _, e := range page.Entries {
-		for i, d := range r.state.Apply(e.Offset, e.Records) {
-			if observe != nil {
-				observe(e.Offset, e.Records[i], d)
-			}
-		}
 		r.next = e.Offset + 1
+		if r.state != nil {
+			r.fold(e, observe)
+			continue
+		}
+		r.waiting = append(r.waiting, e)
+		if err := r.findSnapshot(e, observe); err != nil {
+			return false, err
+		}
 	}
 	return r.next >= page.Next, nil
 }
+
+// findSnapshot starts the state from the snapshot that e completes, if all records after the snapshot were read.
+func (r *Reader) findSnapshot(e tglogclient.Entry, observe Observer) error {
+	for _, record := range e.Records {
+		snapshot, complete, err := r.assembler.Add(record)
+		if err != nil {
+			return errors.Wrapf(err, "snapshot at offset %d", e.Offset)
+		}
+		if !complete || snapshot.Covered < r.first {
+			continue
+		}
+		if r.state, err = tgconfig.NewStateFrom(snapshot); err != nil {
+			return err
+		}
+		for _, entry := range r.waiting {
+			r.fold(entry, observe)
+		}
+		r.waiting = nil
+		return nil
+	}
+	return nil
+}
+
+func (r *Reader) fold(e tglogclient.Entry, observe Observer) {
+	decisions := r.state.Apply(e.Offset, e.Records)
+	if observe == nil {
+		return
+	}
+	for _, record := range e.Records { // the decisions are those on the changes, in order
+		if record.Kind == tgrecord.KindConfigChange && len(decisions) > 0 {
+			observe(e.Offset, record, decisions[0])
+			decisions = decisions[1:]
+		}
+	}
+}
--- a/io/tgquery/diff.go
+++ b/io/tgquery/diff.go
@@ -90,5 +90,8 @@
 	ctx, cancel := c.log.Context(ctx)
 	defer cancel()
 	r := tgpublisher.NewReader(client)
-	return r.State(), r.ReadAll(ctx, observe)
+	if err := r.ReadAll(ctx, observe); err != nil {
+		return nil, err
+	}
+	return r.State(), nil
 }
--- a/io/tgquery/history.go
+++ b/io/tgquery/history.go
@@ -31,7 +31,8 @@
 		Args:    cobra.NoArgs,
 		Example: "  tanagergrade config history --log-address 10.0.0.9:9000 --output json",
 		Long: "Lists the changes in the log with their verdicts: accepted, conflict (an accepted change had touched\n" +
-			"the same entities), invalid, or ignored (a repeated ID).",
+			"the same entities), invalid, stale (read too long before it was written), or ignored (a repeated ID).\n" +
+			"It begins at the oldest snapshot that the log keeps.",
 		RunE:  c.runHistory,
 		Short: "List changes and their verdicts",
 		Use:   "history",
@@ -44,9 +45,7 @@
 func (c *config) runHistory(cmd *cobra.Command, _ []string) error {
 	entries := []historyEntry{}
 	_, err := c.readState(cmd.Context(), func(offset uint64, r tgrecord.Record, d tgconfig.Decision) {
-		if r.Kind == tgrecord.KindConfigChange {
-			entries = append(entries, newHistoryEntry(offset, r, d))
-		}
+		entries = append(entries, newHistoryEntry(offset, r, d))
 	})
 	if err != nil {
 		return err
