Stop counting as holder before a lease is released

Change: a lease is given up locally before its release is sent; later read-backs cannot revive it. The test waits a whole duration for the first holder, since claims have a jitter.

Conclusion: the local view falls first, the log's follows.

--- a/core/tglease/monitor.go
+++ b/core/tglease/monitor.go
@@ -54,6 +54,9 @@
 	}
 }
 
+// Forget ends what Confirm has noted about a lease.
+func (m *Monitor) Forget(name string) { delete(m.confirmed, name) }
+
 // Held returns the token of an own lease, if it holds at now without doubt.
 func (m *Monitor) Held(t *Table, holder Holder, name string, now time.Time) (Token, bool) {
 	l, ok := t.leases[name]
--- a/io/tgholder/manager.go
+++ b/io/tgholder/manager.go
@@ -80,11 +80,18 @@
 // Withdraw ends the campaign for a lease and releases it.
 func (m *Manager) Withdraw(ctx context.Context, name string) {
 	m.mu.Lock()
-	delete(m.campaigns, name)
+	m.giveUp(name)
 	m.mu.Unlock()
 	m.release(ctx, []string{name})
 }
 
+// giveUp ends the campaign for a lease; from then on this process does not count as its holder, whatever is
+// read back later. It comes before the release is sent, since another process may claim at once.
+func (m *Manager) giveUp(name string) {
+	delete(m.campaigns, name)
+	m.monitor.Forget(name)
+}
+
 // Held returns the fencing token of the lease if this process holds it without doubt.
 func (m *Manager) Held(name string) (tglease.Token, bool) {
 	m.mu.Lock()
@@ -152,6 +159,9 @@
 	}
 	delete(m.renewals, id)
 	for _, h := range r.held {
+		if m.campaigns[h.Name] == nil {
+			continue
+		}
 		if l, ok := m.table.Get(h.Name); ok && l.Offset == offset+1 && l.Token == h.Token && l.Holder == m.holder {
 			m.monitor.Confirm(h.Name, h.Token, r.sent)
 		}
@@ -262,8 +272,10 @@
 	held := m.table.Held(m.holder)
 	names := make([]string, 0, len(held))
 	for _, h := range held {
+		m.giveUp(h.Name)
 		names = append(names, h.Name)
 	}
+	clear(m.campaigns)
 	m.mu.Unlock()
 	m.release(ctx, names)
 }
--- a/io/tgholder/manager_test.go
+++ b/io/tgholder/manager_test.go
@@ -122,7 +122,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				log := tgstandin.NewLog(time.Hour)
 				first := start(log, "a")
-				time.Sleep(2 * time.Second)
+				time.Sleep(duration)
 				processes := []*process{first, start(log, "b"), start(log, "c")}
 				n, before := holders(processes)
 				assert.Equal(t, n, 1)
