Claim non-idempotent requests through the log in a package of their own

Cause: the thin claims kept every answer for ever, said "not run" during an outage without proof, and had no test.

Change: io/tgclaimer decides who runs a request: the first claim in log order that is not released. A claim that is not confirmed in time is given up and released; nothing runs under it. Repeats get the recorded answer, from the log again once it has left an 8 MiB cache. Keys that may be older than the records kept are refused as unknown. In an outage "not run" is said only by the key's home upstream that has been up since the key was made.

--- a/core/tgclaim/table.go
+++ b/core/tgclaim/table.go
@@ -1,101 +1,116 @@
-// Package tgclaim folds the claims of non-idempotent requests from the log.
 package tgclaim
 
 import (
-	"crypto/sha256"
+	"maps"
 	"sync"
+	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
-	"tanagergrade/core/tgframe"
 	"tanagergrade/core/tgrecord"
 )
 
-// Key identifies a non-idempotent request across its repeats.
-type Key [sha256.Size]byte
+const (
+	maxCachedBytes = 8 << 20 // bodies of recent results; older ones are read from the log again
+	trimInterval   = time.Minute
+)
 
-// NewKey returns the key of an account's idempotency key in a pool.
-func NewKey(account, pool, idempotencyKey string) Key {
-	return sha256.Sum256([]byte(account + "\x00" + pool + "\x00" + idempotencyKey))
+// Entry is what the log says about a key.
+type Entry struct {
+	Claim    Claim
+	ID       uuid.UUID // of the claim
+	Recorded bool      // the holder has recorded the answer
+	Result   *Result   // nil if not Recorded or not cached
+	ResultAt uint64    // offset of the result's append, if Recorded
 }
 
-// Claim is the body of a claim record; the record's ID is the claim's ID.
-type Claim struct {
-	Digest      [sha256.Size]byte `cbor:"digest"` // of method, path and body
-	Holder      string            `cbor:"holder"`
-	Incarnation uuid.UUID         `cbor:"incarnation"`
-	Key         Key               `cbor:"key"`
+// Table is the fold of one claims stream. The first claim of a key that is not released wins.
+type Table struct {
+	mu        sync.Mutex
+	applied   uint64        // offset after the last append folded; only grows
+	cached    []Key         // keys of entries with Result, oldest first
+	bytes     int           // of the bodies of cached results
+	changed   chan struct{} // closed and replaced after each append
+	entries   map[Key]*Entry
+	gap       bool                    // records before the next append are not known
+	horizon   time.Time               // claims appended before it may not be known
+	released  map[uuid.UUID]time.Time // released claims, also those whose claim record comes later
+	seen      map[uuid.UUID]time.Time // claims folded, whether they won or not
+	trimmedAt time.Time
+	window    time.Duration // age at which keys are refused and entries dropped
 }
 
-// Release is the body of a release record: the claim led to no run.
-type Release struct {
-	Claim uuid.UUID `cbor:"claim"`
-	Key   Key       `cbor:"key"`
+// NewTable returns an empty table that judges keys up to the age of window.
+func NewTable(window time.Duration) *Table {
+	return &Table{
+		changed:  make(chan struct{}),
+		entries:  map[Key]*Entry{},
+		released: map[uuid.UUID]time.Time{},
+		seen:     map[uuid.UUID]time.Time{},
+		window:   window,
+	}
 }
 
-// Result is the body of a result record.
-type Result struct {
-	Body  []byte       `cbor:"body"`
-	Claim uuid.UUID    `cbor:"claim"`
-	Head  tgframe.Head `cbor:"head"`
-	Key   Key          `cbor:"key"`
+// Applied returns the offset after the last append folded.
+func (t *Table) Applied() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.applied
 }
 
-// Entry is what the log says about a key.
-type Entry struct {
-	Claim  Claim
-	ID     uuid.UUID
-	Result *Result // nil until the holder has recorded the answer
+// Len returns the number of keys known.
+func (t *Table) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.entries)
 }
 
-// Table is the fold of a claims stream.
-type Table struct {
-	mu       sync.Mutex
-	applied  uint64        // offset after the last append folded
-	changed  chan struct{} // closed and replaced after each fold
-	entries  map[Key]*Entry
-	released map[uuid.UUID]bool
-	seen     map[uuid.UUID]bool // IDs of folded claims, accepted or not
+// NoteGap says that records before the next append had left the log before they were folded.
+func (t *Table) NoteGap() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.gap = true
 }
 
-// NewTable returns an empty table.
-func NewTable() *Table {
-	return &Table{
-		changed:  make(chan struct{}),
-		entries:  map[Key]*Entry{},
-		released: map[uuid.UUID]bool{},
-		seen:     map[uuid.UUID]bool{},
-	}
+// Judgeable reports whether all claims of a key made at the given time are still known. A claim comes after its
+// key was made, by a clock that may be ahead by MaxClockSkew.
+func (t *Table) Judgeable(keyTime, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Sub(keyTime) < t.window && keyTime.Add(-MaxClockSkew).After(t.horizon)
 }
 
-// Apply folds the records of one append.
-func (t *Table) Apply(offset uint64, records []tgrecord.Record) error {
+// Apply folds the records of one append, which the log service took at the given time.
+func (t *Table) Apply(offset uint64, at time.Time, records []tgrecord.Record) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if offset < t.applied {
 		return nil
 	}
 	t.applied = offset + 1
-	defer func() {
-		close(t.changed)
-		t.changed = make(chan struct{})
-	}()
+	if t.gap && at.After(t.horizon) {
+		t.horizon = at
+	}
+	t.gap = false
+	var err error
 	for _, r := range records {
-		if err := t.applyRecord(r); err != nil {
-			return err
-		}
+		err = errors.CombineErrors(err, t.applyRecord(offset, r))
 	}
-	return nil
+	t.trim(at)
+	close(t.changed)
+	t.changed = make(chan struct{})
+	return err
 }
 
-func (t *Table) applyRecord(r tgrecord.Record) error {
+func (t *Table) applyRecord(offset uint64, r tgrecord.Record) error {
 	switch r.Kind {
 	case tgrecord.KindClaim:
 		return applyBody(r, func(c Claim) { t.applyClaim(r.ID, c) })
 	case tgrecord.KindClaimRelease:
 		return applyBody(r, t.applyRelease)
 	case tgrecord.KindClaimResult:
-		return applyBody(r, t.applyResult)
+		return applyBody(r, func(c Result) { t.applyResult(offset, c) })
 	default:
 		return nil
 	}
@@ -111,42 +126,71 @@
 }
 
 func (t *Table) applyClaim(id uuid.UUID, c Claim) {
-	if t.seen[id] {
+	if _, ok := t.seen[id]; ok {
+		return
+	}
+	t.seen[id] = c.KeyTime
+	if _, ok := t.released[id]; ok {
 		return
 	}
-	t.seen[id] = true
-	if _, ok := t.entries[c.Key]; !ok && !t.released[id] {
+	if _, ok := t.entries[c.Key]; !ok {
 		t.entries[c.Key] = &Entry{Claim: c, ID: id}
 	}
 }
 
 func (t *Table) applyRelease(c Release) {
-	t.released[c.Claim] = true
-	if e, ok := t.entries[c.Key]; ok && e.ID == c.Claim && e.Result == nil {
+	t.released[c.Claim] = idTime(c.Claim)
+	if e, ok := t.entries[c.Key]; ok && e.ID == c.Claim && !e.Recorded {
 		delete(t.entries, c.Key)
 	}
 }
 
-func (t *Table) applyResult(c Result) {
-	if e, ok := t.entries[c.Key]; ok && e.ID == c.Claim && e.Result == nil {
-		e.Result = &c
+func (t *Table) applyResult(offset uint64, c Result) {
+	e, ok := t.entries[c.Key]
+	if !ok || e.ID != c.Claim || e.Recorded {
+		return
+	}
+	e.Recorded, e.Result, e.ResultAt = true, &c, offset
+	t.cached = append(t.cached, c.Key)
+	t.bytes += len(c.Body)
+	for t.bytes > maxCachedBytes {
+		oldest := t.entries[t.cached[0]]
+		t.cached = t.cached[1:]
+		if oldest != nil && oldest.Result != nil {
+			t.bytes -= len(oldest.Result.Body)
+			oldest.Result = nil
+		}
 	}
 }
 
-// Applied returns the offset after the last append folded.
-func (t *Table) Applied() uint64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.applied
+// trim drops what belongs to keys too old to be judged.
+func (t *Table) trim(now time.Time) {
+	if now.Sub(t.trimmedAt) < trimInterval {
+		return
+	}
+	t.trimmedAt = now
+	old := func(at time.Time) bool { return now.Sub(at) > t.window+2*MaxClockSkew }
+	maps.DeleteFunc(t.entries, func(_ Key, e *Entry) bool {
+		if !old(e.Claim.KeyTime) {
+			return false
+		}
+		if e.Result != nil {
+			t.bytes -= len(e.Result.Body)
+			e.Result = nil
+		}
+		return true
+	})
+	maps.DeleteFunc(t.released, func(_ uuid.UUID, at time.Time) bool { return old(at) })
+	maps.DeleteFunc(t.seen, func(_ uuid.UUID, at time.Time) bool { return old(at) })
 }
 
-// Lookup returns the entry of key, whether claim id was folded, and a channel closed at the next fold.
-func (t *Table) Lookup(key Key, id uuid.UUID) (Entry, bool, <-chan struct{}) {
+// Lookup returns the entry of key, whether the claim id was folded, and a channel closed after the next append.
+func (t *Table) Lookup(key Key, id uuid.UUID) (entry Entry, seen bool, changed <-chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var e Entry
-	if p := t.entries[key]; p != nil {
-		e = *p
+	if e := t.entries[key]; e != nil {
+		entry = *e
 	}
-	return e, t.seen[id], t.changed
+	_, seen = t.seen[id]
+	return entry, seen, t.changed
 }
--- /dev/null
+++ b/io/tgclaimer/claimer.go
@@ -0,0 +1,287 @@
+// Package tgclaimer claims requests that are not idempotent in the log before they are run.
+package tgclaimer
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"tanagergrade/core/tgcall"
+	"tanagergrade/core/tgclaim"
+	"tanagergrade/core/tgrecord"
+	"tanagergrade/core/tgshard"
+	"tanagergrade/io/tglogclient"
+)
+
+const (
+	appendBackoff = 250 * time.Millisecond
+	outageAfter   = 3 * time.Second // reads take a second at most while the log answers
+	retryAfter    = time.Second
+	stopTimeout   = 10 * time.Second // bound for records that are left when the process stops
+)
+
+// Identity is the process that claims.
+type Identity struct {
+	Incarnation uuid.UUID
+	Name        string
+	Started     time.Time // by the clock of this VM
+}
+
+// Claimer makes sure that each request of a pool runs at most once, whoever is asked to run it.
+type Claimer struct {
+	follower *tglogclient.Follower
+	identity Identity
+	log      tglogclient.Log
+	logger   *logrus.Entry
+	own      *tgshard.Map[*ownClaim] // claims under which this process runs or ran a request, by key
+	stopping chan struct{}           // closed when Run's context ends
+	stream   string
+	table    *tgclaim.Table
+	wg       conc.WaitGroup // records on their way
+}
+
+// ownClaim lets repeats that reach this process have the answer before it is read back from the log.
+type ownClaim struct {
+	done   chan struct{}   // closed when result is set or will not be
+	id     uuid.UUID       // of the claim
+	result *tgclaim.Result // nil if the outcome is not known
+}
+
+// Stream returns the name of the claims stream of a pool.
+func Stream(pool string) string { return "claims-" + pool }
+
+// New returns a claimer for a pool whose keys are judged up to the age of window.
+func New(
+	log tglogclient.Log, pool string, window time.Duration, identity Identity, logger *logrus.Entry,
+) *Claimer {
+	c := &Claimer{
+		identity: identity,
+		log:      log,
+		logger:   logger,
+		own:      tgshard.NewMap[*ownClaim](),
+		stopping: make(chan struct{}),
+		stream:   Stream(pool),
+		table:    tgclaim.NewTable(window),
+	}
+	c.follower = tglogclient.NewFollower(log, c.stream, logger, func(e tglogclient.Entry) error {
+		return c.table.Apply(e.Offset, e.Time, e.Records)
+	}, tglogclient.WithGap(func(tglogclient.Gap) { c.table.NoteGap() }))
+	return c
+}
+
+// Run follows the claims of the pool until ctx ends and all records have been appended or given up.
+func (c *Claimer) Run(ctx context.Context) {
+	defer c.wg.Wait()
+	defer close(c.stopping)
+	c.follower.Run(ctx)
+}
+
+// Dump returns the claimer's state.
+func (c *Claimer) Dump() any {
+	return struct {
+		Follower tglogclient.FollowerStatus `json:"follower"`
+		Keys     int                        `json:"keys"`
+		Own      int                        `json:"own"`
+		Stream   string                     `json:"stream"`
+	}{c.follower.Status(), c.table.Len(), c.own.Len(), c.stream}
+}
+
+// Request is what is claimed.
+type Request struct {
+	Digest  tgclaim.Digest
+	Home    bool // this process is where all entries send the key first
+	Key     tgclaim.Key
+	KeyTime time.Time
+}
+
+// Grant is the decision on a request: exactly one of Claim, Failure and Replay is set.
+type Grant struct {
+	Claim   uuid.UUID // the request must be run now, once, under this claim
+	Failure *tgcall.Failure
+	Replay  *tgclaim.Result // the answer of an earlier call
+}
+
+func failed(f *tgcall.Failure) Grant { return Grant{Failure: f} }
+
+// Acquire decides whether the request may be run here. It waits until ctx ends at most.
+func (c *Claimer) Acquire(ctx context.Context, r Request) Grant {
+	if !c.table.Judgeable(r.KeyTime, time.Now()) {
+		return failed(tgcall.UnknownFailure(tgcall.CodeIdempotencyKeyExpired,
+			"calls with this idempotency key may be older than the records kept"))
+	}
+	if e, _, _ := c.table.Lookup(r.Key, uuid.Nil); e.ID != uuid.Nil {
+		return c.awaitResult(ctx, r)
+	}
+	if c.outage() {
+		return failed(c.unavailable(r))
+	}
+	body := tgclaim.Claim{
+		Digest: r.Digest, Holder: c.identity.Name, Incarnation: c.identity.Incarnation, Key: r.Key, KeyTime: r.KeyTime,
+	}
+	record, err := tgrecord.New(tgrecord.KindClaim, c.identity.Name, c.table.Applied(), body)
+	if err != nil {
+		return failed(tgcall.NotRunFailure(tgcall.CodeInternal, "%v", err))
+	}
+	// The reply to the append is of no use: the claim counts when it is read back.
+	c.wg.Go(func() { _, _ = c.log.Append(ctx, c.stream, []tgrecord.Record{record}) })
+	return c.awaitClaim(ctx, r, record.ID)
+}
+
+// outage reports whether the log has failed for so long that waiting for it is of no use.
+func (c *Claimer) outage() bool {
+	s := c.follower.Status()
+	return s.Error != "" && time.Since(s.Confirmed) > outageAfter
+}
+
+// awaitClaim waits until the claim is read back and returns who comes first in the log.
+func (c *Claimer) awaitClaim(ctx context.Context, r Request, id uuid.UUID) Grant {
+	for {
+		e, seen, changed := c.table.Lookup(r.Key, id)
+		switch {
+		case seen && e.ID == id:
+			c.own.Set(string(r.Key[:]), &ownClaim{done: make(chan struct{}), id: id})
+			return Grant{Claim: id}
+		case seen && e.ID != uuid.Nil:
+			return c.awaitResult(ctx, r)
+		case seen:
+			return failed(tgcall.NotRunFailure(tgcall.CodeRequestUnresolved,
+				"another call with this idempotency key was given up").WithRetryAfter(retryAfter))
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			c.Release(r.Key, id)
+			return failed(c.unavailable(r))
+		}
+	}
+}
+
+// unavailable returns the failure of a claim that the log did not confirm in time. Nothing runs under it. Whether
+// an earlier call with the key has run can be excluded only by the process that all entries ask first, and only
+// if it has been up since the key was made.
+func (c *Claimer) unavailable(r Request) *tgcall.Failure {
+	f := tgcall.UnknownFailure(tgcall.CodeLogUnavailable,
+		"not run now, since the log did not confirm the claim in time; an earlier call may have run")
+	if r.Home && c.identity.Started.Before(r.KeyTime.Add(-tgclaim.MaxClockSkew)) {
+		f = tgcall.NotRunFailure(tgcall.CodeLogUnavailable, "the log did not confirm the claim in time")
+	}
+	return f.WithRetryAfter(retryAfter)
+}
+
+// awaitResult waits for the answer of the call that holds the claim.
+func (c *Claimer) awaitResult(ctx context.Context, r Request) Grant {
+	for {
+		e, _, changed := c.table.Lookup(r.Key, uuid.Nil)
+		switch {
+		case e.ID == uuid.Nil:
+			return failed(tgcall.NotRunFailure(tgcall.CodeRequestUnresolved,
+				"another call with this idempotency key was given up").WithRetryAfter(retryAfter))
+		case e.Claim.Digest != r.Digest:
+			return failed(tgcall.NotRunFailure(tgcall.CodeIdempotencyKeyReused,
+				"idempotency key was used with another request"))
+		case e.Result != nil:
+			return Grant{Replay: e.Result}
+		case e.Recorded:
+			return c.readResult(ctx, r.Key, e)
+		}
+		var done chan struct{}
+		if own, ok := c.own.Get(string(r.Key[:])); ok && own.id == e.ID {
+			done = own.done
+			select {
+			case <-done:
+				if own.result != nil {
+					return Grant{Replay: own.result}
+				}
+				done = nil // its outcome is not known, only a record could tell
+			default:
+			}
+		}
+		select {
+		case <-changed:
+		case <-done:
+		case <-ctx.Done():
+			return failed(tgcall.UnknownFailure(tgcall.CodeRequestUnresolved,
+				"an earlier call with this idempotency key has no recorded answer").WithRetryAfter(retryAfter))
+		}
+	}
+}
+
+// readResult reads a result that is not cached any more from the log.
+func (c *Claimer) readResult(ctx context.Context, key tgclaim.Key, e tgclaim.Entry) Grant {
+	page, err := c.log.Read(ctx, c.stream, e.ResultAt, 0)
+	if err == nil {
+		for _, entry := range page.Entries {
+			for _, r := range entry.Records {
+				if r.Kind != tgrecord.KindClaimResult {
+					continue
+				}
+				if result, err := tgrecord.Decode[tgclaim.Result](r); err == nil && result.Claim == e.ID && result.Key == key {
+					return Grant{Replay: &result}
+				}
+			}
+		}
+	}
+	return failed(tgcall.UnknownFailure(tgcall.CodeRequestUnresolved,
+		"the recorded answer of an earlier call cannot be read from the log").WithRetryAfter(retryAfter))
+}
+
+// Finish records the answer of a request that ran under a claim; nil says that its outcome is not known.
+func (c *Claimer) Finish(key tgclaim.Key, id uuid.UUID, result *tgclaim.Result) {
+	if own, ok := c.own.Get(string(key[:])); ok && own.id == id {
+		own.result = result
+		close(own.done)
+	}
+	if result == nil {
+		c.own.Delete(string(key[:]))
+		return
+	}
+	c.append(tgrecord.KindClaimResult, *result, func() { c.own.Delete(string(key[:])) })
+}
+
+// Release gives up a claim under which nothing was or will be run.
+func (c *Claimer) Release(key tgclaim.Key, id uuid.UUID) {
+	c.own.Delete(string(key[:]))
+	c.append(tgrecord.KindClaimRelease, tgclaim.Release{Claim: id, Key: key}, func() {})
+}
+
+// append appends a record in the background, as often as it takes; a repeat of its ID is harmless.
+func (c *Claimer) append(kind tgrecord.Kind, body any, done func()) {
+	record, err := tgrecord.New(kind, c.identity.Name, c.table.Applied(), body)
+	if err != nil {
+		c.logger.WithError(err).WithField("kind", kind).Error("record cannot be encoded")
+		return
+	}
+	c.wg.Go(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		for {
+			if _, err = c.log.Append(ctx, c.stream, []tgrecord.Record{record}); err == nil {
+				done()
+				return
+			}
+			select {
+			case <-c.stopping:
+				c.appendLast(record)
+				return
+			case <-time.After(appendBackoff):
+			}
+		}
+	})
+}
+
+// appendLast tries a record for a bounded time while the process stops.
+func (c *Claimer) appendLast(record tgrecord.Record) {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	var err error
+	for ctx.Err() == nil {
+		if _, err = c.log.Append(ctx, c.stream, []tgrecord.Record{record}); err == nil {
+			return
+		}
+		time.Sleep(appendBackoff)
+	}
+	c.logger.WithError(err).WithField("kind", record.Kind).Warn("record was lost when the process stopped")
+}
--- a/io/tgcompanion/attempt.go
+++ b/io/tgcompanion/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -10,7 +9,6 @@
 	"tanagergrade/core/tgadmit"
 	"tanagergrade/core/tganswer"
 	"tanagergrade/core/tgcall"
-	"tanagergrade/core/tgclaim"
 	"tanagergrade/core/tgframe"
 	"tanagergrade/io/tgupstream"
 )
@@ -53,11 +51,6 @@
 	a.buffer.Finish(tgframe.End{Failure: f, Outcome: f.Outcome})
 }
 
-func (a *attempt) digest() [sha256.Size]byte {
-	e := a.execute
-	return sha256.Sum256([]byte(e.Method + "\x00" + e.Path + "\x00" + string(e.Body)))
-}
-
 // run decides whether the attempt may run here and runs it.
 func (c *Companion) run(ctx context.Context, a *attempt) {
 	if f := c.check(a.execute); f != nil {
@@ -78,32 +71,6 @@
 	sample = c.runClaimed(ctx, a)
 }
 
-// runClaimed runs a non-idempotent attempt under a claim in the log.
-func (c *Companion) runClaimed(ctx context.Context, a *attempt) tgadmit.Sample {
-	claim := tgclaim.Claim{
-		Digest:      a.digest(),
-		Holder:      c.node.Settings.Name,
-		Incarnation: c.node.Incarnation,
-		Key:         tgclaim.NewKey(a.execute.Account, a.execute.Pool, a.execute.IdempotencyKey),
-	}
-	id, replay, failure := c.acquireClaim(ctx, a.execute.Pool, claim)
-	switch {
-	case failure != nil:
-		a.fail(failure)
-		return tgadmit.Sample{}
-	case replay != nil:
-		a.buffer.SetHead(replay.Head)
-		if err := a.buffer.Append(ctx, replay.Body); err != nil {
-			a.fail(tgcall.UnknownFailure(tgcall.CodeInternal, "replay the recorded answer: %v", err))
-		}
-		a.buffer.Finish(tgframe.End{Outcome: tgcall.Answered, Replayed: true})
-		return tgadmit.Sample{}
-	}
-	sample := c.call(ctx, a)
-	c.recordOutcome(ctx, a, claim.Key, id)
-	return sample
-}
-
 // call hands the attempt to the upstream, once.
 func (c *Companion) call(ctx context.Context, a *attempt) tgadmit.Sample {
 	s := &sink{attempt: a, ctx: ctx, observe: c.observe(a.execute), started: time.Now()}
--- a/io/tgcompanion/claim.go
+++ b/io/tgcompanion/claim.go
@@ -2,120 +2,173 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
-	"github.com/google/uuid"
+	"github.com/sourcegraph/conc"
 
+	"tanagergrade/core/tgadmit"
 	"tanagergrade/core/tgcall"
 	"tanagergrade/core/tgclaim"
-	"tanagergrade/core/tgrecord"
-	"tanagergrade/io/tglogclient"
-	"tanagergrade/io/tgnode"
+	"tanagergrade/core/tgconfig"
+	"tanagergrade/core/tgframe"
+	"tanagergrade/core/tgroute"
+	"tanagergrade/io/tgclaimer"
 )
 
-const resultTimeout = 10 * time.Second // bound for recording a result
+const poolPoll = 100 * time.Millisecond
 
-func claimStream(pool string) string { return "claims-" + pool }
+// claims holds the claimer of the upstream's pool, once the configuration says which pool that is.
+type claims struct {
+	mu      sync.Mutex
+	claimer *tgclaimer.Claimer // nil until the pool is known and if it needs none
+	pool    string
+}
 
-func (c *Companion) followClaims(ctx context.Context) {
-	for ctx.Err() == nil {
-		if u, ok := c.node.Config().Upstreams[c.upstream]; ok {
-			tgnode.Follow(ctx, c.node.LogClient, claimStream(u.Pool), c.node.Log, func(e tglogclient.Entry) error {
-				return c.claims.Apply(e.Offset, e.Records)
-			})
-			return
-		}
-		time.Sleep(100 * time.Millisecond)
+func (c *claims) get(pool string) *tgclaimer.Claimer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pool != pool {
+		return nil
 	}
+	return c.claimer
 }
 
-// acquireClaim returns the ID of a won claim, the recorded answer of an earlier call, or a failure.
-func (c *Companion) acquireClaim(
-	ctx context.Context, pool string, claim tgclaim.Claim,
-) (uuid.UUID, *tgclaim.Result, *tgcall.Failure) {
-	ctx, cancel := context.WithTimeout(ctx, c.node.Config().Settings.ClaimTimeout)
-	defer cancel()
-	if e, _, _ := c.claims.Lookup(claim.Key, uuid.Nil); e.ID != uuid.Nil {
-		return c.awaitResult(ctx, claim)
-	}
-	record, err := tgrecord.New(tgrecord.KindClaim, c.node.Settings.Name, c.claims.Applied(), claim)
-	if err != nil {
-		return uuid.Nil, nil, tgcall.NotRunFailure(tgcall.CodeInternal, "%v", err)
-	}
-	_, appendErr := c.node.LogClient.Append(ctx, claimStream(pool), []tgrecord.Record{record})
+// await returns the claimer of a pool, which is there shortly after the configuration.
+func (c *claims) await(ctx context.Context, pool string) *tgclaimer.Claimer {
+	ticker := time.NewTicker(poolPoll)
+	defer ticker.Stop()
 	for {
-		e, seen, changed := c.claims.Lookup(claim.Key, record.ID)
-		switch {
-		case seen && e.ID == record.ID:
-			return record.ID, nil, nil
-		case seen:
-			return c.awaitResult(ctx, claim)
+		if claimer := c.get(pool); claimer != nil {
+			return claimer
 		}
 		select {
-		case <-changed:
 		case <-ctx.Done():
-			c.release(pool, claim.Key, record.ID)
-			return uuid.Nil, nil, tgcall.NotRunFailure(tgcall.CodeLogUnavailable,
-				"claim was not confirmed by the log in time (append: %v)", appendErr).WithRetryAfter(time.Second)
+			return nil
+		case <-ticker.C:
 		}
 	}
 }
 
-// awaitResult waits for the answer of the call that holds the claim.
-func (c *Companion) awaitResult(
-	ctx context.Context, claim tgclaim.Claim,
-) (uuid.UUID, *tgclaim.Result, *tgcall.Failure) {
+func (c *claims) set(pool string, claimer *tgclaimer.Claimer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.claimer, c.pool = claimer, pool
+}
+
+// followClaims runs a claimer for the upstream's pool until ctx ends, and another one if the pool changes.
+func (c *Companion) followClaims(ctx context.Context) {
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	stop := func() {}
+	defer func() { stop() }()
+	ticker := time.NewTicker(poolPoll)
+	defer ticker.Stop()
+	pool := ""
 	for {
-		e, _, changed := c.claims.Lookup(claim.Key, uuid.Nil)
-		switch {
-		case e.ID != uuid.Nil && e.Claim.Digest != claim.Digest:
-			return uuid.Nil, nil, tgcall.NotRunFailure(tgcall.CodeIdempotencyKeyReused,
-				"idempotency key was used with another request")
-		case e.Result != nil:
-			return uuid.Nil, e.Result, nil
+		if u, ok := c.node.Config().Upstreams[c.upstream]; ok && u.Pool != pool {
+			pool = u.Pool
+			stop()
+			poolCtx, cancel := context.WithCancel(ctx)
+			stop = cancel
+			claimer := c.newClaimer(u)
+			c.claims.set(pool, claimer)
+			if claimer != nil {
+				wg.Go(func() { claimer.Run(poolCtx) })
+			}
 		}
 		select {
-		case <-changed:
 		case <-ctx.Done():
-			return uuid.Nil, nil, tgcall.UnknownFailure(tgcall.CodeRequestUnresolved,
-				"an earlier call with this idempotency key has no recorded answer").WithRetryAfter(time.Second)
+			return
+		case <-ticker.C:
 		}
 	}
 }
 
-// recordOutcome records the answer of a claimed attempt, or releases the claim if it was not run.
-func (c *Companion) recordOutcome(ctx context.Context, a *attempt, key tgclaim.Key, id uuid.UUID) {
-	head, body, end := a.buffer.Snapshot()
-	switch {
-	case end.Outcome == tgcall.NotRun:
-		c.release(a.execute.Pool, key, id)
-	case end.Outcome == tgcall.Answered && head != nil:
-		result := tgclaim.Result{Body: body, Claim: id, Head: *head, Key: key}
-		c.appendUntilDone(context.WithoutCancel(ctx), a.execute.Pool, tgrecord.KindClaimResult, result)
-	default:
+// newClaimer returns the claimer of an upstream's pool, or nil if none of its requests needs a claim.
+func (c *Companion) newClaimer(u tgconfig.Upstream) *tgclaimer.Claimer {
+	if u.ChecksIdempotencyKeys || c.node.Config().Pools[u.Pool].Kind != tgconfig.PlainPool {
+		return nil
 	}
+	identity := tgclaimer.Identity{
+		Incarnation: c.node.Incarnation, Name: c.node.Settings.Name, Started: c.started,
+	}
+	return tgclaimer.New(c.node.LogClient, u.Pool, tgclaim.MaxKeyAge, identity, c.node.Log)
 }
 
-// release gives up a claim under which nothing was or will be run.
-func (c *Companion) release(pool string, key tgclaim.Key, id uuid.UUID) {
-	c.running.Go(func() {
-		c.appendUntilDone(context.Background(), pool, tgrecord.KindClaimRelease, tgclaim.Release{Claim: id, Key: key})
+// runClaimed runs an attempt that is not idempotent under a claim in the log.
+func (c *Companion) runClaimed(ctx context.Context, a *attempt) tgadmit.Sample {
+	e := a.execute
+	claimCtx, cancel := context.WithTimeout(ctx, c.node.Config().Settings.ClaimTimeout)
+	defer cancel()
+	claimer := c.claims.await(claimCtx, e.Pool)
+	keyTime, err := tgclaim.KeyTime(e.IdempotencyKey)
+	switch {
+	case err != nil:
+		a.fail(tgcall.NotRunFailure(tgcall.CodeIdempotencyKeyInvalid, "%v", err))
+		return tgadmit.Sample{}
+	case claimer == nil:
+		a.fail(tgcall.NotRunFailure(tgcall.CodeNoUpstream, "claims of pool %q are not followed here", e.Pool))
+		return tgadmit.Sample{}
+	}
+	key := tgclaim.NewKey(e.Account, e.Pool, e.IdempotencyKey)
+	grant := claimer.Acquire(claimCtx, tgclaimer.Request{
+		Digest: tgclaim.NewDigest(e.Method, e.Path, e.Body), Home: c.isHome(e), Key: key, KeyTime: keyTime,
 	})
+	switch {
+	case grant.Failure != nil:
+		a.fail(grant.Failure)
+		return tgadmit.Sample{}
+	case grant.Replay != nil:
+		c.replay(ctx, a, grant.Replay)
+		return tgadmit.Sample{}
+	}
+	// The wait for the claim may have passed the deadline or the withdrawal of this upstream.
+	if failure := c.check(e); failure != nil {
+		claimer.Release(key, grant.Claim)
+		a.fail(failure)
+		return tgadmit.Sample{}
+	}
+	sample := c.call(ctx, a)
+	c.finishClaim(claimer, a, key, grant)
+	return sample
 }
 
-func (c *Companion) appendUntilDone(ctx context.Context, pool string, kind tgrecord.Kind, body any) {
-	ctx, cancel := context.WithTimeout(ctx, resultTimeout)
-	defer cancel()
-	record, err := tgrecord.New(kind, c.node.Settings.Name, c.claims.Applied(), body)
-	if err != nil {
-		c.node.Log.WithError(err).Error("record cannot be encoded")
-		return
+// isHome reports whether this upstream is the one to which all entries send the key first.
+func (c *Companion) isHome(e *tgframe.Execute) bool {
+	cfg := c.node.Config()
+	var candidates []tgroute.Candidate
+	for name, u := range cfg.Upstreams {
+		withdrawn := cfg.DataCentres[u.DataCentre].State == tgconfig.Withdrawn
+		if u.Pool == e.Pool && u.State != tgconfig.Drained && !withdrawn {
+			candidates = append(candidates, tgroute.Candidate{DataCentre: u.DataCentre, Name: name, Pool: u.Pool})
+		}
 	}
-	for ctx.Err() == nil {
-		if _, err = c.node.LogClient.Append(ctx, claimStream(pool), []tgrecord.Record{record}); err == nil {
+	home, ok := tgroute.Home(candidates, e.IdempotencyKey)
+	return ok && home.Name == c.upstream
+}
+
+// replay answers with the recorded answer of an earlier call.
+func (c *Companion) replay(ctx context.Context, a *attempt, r *tgclaim.Result) {
+	a.buffer.SetHead(r.Head)
+	if len(r.Body) > 0 {
+		if err := a.buffer.Append(ctx, r.Body); err != nil {
+			a.fail(tgcall.UnknownFailure(tgcall.CodeInternal, "replay the recorded answer: %v", err))
 			return
 		}
-		time.Sleep(200 * time.Millisecond)
 	}
-	c.node.Log.WithError(err).WithField("kind", kind).Warn("record was not appended")
+	a.buffer.Finish(tgframe.End{Outcome: tgcall.Answered, Replayed: true})
+}
+
+// finishClaim records the answer of a claimed attempt, or releases the claim if it was not run.
+func (c *Companion) finishClaim(claimer *tgclaimer.Claimer, a *attempt, key tgclaim.Key, grant tgclaimer.Grant) {
+	head, body, end := a.buffer.Snapshot()
+	switch {
+	case end.Outcome == tgcall.NotRun:
+		claimer.Release(key, grant.Claim)
+	case end.Outcome == tgcall.Answered && head != nil:
+		claimer.Finish(key, grant.Claim, &tgclaim.Result{Body: body, Claim: grant.Claim, Head: *head, Key: key})
+	default:
+		claimer.Finish(key, grant.Claim, nil)
+	}
 }
--- a/io/tgcompanion/companion.go
+++ b/io/tgcompanion/companion.go
@@ -9,7 +9,6 @@
 	"github.com/sourcegraph/conc"
 
 	"tanagergrade/core/tgcall"
-	"tanagergrade/core/tgclaim"
 	"tanagergrade/core/tgframe"
 	"tanagergrade/io/tglink"
 	"tanagergrade/io/tgnode"
@@ -20,12 +19,13 @@
 type Companion struct {
 	admission *admission
 	attempts  *registry
-	claims    *tgclaim.Table
+	claims    claims
 	client    *tgupstream.Client
 	decisions tgcall.Decisions
 	draining  atomic.Bool
 	node      *tgnode.Node
 	running   conc.WaitGroup
+	started   time.Time
 	upstream  string // name in the configuration
 }
 
@@ -34,9 +34,9 @@
 	return &Companion{
 		admission: newAdmission(),
 		attempts:  newRegistry(),
-		claims:    tgclaim.NewTable(),
 		client:    client,
 		node:      node,
+		started:   time.Now(),
 		upstream:  upstream,
 	}
 }
--- a/io/tglogclient/client.go
+++ b/io/tglogclient/client.go
@@ -26,6 +26,7 @@
 type Entry struct {
 	Offset  uint64
 	Records []tgrecord.Record
+	Time    time.Time // when the log service took the append, by its clock
 }
 
 // Page is the reply to a read.
@@ -101,8 +102,9 @@
 		First   uint64 `json:"first"`
 		Next    uint64 `json:"next"`
 		Records []struct {
-			Data   []byte `json:"data"`
-			Offset uint64 `json:"offset"`
+			Data   []byte    `json:"data"`
+			Offset uint64    `json:"offset"`
+			Time   time.Time `json:"time"`
 		} `json:"records"`
 	}
 	if err := json.Unmarshal(body, &reply); err != nil {
@@ -115,7 +117,7 @@
 			// A foreign record holds nothing for this system; its offset still counts.
 			records = nil
 		}
-		page.Entries = append(page.Entries, Entry{Offset: r.Offset, Records: records})
+		page.Entries = append(page.Entries, Entry{Offset: r.Offset, Records: records, Time: r.Time})
 	}
 	return page, nil
 }
--- a/io/tgnode/node.go
+++ b/io/tgnode/node.go
@@ -37,7 +37,7 @@
 type Node struct {
 	Incarnation uuid.UUID
 	Log         *logrus.Entry
-	LogClient   *tglogclient.Client
+	LogClient   tglogclient.Log
 	Settings    Settings
 	Transport   tglink.Link
 
@@ -94,7 +94,7 @@
 
 // Follow reads stream from its start and passes each append to apply until ctx ends.
 func Follow(
-	ctx context.Context, c *tglogclient.Client, stream string, log *logrus.Entry, apply func(tglogclient.Entry) error,
+	ctx context.Context, c tglogclient.Log, stream string, log *logrus.Entry, apply func(tglogclient.Entry) error,
 ) {
 	next := uint64(0)
 	for ctx.Err() == nil {
--- a/io/tgstandin/logdirect.go
+++ b/io/tgstandin/logdirect.go
@@ -41,7 +41,7 @@
 		if err != nil {
 			records = nil // a foreign record, as in tglogclient
 		}
-		page.Entries = append(page.Entries, tglogclient.Entry{Offset: r.Offset, Records: records})
+		page.Entries = append(page.Entries, tglogclient.Entry{Offset: r.Offset, Records: records, Time: r.Time})
 	}
 	return page, nil
 }
