--- a/io/tgcompanion/attempt.go
+++ b/io/tgcompanion/attempt.go
@@ -106,7 +106,7 @@
 
 // call hands the attempt to the upstream, once.
 func (c *Companion) call(ctx context.Context, a *attempt) tgadmit.Sample {
-	s := &sink{attempt: a, ctx: ctx, started: time.Now()}
+	s := &sink{attempt: a, ctx: ctx, observe: c.observe(a.execute), started: time.Now()}
 	err := c.client.Do(ctx, a.execute, s)
 	failure := c.failure(ctx, s, err)
 	if failure != nil {
@@ -115,7 +115,9 @@
 		a.buffer.Finish(tgframe.End{Outcome: tgcall.Answered})
 	}
 	ok := failure == nil && s.status < statusServerError
-	return tgadmit.Sample{FirstToken: s.first, OK: ok, Tokens: s.chunks, Total: time.Since(s.started)}
+	return tgadmit.Sample{
+		FirstToken: s.first, Observed: s.observed, OK: ok, Tokens: s.chunks, Total: time.Since(s.started),
+	}
 }
 
 // failure returns why there is no whole answer, or nil if there is one.
--- a/io/tgcompanion/companion.go
+++ b/io/tgcompanion/companion.go
@@ -8,10 +8,8 @@
 
 	"github.com/sourcegraph/conc"
 
-	"tanagergrade/core/tgadmit"
 	"tanagergrade/core/tgcall"
 	"tanagergrade/core/tgclaim"
-	"tanagergrade/core/tgconfig"
 	"tanagergrade/core/tgframe"
 	"tanagergrade/io/tglink"
 	"tanagergrade/io/tgnode"
@@ -20,12 +18,12 @@
 
 // Companion admits and runs the attempts of one upstream.
 type Companion struct {
+	admission *admission
 	attempts  *registry
 	claims    *tgclaim.Table
 	client    *tgupstream.Client
 	decisions tgcall.Decisions
 	draining  atomic.Bool
-	limiter   *tgadmit.Limiter
 	node      *tgnode.Node
 	running   conc.WaitGroup
 	upstream  string // name in the configuration
@@ -33,14 +31,13 @@
 
 // New returns a companion of the upstream with the given name.
 func New(node *tgnode.Node, upstream string, client *tgupstream.Client) *Companion {
-	defaults := tgconfig.DefaultSettings()
 	return &Companion{
-		attempts: newRegistry(),
-		claims:   tgclaim.NewTable(),
-		client:   client,
-		limiter:  tgadmit.NewLimiter(defaults.ColdConcurrency, defaults.WarmConcurrency),
-		node:     node,
-		upstream: upstream,
+		admission: newAdmission(),
+		attempts:  newRegistry(),
+		claims:    tgclaim.NewTable(),
+		client:    client,
+		node:      node,
+		upstream:  upstream,
 	}
 }
 
--- a/io/tgentry/attempt.go
+++ b/io/tgentry/attempt.go
@@ -154,6 +154,7 @@
 // receive takes the next frame and those that have arrived with it.
 func (a *attempt) receive() error {
 	for range maxCoalesced {
+		started := time.Now()
 		f, err := a.exchange.Receive(a.ctx)
 		if err != nil {
 			return err
@@ -161,7 +162,7 @@
 		if f.Attempt == a.execute.Attempt {
 			a.failures = 0
 			a.silence.Reset(a.call.silence)
-			a.observe(&f)
+			a.call.observe(a.target, &f, time.Since(started))
 			a.assembler.Add(&f)
 		}
 		if !a.exchange.Buffered() {
@@ -171,15 +172,6 @@
 	return nil
 }
 
-func (a *attempt) observe(f *tgframe.Frame) {
-	switch {
-	case f.End != nil:
-		a.call.entry.router.Observe(a.target.Name, f.End.Load)
-	case f.Progress != nil:
-		a.call.entry.router.Observe(a.target.Name, f.Progress.Load)
-	}
-}
-
 func (a *attempt) disconnect() {
 	if a.exchange == nil {
 		return
--- a/io/tgentry/call.go
+++ b/io/tgentry/call.go
@@ -15,9 +15,8 @@
 )
 
 const (
-	maxAttempts  = 4
-	retryBackoff = 20 * time.Millisecond
-	statusOK     = 200
+	maxAttempts = 4
+	statusOK    = 200
 )
 
 // Reasons for the end of a call's context.
@@ -36,6 +35,7 @@
 	nextChunk uint64        // sequence number of the next part for the caller
 	silence   time.Duration // after which an exchange is replaced
 	started   time.Time
+	timing    timing
 	tried     map[string]bool
 
 	attempt    *attempt // current, nil if there is none
@@ -142,7 +142,6 @@
 		if !l.streaming {
 			l.head, l.nextChunk = nil, 0
 		}
-		l.sleep(retryBackoff)
 	}
 }
 
--- a/io/tgholder/manager_test.go
+++ b/io/tgholder/manager_test.go
@@ -121,9 +121,9 @@
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				log := tgstandin.NewLog(time.Hour)
-				processes := []*process{start(log, "a")}
-				time.Sleep(2 * time.Second)
-				processes = append(processes, start(log, "b"), start(log, "c"))
+				first := start(log, "a")
+				time.Sleep(duration)
+				processes := []*process{first, start(log, "b"), start(log, "c")}
 				n, before := holders(processes)
 				assert.Equal(t, n, 1)
 				tc.fault(log, processes)
