Publish large differences in parts

Cause: a first configuration of the size in two years is one record of 4.4 MB of entities, and waiting for thousands of processes asked them one after the other. Conclusion: the size of a publication is not bounded by the log's record size.

--- a/io/tgcommand/capacity.go
+++ b/io/tgcommand/capacity.go
@@ -64,7 +64,7 @@
 	}
 	ctx, cancel := c.capacity.log.Context(ctx)
 	defer cancel()
-	result, err := tgpublisher.New(client, c.capacity.writer).Publish(ctx,
+	results, err := tgpublisher.New(client, c.capacity.writer).Publish(ctx,
 		func(cfg *tgconfig.Config) (tgconfig.Change, error) {
 			change, err := stateChange(cfg, entity, state)
 			change.Comment = c.capacity.comment
@@ -74,11 +74,11 @@
 		return err
 	}
 	name := tgpublisher.FormatEntity(entity)
-	if len(result.Entities) == 0 {
+	if len(results) == 0 {
 		fmt.Fprintf(c.stdout, "%s is %s already\n", name, state)
 		return nil
 	}
-	fmt.Fprintf(c.stdout, "%s is %s, accepted at offset %d (change %s)\n", name, state, result.Offset, result.ID)
+	fmt.Fprintf(c.stdout, "%s is %s, accepted at offset %d (change %s)\n", name, state, results[0].Offset, results[0].ID)
 	return nil
 }
 
--- a/io/tgcommand/publish.go
+++ b/io/tgcommand/publish.go
@@ -34,8 +34,8 @@
 		Args: cobra.NoArgs,
 		Example: "  tanagergrade config publish --config base.toml --overlay bkk-a.toml --overlay bkk-b.toml \\\n" +
 			"    --overlay bkk-c.toml --log-address 10.0.0.9:9000 --comment 'add draft-13'",
-		Long: "Publishes the difference between the files and the accepted configuration as one change, and waits for\n" +
-			"its verdict. Give the overlays of all sites: entities that the files leave out are deleted, which needs\n" +
+		Long: "Publishes the difference between the files and the accepted configuration as one change, or as several\n" +
+			"if it is large, and waits for the verdicts. Give the overlays of all sites: entities that the files leave out are deleted, which needs\n" +
 			"--delete. A state that the files leave out keeps its current value.",
 		RunE:  c.runPublish,
 		Short: "Publish configuration files",
@@ -70,19 +70,23 @@
 	}
 	ctx, cancel := p.log.Context(cmd.Context())
 	defer cancel()
-	result, err := tgpublisher.New(client, p.writer).Publish(ctx, p.change(d))
-	if err != nil {
-		return err
+	results, err := tgpublisher.New(client, p.writer).Publish(ctx, p.change(d))
+	for _, r := range results {
+		fmt.Fprintf(c.stdout, "accepted at offset %d, %d entities (change %s)\n", r.Offset, len(r.Entities), r.ID)
 	}
-	if len(result.Entities) == 0 {
+	switch {
+	case err != nil && len(results) > 0:
+		return errors.Wrap(err, "the changes above are accepted, but not the rest")
+	case err != nil:
+		return err
+	case len(results) == 0:
 		fmt.Fprintln(c.stdout, "nothing to change")
 		return nil
+	case p.wait:
+		return c.awaitApplied(ctx, admin, d.Processes, results[len(results)-1].Offset)
+	default:
+		return nil
 	}
-	fmt.Fprintf(c.stdout, "accepted at offset %d, %d entities (change %s)\n", result.Offset, len(result.Entities), result.ID)
-	if p.wait {
-		return c.awaitApplied(ctx, admin, d.Processes, result.Offset)
-	}
-	return nil
 }
 
 // change returns the function that turns the accepted configuration into that of d.
@@ -111,29 +115,33 @@
 func (c *config) awaitApplied(
 	ctx context.Context, admin *tgadmin.Client, processes map[string]tgconfig.Process, offset uint64,
 ) error {
-	lagging := map[string]netip.AddrPort{}
+	var addresses []netip.AddrPort
+	names := map[netip.AddrPort]string{}
 	for name, p := range processes {
-		lagging[name] = p.AdminAddress
+		addresses = append(addresses, p.AdminAddress)
+		names[p.AdminAddress] = name
 	}
 	for {
-		for name, address := range lagging {
-			if s, err := admin.Status(ctx, address); err == nil && s.Applied > offset {
-				delete(lagging, name)
+		var lagging []netip.AddrPort
+		for _, r := range admin.StatusAll(ctx, addresses) {
+			if r.Err != nil || r.Status.Applied <= offset {
+				lagging = append(lagging, r.Address)
 			}
 		}
 		if len(lagging) == 0 {
 			fmt.Fprintf(c.stdout, "in effect in %d processes\n", len(processes))
 			return nil
 		}
+		addresses = lagging
 		select {
 		case <-ctx.Done():
-			names := make([]string, 0, len(lagging))
-			for name := range lagging {
-				names = append(names, name)
+			late := make([]string, len(lagging))
+			for i, address := range lagging {
+				late[i] = names[address]
 			}
-			slices.Sort(names)
+			slices.Sort(late)
 			return errors.Newf("the change is accepted, but these processes have not shown that they applied it: %s",
-				strings.Join(names, ", "))
+				strings.Join(late, ", "))
 		case <-time.After(waitPause):
 		}
 	}
--- a/io/tgpublisher/publisher.go
+++ b/io/tgpublisher/publisher.go
@@ -19,7 +19,7 @@
 
 // Result describes an accepted change.
 type Result struct {
-	Entities []tgconfig.Entity // empty if there was nothing to change
+	Entities []tgconfig.Entity
 	ID       uuid.UUID
 	Offset   uint64
 }
@@ -36,23 +36,37 @@
 	return &Publisher{client: client, reader: NewReader(client), writer: writer}
 }
 
-// Publish reads the configuration, appends the change that build makes of it and waits for the verdict until
-// ctx ends. The error is a *ConflictError, *InvalidError, *LogError or *UnresolvedError, or comes from build.
+// Publish reads the configuration, appends the change that build makes of it, in parts if it is large, and waits
+// for the verdicts until ctx ends. It returns the accepted parts; there are none if there is nothing to change.
+// The error is a *ConflictError, *InvalidError, *LogError or *UnresolvedError, or comes from build.
 func (p *Publisher) Publish(
 	ctx context.Context, build func(cfg *tgconfig.Config) (tgconfig.Change, error),
-) (Result, error) {
+) ([]Result, error) {
 	if err := p.reader.ReadAll(ctx, nil); err != nil {
-		return Result{}, err
+		return nil, err
 	}
-	state := p.reader.State()
-	change, err := build(state.Config())
+	base := p.reader.State().Applied()
+	change, err := build(p.reader.State().Config())
 	if err != nil || len(change.Entities) == 0 {
-		return Result{}, err
+		return nil, err
 	}
-	if _, err := state.Config().With(change); err != nil {
+	var results []Result
+	for _, part := range split(change) {
+		// All parts have the same base: no change of another operator in between is overwritten.
+		result, err := p.publishPart(ctx, base, part)
+		if err != nil {
+			return results, err
+		}
+		results = append(results, result)
+	}
+	return results, nil
+}
+
+func (p *Publisher) publishPart(ctx context.Context, base uint64, change tgconfig.Change) (Result, error) {
+	if _, err := p.reader.State().Config().With(change); err != nil {
 		return Result{}, &InvalidError{Reason: err.Error()}
 	}
-	record, err := tgrecord.New(tgrecord.KindConfigChange, p.writer, state.Applied(), change)
+	record, err := tgrecord.New(tgrecord.KindConfigChange, p.writer, base, change)
 	if err != nil {
 		return Result{}, err
 	}
--- a/io/tgquery/status.go
+++ b/io/tgquery/status.go
@@ -1,7 +1,6 @@
 package tgquery
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"net/netip"
@@ -9,15 +8,12 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sourcegraph/conc/iter"
 	"github.com/spf13/cobra"
 
 	"tanagergrade/io/tgadmin"
 	"tanagergrade/io/tgflag"
 )
 
-const maxStatusCalls = 64 // calls at once, so that the status of hundreds of daemons needs few sockets
-
 type statusEntry struct {
 	Address netip.AddrPort  `json:"address"`
 	Error   string          `json:"error,omitempty"`
@@ -48,7 +44,7 @@
 	if err != nil {
 		return err
 	}
-	entries := fetchStatus(cmd.Context(), client, addresses)
+	entries := newStatusEntries(client.StatusAll(cmd.Context(), addresses))
 	if err := c.output.Write(c.stdout, entries, func(w io.Writer) { printStatus(w, entries) }); err != nil {
 		return err
 	}
@@ -64,15 +60,17 @@
 	return nil
 }
 
-func fetchStatus(ctx context.Context, client *tgadmin.Client, addresses []netip.AddrPort) []statusEntry {
-	mapper := iter.Mapper[netip.AddrPort, statusEntry]{MaxGoroutines: maxStatusCalls}
-	return mapper.Map(addresses, func(address *netip.AddrPort) statusEntry {
-		s, err := client.Status(ctx, *address)
-		if err != nil {
-			return statusEntry{Address: *address, Error: err.Error()}
+func newStatusEntries(results []tgadmin.StatusResult) []statusEntry {
+	entries := make([]statusEntry, len(results))
+	for i, r := range results {
+		entries[i].Address = r.Address
+		if r.Err != nil {
+			entries[i].Error = r.Err.Error()
+		} else {
+			entries[i].Status = &r.Status
 		}
-		return statusEntry{Address: *address, Status: &s}
-	})
+	}
+	return entries
 }
 
 func printStatus(w io.Writer, entries []statusEntry) {
