--- a/core/tgmember/table.go
+++ b/core/tgmember/table.go
@@ -25,8 +25,10 @@
 
 // Table is a member view: all of the own data centre and a few of each other one.
 type Table struct {
+	ending  map[string]*entry // suspect, dead and leaving members
 	mu      sync.Mutex
 	members map[string]*entry
+	pending map[string]*entry // members whose update is still to be passed on
 	self    tgframe.Member
 	version uint64 // grows when the set of usable members may have changed
 }
@@ -41,8 +43,11 @@
 // NewTable returns the view of a process that knows only itself.
 func NewTable(self tgframe.Member) *Table {
 	self.Status = tgframe.MemberAlive
-	t := &Table{members: map[string]*entry{}, self: self}
+	t := &Table{
+		ending: map[string]*entry{}, members: map[string]*entry{}, pending: map[string]*entry{}, self: self,
+	}
 	t.members[self.Name] = &entry{Member: self, changed: time.Now(), transmits: minTransmits}
+	t.pending[self.Name] = t.members[self.Name]
 	return t
 }
 
@@ -79,6 +84,7 @@
 	case tgframe.MemberDead, tgframe.MemberSuspect:
 		// The member refutes when it hears of the suspicion; only it can choose its next incarnation.
 		e.transmits = max(e.transmits, repeatTransmits)
+		t.pending[e.Name] = e
 	default:
 	}
 	return false
@@ -124,16 +130,24 @@
 		} else {
 			return false
 		}
-		t.set(t.self)
+		t.announce()
 	case tgframe.MemberAlive, tgframe.MemberListed:
 		if m.Generation > t.self.Generation {
 			t.self.Generation, t.self.Incarnation = m.Generation+1, 0
-			t.set(t.self)
+			t.announce()
 		}
 	}
 	return false
 }
 
+// announce passes on that this process lives as it is now.
+func (t *Table) announce() {
+	t.set(t.self)
+	e := t.members[t.self.Name]
+	e.transmits = transmits(len(t.members))
+	t.pending[e.Name] = e
+}
+
 // List takes the VM list. A leaving mark is believed at once, a live mark only as a place to look for evidence.
 func (t *Table) List(vms []tgframe.Member) bool {
 	t.mu.Lock()
@@ -188,7 +202,7 @@
 func (t *Table) Expire() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for name, e := range t.members {
+	for name, e := range t.ending {
 		age := time.Since(e.changed)
 		switch {
 		case e.Status == tgframe.MemberSuspect && age >= suspicionPeriod:
@@ -197,12 +211,12 @@
 			t.set(m)
 		case e.Status == tgframe.MemberDead && age >= deadRetention,
 			e.Status == tgframe.MemberLeaving && age >= leavingRetention && name != t.self.Name:
-			delete(t.members, name)
+			t.remove(name)
 		}
 	}
 }
 
-// Peers returns the members other than this process that may be contacted, sorted by name.
+// Peers returns the members other than this process that may be contacted.
 func (t *Table) Peers() []tgframe.Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -212,7 +226,6 @@
 			peers = append(peers, e.Member)
 		}
 	}
-	slices.SortFunc(peers, func(a, b tgframe.Member) int { return cmp.Compare(a.Name, b.Name) })
 	return peers
 }
 
@@ -221,7 +234,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	addresses := map[netip.AddrPort]bool{}
-	for _, e := range t.members {
+	for _, e := range t.ending {
 		if e.Status == tgframe.MemberLeaving {
 			addresses[e.Address] = true
 		}
@@ -233,8 +246,8 @@
 func (t *Table) HasLeavingNews() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, e := range t.members {
-		if e.Status == tgframe.MemberLeaving && e.transmits > 0 {
+	for _, e := range t.pending {
+		if e.Status == tgframe.MemberLeaving {
 			return true
 		}
 	}
@@ -263,14 +276,40 @@
 		t.version++
 	}
 	e := &entry{Member: m, changed: time.Now()}
-	// A listed member is no news: every daemon can read the VM list.
-	if m.Status != tgframe.MemberListed {
+	t.remove(m.Name)
+	t.members[m.Name] = e
+	switch m.Status {
+	case tgframe.MemberDead, tgframe.MemberLeaving, tgframe.MemberSuspect:
+		t.ending[m.Name] = e
+	default:
+	}
+	if isNews(old, m) {
 		e.transmits = transmits(len(t.members))
+		t.pending[m.Name] = e
 	}
-	t.members[m.Name] = e
 	return true
 }
 
+// isNews reports whether m is to be passed on. That a listed member answers is none: after a mass restart such updates
+// were most of the traffic, and only those who contact a member need the evidence.
+func isNews(old *entry, m tgframe.Member) bool {
+	switch m.Status {
+	case tgframe.MemberAlive:
+		return old == nil || old.Status != tgframe.MemberListed && old.Status != tgframe.MemberAlive ||
+			m.Incarnation > 0 && m.Incarnation > old.Incarnation
+	case tgframe.MemberListed:
+		return false
+	default:
+		return true
+	}
+}
+
+func (t *Table) remove(name string) {
+	delete(t.ending, name)
+	delete(t.members, name)
+	delete(t.pending, name)
+}
+
 // makeRoom keeps the view of another data centre bounded. Which members stay depends on a hash with the own name, so
 // that daemons know different representatives.
 func (t *Table) makeRoom(m tgframe.Member) bool {
@@ -291,7 +330,7 @@
 	})
 	joining := (&entry{Member: m}).weight()
 	if worst.weight() < joining || worst.weight() == joining && t.hash(worst.Name) < t.hash(m.Name) {
-		delete(t.members, worst.Name)
+		t.remove(worst.Name)
 		return true
 	}
 	return false
--- a/core/tgmember/update.go
+++ b/core/tgmember/update.go
@@ -26,9 +26,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var pending []*entry
-	for _, e := range t.members {
+	for _, e := range t.pending {
 		local := e.DataCentre == dataCentre && dataCentre == t.self.DataCentre
-		if e.transmits > 0 && (local || e.Status == tgframe.MemberLeaving) {
+		if local || e.Status == tgframe.MemberLeaving {
 			pending = append(pending, e)
 		}
 	}
@@ -38,7 +38,9 @@
 	})
 	updates := make([]tgframe.Member, 0, min(limit, len(pending)))
 	for _, e := range pending[:min(limit, len(pending))] {
-		e.transmits--
+		if e.transmits--; e.transmits <= 0 {
+			delete(t.pending, e.Name)
+		}
 		updates = append(updates, e.Member)
 	}
 	return updates
--- a/io/tgcommand/daemon.go
+++ b/io/tgcommand/daemon.go
@@ -84,7 +84,7 @@
 	}
 	d.node = tgnode.New(tgnode.Settings{
 		AdminAddress: p.AdminAddress, DataCentre: p.DataCentre, LinkAddress: p.LinkAddress,
-		LogAddress: p.LogAddress, Name: name,
+		LogAddress: p.LogAddress, Name: name, Seeds: p.Seeds, VMListAddress: p.VMListAddress,
 	}, d.transport, logger)
 	d.admin, err = tgadmin.Listen(ctx, p.AdminAddress, d.keys.Config(), d.registry)
 	if err != nil {
@@ -133,8 +133,8 @@
 		Applied: d.node.Applied(), DataCentre: d.process.DataCentre, Incarnation: d.node.Incarnation,
 		Name: d.node.Settings.Name, Ready: true, Role: string(d.process.Role), Started: d.started, Version: tgquery.Version(),
 	}
-	if s.Applied == 0 {
-		s.NotReady, s.Ready = "configuration is missing", false
+	if err := d.node.Ready(); err != nil {
+		s.NotReady, s.Ready = err.Error(), false
 	}
 	return s
 }
--- a/io/tgcompanion/companion.go
+++ b/io/tgcompanion/companion.go
@@ -71,6 +71,7 @@
 	if err != nil {
 		return
 	}
+	c.node.Observe(f.Sender)
 	switch {
 	case f.Kind == tgframe.KindAttach && f.Attach != nil:
 		c.attach(ctx, x, f.Attach)
@@ -87,7 +88,9 @@
 		}
 		c.follow(ctx, x, a, uint64(f.Execute.Delivered))
 	default:
-		c.node.Log.WithField("kind", f.Kind).Warn("unexpected first frame")
+		if !c.node.HandleControl(ctx, x, f) {
+			c.node.Log.WithField("kind", f.Kind).Warn("unexpected first frame")
+		}
 	}
 }
 
--- a/io/tgcompanion/permission.go
+++ b/io/tgcompanion/permission.go
@@ -4,24 +4,27 @@
 	"time"
 
 	"tanagergrade/core/tgcall"
-	"tanagergrade/core/tgconfig"
 	"tanagergrade/core/tgframe"
 )
 
-// check refuses work for capacity that operators do not want used.
+// check refuses work for capacity that operators do not want used, and all work while this process may have missed a
+// change.
 func (c *Companion) check(e *tgframe.Execute) *tgcall.Failure {
-	cfg := c.node.Config()
-	u, ok := cfg.Upstreams[c.upstream]
-	switch {
-	case !ok || e.Upstream != c.upstream:
+	if e.Upstream != c.upstream {
 		return tgcall.NotRunFailure(tgcall.CodeNoUpstream, "upstream %q is not served here", e.Upstream)
-	case u.State == tgconfig.Drained:
-		return tgcall.NotRunFailure(tgcall.CodeDraining, "upstream %q is drained", c.upstream)
-	case cfg.DataCentres[u.DataCentre].State == tgconfig.Withdrawn:
-		return tgcall.NotRunFailure(tgcall.CodeDataCentreWithdrawn, "data centre %q is withdrawn", u.DataCentre)
-	case !time.Now().Before(e.Deadline):
+	}
+	if err := c.node.Ready(); err != nil {
+		code := tgcall.CodeCutOff
+		if c.node.Applied() == 0 {
+			code = tgcall.CodeConfigurationMissing
+		}
+		return tgcall.NotRunFailure(code, "upstream %q takes no work: %v", c.upstream, err)
+	}
+	if f := c.node.Removal(c.upstream); f != nil {
+		return f
+	}
+	if !time.Now().Before(e.Deadline) {
 		return tgcall.NotRunFailure(tgcall.CodeDeadlineExceeded, "deadline passed before the request was run")
-	default:
-		return nil
 	}
+	return nil
 }
--- a/io/tgentry/entry.go
+++ b/io/tgentry/entry.go
@@ -74,6 +74,11 @@
 	nodeCtx, stopNode := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopNode()
 	wg.Go(func() { e.node.Run(nodeCtx) })
+	wg.Go(func() {
+		if err := e.node.Serve(nodeCtx); err != nil {
+			e.node.Log.WithError(err).Error("control frames are not served")
+		}
+	})
 	wg.Go(func() { e.watchCallers(nodeCtx) })
 	done := make(chan error, 1)
 	wg.Go(func() {
@@ -115,11 +120,11 @@
 }
 
 func (e *Entry) handleReady(c fiber.Ctx) error {
-	switch {
-	case e.stopping.Load():
+	if e.stopping.Load() {
 		return c.Status(fiber.StatusServiceUnavailable).SendString("stopping\n")
-	case e.node.Applied() == 0:
-		return c.Status(fiber.StatusServiceUnavailable).SendString("configuration is missing\n")
+	}
+	if err := e.node.Ready(); err != nil {
+		return c.Status(fiber.StatusServiceUnavailable).SendString(err.Error() + "\n")
 	}
 	return c.SendString("ready\n")
 }
--- a/io/tgentry/routing.go
+++ b/io/tgentry/routing.go
@@ -11,6 +11,7 @@
 	"tanagergrade/core/tgprefix"
 	"tanagergrade/core/tgretry"
 	"tanagergrade/core/tgroute"
+	"tanagergrade/io/tgnode"
 )
 
 const (
@@ -24,6 +25,7 @@
 type routing struct {
 	budget   *tgretry.Budget
 	cfg      *tgconfig.Config // the configuration that subsets and homes are from
+	removals uint64           // the version of marks and leaving VMs that they are from
 	homes    map[string][]tgroute.Candidate
 	mu       sync.Mutex
 	prefixes *tgprefix.Index
@@ -47,20 +49,22 @@
 
 // candidates returns the usable upstreams of a pool: all for the home of an idempotency key, on which all entries must
 // agree, and this entry's subset for other requests.
-func (r *routing) candidates(cfg *tgconfig.Config, pool, self string, home bool) []tgroute.Candidate {
+func (r *routing) candidates(node *tgnode.Node, pool string, home bool) []tgroute.Candidate {
+	cfg, removals := node.Config(), node.Removals()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.cfg != cfg {
+	if r.cfg != cfg || r.removals != removals {
+		r.removals = removals
 		r.cfg, r.homes, r.subsets = cfg, map[string][]tgroute.Candidate{}, map[string][]tgroute.Candidate{}
 		r.budget.SetRatio(cfg.Settings.RetryBudgetRatio)
 		for name, u := range cfg.Upstreams {
-			if usable(cfg, u) {
+			if node.Usable(name) {
 				c := tgroute.Candidate{DataCentre: u.DataCentre, Name: name, Pool: u.Pool}
 				r.homes[u.Pool] = append(r.homes[u.Pool], c)
 			}
 		}
 		for name, upstreams := range r.homes {
-			r.subsets[name] = tgroute.Subset(nil, self, upstreams, subsetSize)
+			r.subsets[name] = tgroute.Subset(nil, node.Settings.Name, upstreams, subsetSize)
 		}
 	}
 	if home {
@@ -90,7 +94,7 @@
 		e.routing.budget.Deposit()
 	}
 	cfg := e.node.Config()
-	candidates := e.routing.candidates(cfg, l.execute.Pool, e.node.Settings.Name, !l.execute.Idempotent)
+	candidates := e.routing.candidates(e.node, l.execute.Pool, !l.execute.Idempotent)
 	if !l.execute.Idempotent {
 		untried := slices.DeleteFunc(slices.Clone(candidates), func(c tgroute.Candidate) bool { return l.tried[c.Name] })
 		return tgroute.Home(untried, l.execute.IdempotencyKey)
@@ -110,10 +114,6 @@
 	return target, ok
 }
 
-func usable(cfg *tgconfig.Config, u tgconfig.Upstream) bool {
-	return u.State != tgconfig.Drained && cfg.DataCentres[u.DataCentre].State != tgconfig.Withdrawn
-}
-
 // observe takes the evidence of a frame for which this call waited the given time.
 func (l *call) observe(target tgroute.Candidate, f *tgframe.Frame, waited time.Duration) {
 	router := l.entry.router
--- /dev/null
+++ b/io/tgnode/admin.go
@@ -0,0 +1,28 @@
+package tgnode
+
+import (
+	"context"
+	"expvar"
+
+	"tanagergrade/core/tgconfig"
+	"tanagergrade/core/tgframe"
+	"tanagergrade/io/tgadmin"
+)
+
+// RegisterAdmin implements tgadmin.Registrar.
+func (n *Node) RegisterAdmin(r *tgadmin.Registry) {
+	r.Add("control", n.Dump)
+	r.SetMarks(n.takeMark)
+	const name = "control"
+	if expvar.Get(name) == nil { // a second daemon in one process, as in tests, keeps its counters in its dump
+		expvar.Publish(name, n.counters.vars)
+	}
+}
+
+func (n *Node) takeMark(_ context.Context, m tgadmin.Mark) error {
+	mark := tgframe.Mark{Base: m.Base, ID: m.ID, Kind: tgframe.MarkDrain, Name: m.Entity.Name}
+	if m.Entity.Kind == tgconfig.EntityDataCentre {
+		mark.Kind = tgframe.MarkWithdraw
+	}
+	return n.Mark(mark)
+}
--- /dev/null
+++ b/io/tgnode/control_bench_test.go
@@ -0,0 +1,161 @@
+package tgnode
+
+import (
+	"expvar"
+	"flag"
+	"fmt"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	"gotest.tools/v3/assert"
+)
+
+var plots = flag.String("plots", "", "directory that BenchmarkSpread writes its plot to")
+
+// paused runs f on the paused clock within a benchmark.
+func paused(b *testing.B, f func(t *testing.T)) {
+	b.Helper()
+	test := testing.InternalTest{Name: b.Name(), F: func(t *testing.T) {
+		t.Helper()
+		synctest.Test(t, f)
+	}}
+	if !testing.RunTests(func(string, string) (bool, error) { return true, nil }, []testing.InternalTest{test}) {
+		b.Fatal("the measured run failed")
+	}
+}
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+func (c *cluster) sum(name string) float64 {
+	total := int64(0)
+	for _, n := range c.nodes {
+		if v := n.counters.vars.Get(name); v != nil {
+			i, _ := v.(*expvar.Int)
+			total += i.Value()
+		}
+	}
+	return float64(total)
+}
+
+// BenchmarkSpread measures, in one data centre with three readers of the log, the time until a change is in force at
+// all daemons, and the control traffic and processor time of each.
+func BenchmarkSpread(b *testing.B) {
+	const seed, changes = 1, 20
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = "Change in force at all daemons", "daemons", "longest time, s"
+	p.X.Scale, p.X.Tick.Marker, p.Y.Min = plot.LogScale{}, plot.LogTicks{}, 0
+	for i, loss := range []float64{0, 0.1, 0.3} {
+		var points plotter.XYs
+		for _, size := range []int{10, 30, 100, 300, 1000} {
+			b.Run(fmt.Sprintf("loss=%.0f%%/daemons=%d", loss*100, size), func(b *testing.B) {
+				var longest time.Duration
+				for range b.N {
+					longest = max(longest, measureSpread(b, seed, size, changes, loss))
+				}
+				points = append(points, plotter.XY{X: float64(size), Y: longest.Seconds()})
+			})
+		}
+		if len(points) > 0 {
+			line, dots, err := plotter.NewLinePoints(points)
+			assert.NilError(b, err)
+			line.Color, dots.Color, dots.Shape = plotutil.Color(i), plotutil.Color(i), plotutil.Shape(i) //nolint:misspell // names of the library
+			p.Add(line, dots)
+			p.Legend.Add(fmt.Sprintf("%.0f%% of messages lost", loss*100), line, dots)
+		}
+	}
+	if *plots != "" {
+		assert.NilError(b, p.Save(5*vg.Inch, 3.5*vg.Inch, filepath.Join(*plots, "control-spread.svg")))
+	}
+}
+
+func measureSpread(b *testing.B, seed uint64, size, changes int, loss float64) time.Duration {
+	b.Helper()
+	const quiet = 60 * time.Second
+	var delays []time.Duration
+	var bytes, messages, perChange, cost float64
+	paused(b, func(t *testing.T) {
+		t.Helper()
+		c := newCluster(t, seed, size, "a1")
+		defer c.stop(c.names...)
+		c.impair(loss, 0, connected)
+		time.Sleep(2 * settle)
+		sentBytes, sent, cpu := c.sum("sentBytes"), c.sum("sentMessages"), processorTime()
+		time.Sleep(quiet)
+		seconds := float64(size) * quiet.Seconds()
+		bytes, messages = (c.sum("sentBytes")-sentBytes)/seconds, (c.sum("sentMessages")-sent)/seconds
+		cost = (processorTime() - cpu).Seconds() / seconds
+		sentBytes = c.sum("sentBytes")
+		started := time.Now()
+		for i := range changes {
+			offset := c.publish(uint64(i+1), withdraw(t, fmt.Sprintf("b%d", i)))
+			published := time.Now()
+			in := map[string]bool{}
+			for time.Since(published) < inForceBound {
+				time.Sleep(10 * time.Millisecond)
+				for _, name := range c.names {
+					if !in[name] && c.nodes[name].Applied() > offset {
+						in[name] = true
+						delays = append(delays, time.Since(published))
+					}
+				}
+			}
+			assert.Equal(t, len(in), size, "change %d is not in force everywhere", i)
+		}
+		perChange = (c.sum("sentBytes") - sentBytes - bytes*float64(size)*time.Since(started).Seconds()) / float64(size*changes)
+	})
+	slices.Sort(delays)
+	b.ReportMetric(delays[len(delays)/2].Seconds(), "p50-s")
+	b.ReportMetric(delays[len(delays)*99/100].Seconds(), "p99-s")
+	b.ReportMetric(delays[len(delays)-1].Seconds(), "max-s")
+	b.ReportMetric(bytes, "sentB/s")
+	b.ReportMetric(messages, "sent/s")
+	b.ReportMetric(perChange, "sentB/change")
+	b.ReportMetric(cost*100, "%core")
+	b.ReportMetric(0, "ns/op")
+	return delays[len(delays)-1]
+}
+
+// BenchmarkRestart measures the time until daemons that restart at once work again, of 140 in seven data centres.
+func BenchmarkRestart(b *testing.B) {
+	for _, row := range []struct {
+		name    string
+		count   int
+		logDown bool
+	}{
+		{"process", 1, false}, {"rack", 20, false}, {"all", 140, false}, {"process", 1, true}, {"rack", 20, true},
+	} {
+		b.Run(fmt.Sprintf("%s/logDown=%t", row.name, row.logDown), func(b *testing.B) {
+			var took time.Duration
+			for range b.N {
+				paused(b, func(t *testing.T) {
+					t.Helper()
+					c := newCluster(t, 1, 20, "a1", "a2", "a3", "b1", "b2", "c1", "c2")
+					defer c.stop(c.names...)
+					time.Sleep(settle)
+					c.log.SetDown(row.logDown)
+					time.Sleep(settle)
+					c.restart(c.names[:row.count]...)
+					var ok bool
+					took, ok = c.await(time.Minute, c.names, func(n *Node) bool { return n.Ready() == nil })
+					assert.Assert(t, ok)
+				})
+			}
+			b.ReportMetric(took.Seconds(), "recovery-s")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+	runtime.GC()
+}
--- /dev/null
+++ b/io/tgnode/counters.go
@@ -0,0 +1,45 @@
+package tgnode
+
+import (
+	"expvar"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"tanagergrade/core/tgframe"
+)
+
+// counters count the control traffic of one daemon.
+type counters struct {
+	vars *expvar.Map
+}
+
+func newCounters() *counters { return &counters{vars: new(expvar.Map).Init()} }
+
+func (c *counters) sent(f tgframe.Frame) { c.count("sent", f) }
+
+func (c *counters) received(f tgframe.Frame) { c.count("received", f) }
+
+func (c *counters) count(direction string, f tgframe.Frame) {
+	size := 0
+	if f.Fetched != nil && f.Fetched.Snapshot != nil {
+		size = len(f.Fetched.Snapshot)
+	} else if data, err := cbor.Marshal(f); err == nil {
+		size = len(data)
+	}
+	c.vars.Add(direction+"Bytes", int64(size))
+	c.vars.Add(direction+"Messages", 1)
+	c.vars.Add(direction+"."+string(f.Kind), 1)
+}
+
+// spread notes the time from the first read of a change to its application here.
+func (c *counters) spread(delay time.Duration) {
+	c.vars.Add("changesApplied", 1)
+	c.vars.Add("spreadMicroseconds", delay.Microseconds())
+	longest, _ := c.vars.Get("longestSpreadMicroseconds").(*expvar.Int)
+	if longest == nil {
+		longest = new(expvar.Int)
+		c.vars.Set("longestSpreadMicroseconds", longest)
+	}
+	longest.Set(max(longest.Value(), delay.Microseconds()))
+}
--- /dev/null
+++ b/io/tgnode/fault_test.go
@@ -0,0 +1,227 @@
+package tgnode
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/uuid"
+	"gotest.tools/v3/assert"
+
+	"tanagergrade/core/tgframe"
+	"tanagergrade/io/tgstandin"
+)
+
+// Bounds of the design page.
+const (
+	inForceBound  = 9 * time.Second
+	withdrawBound = 5 * time.Second
+)
+
+const settle = 15 * time.Second
+
+// TestChangeUnderFaults guards against accepted changes that are not in force everywhere within 9 s, that revert, and
+// against new work on a withdrawn data centre after 5 s. The change withdraws data centre a1.
+func TestChangeUnderFaults(t *testing.T) {
+	isolate := func(prefix string) func(from, to string) bool {
+		return func(from, to string) bool { return strings.HasPrefix(from, prefix) != strings.HasPrefix(to, prefix) }
+	}
+	for _, row := range []struct {
+		name    string
+		fault   func(c *cluster)
+		cutOff  string // prefix of the daemons that cannot learn of the change; they must refuse work
+		partial string // prefix of the daemons that go on with what they have while the fault lasts
+		lasts   time.Duration
+	}{
+		{name: "no fault"},
+		{name: "slow log", fault: func(c *cluster) { c.log.SetDelay(time.Second) }},
+		{name: "30% of messages lost", fault: func(c *cluster) { c.impair(0.3, 0, connected) }},
+		{name: "duplicated messages", fault: func(c *cluster) { c.impair(0, 0.5, connected) }},
+		{name: "one process cut off", fault: func(c *cluster) { c.impair(0, 0, isolate("a1-1")) }, cutOff: "a1-1"},
+		{name: "data centre cut off", fault: func(c *cluster) { c.impair(0, 0, isolate("a1")) }, cutOff: "a1"},
+		{
+			name: "regions apart for an hour", partial: "b", lasts: time.Hour,
+			fault: func(c *cluster) { c.impair(0, 0, isolate("b")) },
+		},
+		{name: "restart of one process", fault: func(c *cluster) { c.restart("a1-1") }},
+		{
+			name:  "restart of one process with its clock set back",
+			fault: func(c *cluster) { c.stop("a1-1"); c.start("a1-1", 1) },
+		},
+		{name: "restart of a rack", fault: func(c *cluster) { c.restart(c.in("a2")[1:]...) }},
+		{name: "restart of a data centre", fault: func(c *cluster) { c.restart(c.in("a1")...) }},
+		{name: "restart of all processes", fault: func(c *cluster) { c.restart(c.names...) }},
+		{
+			name:  "restart of all processes, messages lost",
+			fault: func(c *cluster) { c.impair(0.3, 0, connected); c.restart(c.names...) },
+		},
+		{name: "death of the readers of a data centre", fault: func(c *cluster) {
+			for _, name := range c.in("a2") {
+				if c.nodes[name].peers.Reader() {
+					c.stop(name)
+				}
+			}
+		}},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				perDataCentre := 4
+				if row.lasts > 0 {
+					perDataCentre = 2 // the long case is slow with the race detector
+				}
+				c := newCluster(t, 1, perDataCentre, "a1", "a2", "a3", "b1", "b2")
+				defer c.stop(c.names...)
+				time.Sleep(settle)
+				for _, name := range c.names {
+					assert.NilError(t, c.nodes[name].Ready(), name)
+				}
+				if row.fault != nil {
+					row.fault(c)
+				}
+				published := time.Now()
+				offset := c.publish(1, withdraw(t, "a1"))
+				highest := map[*Node]uint64{}
+				check := func() {
+					for _, name := range c.names {
+						n := c.nodes[name]
+						applied, works := n.Applied(), n.Ready() == nil && n.ctx.Err() == nil
+						assert.Assert(t, applied >= highest[n.Node], "%s went back to %d", name, applied)
+						highest[n.Node] = applied
+						if row.partial != "" && strings.HasPrefix(name, row.partial) {
+							assert.Assert(t, works, "%s does not go on", name)
+							continue
+						}
+						if time.Since(published) > inForceBound && works {
+							assert.Assert(t, applied > offset, "%s works on %d", name, applied)
+						}
+						if time.Since(published) > withdrawBound && c.dataCentre[name] == "a1" {
+							assert.Assert(t, !works || !n.Usable(name), "%s takes work after %s", name, time.Since(published))
+						}
+					}
+				}
+				for time.Since(published) < max(row.lasts, inForceBound+time.Second) {
+					check()
+					if row.cutOff != "" && time.Since(published) > withdrawBound {
+						for _, name := range c.in(row.cutOff) {
+							assert.Assert(t, c.nodes[name].Ready() != nil, "%s is cut off and works", name)
+						}
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+				c.impair(0, 0, connected)
+				learnt, ok := c.await(inForceBound, c.names, func(n *Node) bool {
+					return n.Ready() == nil && n.Applied() > offset || c.nodes[n.Settings.Name].ctx.Err() != nil
+				})
+				assert.Assert(t, ok, "not in force everywhere %s after the fault", learnt)
+				for range 50 {
+					check()
+					time.Sleep(100 * time.Millisecond)
+				}
+			})
+		})
+	}
+}
+
+// TestRemovalDuringLogOutage guards against new work on removed capacity while the log is down, against marks that
+// override an accepted change, and against marks that the log never gets.
+func TestRemovalDuringLogOutage(t *testing.T) {
+	mark := func(kind tgframe.MarkKind, name string) func(*testing.T, *cluster) {
+		return func(t *testing.T, c *cluster) {
+			t.Helper()
+			assert.NilError(t, c.nodes["a2-5"].Mark(tgframe.Mark{ID: uuid.New(), Kind: kind, Name: name}))
+		}
+	}
+	for _, row := range []struct {
+		name    string
+		loss    float64
+		remove  func(t *testing.T, c *cluster)
+		removed string // prefix of the upstreams
+		durable bool
+	}{
+		{"withdrawal by mark", 0, mark(tgframe.MarkWithdraw, "a1"), "a1", true},
+		{"withdrawal by mark, messages lost", 0.3, mark(tgframe.MarkWithdraw, "a1"), "a1", true},
+		{"drain by mark", 0, mark(tgframe.MarkDrain, "b1-13"), "b1-13", true},
+		{"leaving mark", 0, func(_ *testing.T, c *cluster) {
+			vm := tgstandin.VM{Address: c.nodes["a1-1"].Settings.LinkAddress, DataCentre: "a1", Name: "a1-1", State: vmLeaving}
+			c.vms.Set(vm)
+		}, "a1-1", false},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 2, 4, "a1", "a2", "a3", "b1", "b2")
+				defer c.stop(c.names...)
+				time.Sleep(settle)
+				c.log.SetDown(true)
+				time.Sleep(time.Minute)
+				c.impair(row.loss, 0, connected)
+				row.remove(t, c)
+				removed := func(n *Node) bool {
+					for _, u := range c.names {
+						if n.Usable(u) == strings.HasPrefix(u, row.removed) {
+							return false
+						}
+					}
+					return true
+				}
+				took, ok := c.await(withdrawBound, c.names, removed)
+				assert.Assert(t, ok, "not enforced everywhere after %s", took)
+				for _, name := range c.names {
+					assert.NilError(t, c.nodes[name].Ready(), "a log outage alone stops no work")
+				}
+				c.restart("a3-9")
+				took, ok = c.await(settle, c.names, func(n *Node) bool { return n.Ready() == nil && removed(n) })
+				assert.Assert(t, ok, "a fresh daemon does not work on the newest state %s after its start", took)
+				c.log.SetDown(false)
+				took, ok = c.await(settle, c.names, func(n *Node) bool { return len(n.marks.Marks()) == 0 && removed(n) })
+				assert.Assert(t, ok, "marks are not in the log %s after the outage", took)
+				assert.Equal(t, c.nodes["a2-5"].Applied() > 1, row.durable)
+			})
+		})
+	}
+}
+
+// TestRestartDuringLogOutage guards against daemons that work on an older configuration than a peer has shown, or do
+// not come back, when processes restart while the log is down.
+func TestRestartDuringLogOutage(t *testing.T) {
+	for _, row := range []struct {
+		name    string
+		loss    float64
+		restart string // prefix
+		returns bool   // without the log
+	}{
+		{"one process", 0, "a1-1", true},
+		{"one process, messages lost", 0.3, "a1-1", true},
+		{"a data centre", 0, "a1", true},
+		{"a region", 0, "a", true},
+		{"all processes", 0, "", false},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 3, 4, "a1", "a2", "a3", "b1", "b2")
+				defer c.stop(c.names...)
+				time.Sleep(settle)
+				offset := c.publish(1, withdraw(t, "a2"))
+				time.Sleep(inForceBound)
+				c.log.SetDown(true)
+				time.Sleep(time.Minute)
+				c.impair(row.loss, 0, connected)
+				restarted := c.in(row.restart)
+				c.restart(restarted...)
+				works := func(n *Node) bool { return n.Ready() == nil }
+				for range 300 {
+					for _, name := range c.names {
+						n := c.nodes[name].Node
+						assert.Assert(t, !works(n) || n.Applied() > offset, "%s works on %d", name, n.Applied())
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+				_, ok := c.await(0, restarted, works)
+				assert.Equal(t, ok, row.returns)
+				c.log.SetDown(false)
+				took, ok := c.await(inForceBound, c.names, works)
+				assert.Assert(t, ok, "not back %s after the outage", took)
+			})
+		})
+	}
+}
--- /dev/null
+++ b/io/tgnode/fetch.go
@@ -0,0 +1,191 @@
+package tgnode
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sourcegraph/conc"
+
+	"tanagergrade/core/tgconfig"
+	"tanagergrade/core/tgframe"
+	"tanagergrade/io/tglogclient"
+)
+
+const (
+	fetchPause         = 50 * time.Millisecond
+	fetchTries         = 20
+	maxFetched         = 128 // appends in one reply
+	maxSnapshotsServed = 2   // folded states sent at once; others are told to ask elsewhere
+	snapshotTimeout    = 3 * time.Second
+)
+
+// errNothingFetched says that a peer had nothing newer or was busy.
+var errNothingFetched = errors.New("peer sent nothing newer")
+
+// catchUp fetches from peers whenever one has shown a newer configuration.
+func (n *Node) catchUp(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case address := <-n.behind:
+			n.fetchUntilLevel(ctx, address)
+		}
+	}
+}
+
+// fetchUntilLevel asks the peer that showed a newer offset, then others; from the second attempt on two at once, since
+// with 30% of messages lost half of the exchanges fail.
+func (n *Node) fetchUntilLevel(ctx context.Context, address netip.AddrPort) {
+	for try := 0; try < fetchTries && ctx.Err() == nil; try++ {
+		applied := n.Applied()
+		if applied >= n.tracker.HighestShown() {
+			return
+		}
+		targets := []netip.AddrPort{address}
+		for _, m := range n.peers.Ahead(applied) {
+			if m.Address != address && len(targets) < 2 {
+				targets = append(targets, m.Address)
+			}
+		}
+		if try == 0 {
+			targets = targets[:1]
+		} else if try%2 == 1 && len(targets) == 2 {
+			address = targets[1]
+		}
+		var wg conc.WaitGroup
+		for _, target := range targets {
+			wg.Go(func() {
+				if err := n.fetch(ctx, target); err != nil {
+					n.Log.WithError(err).WithField("peer", target).Debug("fetch of configuration failed")
+				}
+			})
+		}
+		wg.Wait()
+		if n.Applied() == applied {
+			sleep(ctx, jitter(fetchPause))
+		}
+	}
+}
+
+func (n *Node) fetch(ctx context.Context, address netip.AddrPort) error {
+	sent, from := time.Now(), n.Applied()
+	timeout := exchangeTimeout
+	if from == 0 || n.tracker.HighestShown()-from > maxHistory {
+		timeout = snapshotTimeout // the answer may be the folded state
+	}
+	f := tgframe.Frame{Fetch: &tgframe.Fetch{From: from}, Kind: tgframe.KindFetch}
+	reply, err := n.roundTrip(ctx, address, f, timeout)
+	if err != nil {
+		return err
+	}
+	n.Observe(reply.Sender)
+	switch f := reply.Fetched; {
+	case f == nil:
+		return errors.Newf("daemon at %s answered fetch with kind %q", address, reply.Kind)
+	case f.Snapshot != nil:
+		return n.restore(f.Snapshot)
+	case len(f.Entries) > 0:
+		for i := range f.Entries {
+			f.Entries[i].Age += time.Since(sent)
+		}
+		n.applyEntries(from, f.Entries)
+		return nil
+	default:
+		return errNothingFetched
+	}
+}
+
+// answerFetch returns what the peer lacks; the caller calls release after sending it.
+func (n *Node) answerFetch(f *tgframe.Fetch) (fetched *tgframe.Fetched, release func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	release = func() {}
+	if entries, ok := n.history.since(f.From, maxFetched); ok {
+		return &tgframe.Fetched{Entries: entries}, release
+	}
+	select {
+	case n.serving <- struct{}{}:
+	default:
+		return &tgframe.Fetched{Busy: true}, release
+	}
+	data, err := n.encodedState()
+	if err != nil {
+		n.Log.WithError(err).Error("state cannot be encoded")
+	}
+	return &tgframe.Fetched{Snapshot: data}, func() { <-n.serving }
+}
+
+// encodedState returns the folded state, encoded once for each offset. The caller holds mu.
+func (n *Node) encodedState() ([]byte, error) {
+	if n.snapshot != nil && n.snapshotAt == n.state.Applied() {
+		return n.snapshot, nil
+	}
+	snapshot, err := n.state.Snapshot()
+	if err != nil {
+		return nil, err
+	}
+	data, err := cbor.Marshal(snapshot)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode folded state")
+	}
+	n.snapshot, n.snapshotAt = data, n.state.Applied()
+	return data, nil
+}
+
+// restore replaces the state by a newer folded one.
+func (n *Node) restore(data []byte) error {
+	var snapshot tgconfig.Snapshot
+	if err := cbor.Unmarshal(data, &snapshot); err != nil {
+		return errors.Wrap(err, "decode folded state")
+	}
+	return n.restoreSnapshot(snapshot)
+}
+
+func (n *Node) restoreSnapshot(snapshot tgconfig.Snapshot) error {
+	state, err := tgconfig.NewStateFrom(snapshot)
+	if err != nil {
+		return err
+	}
+	n.mu.Lock()
+	newer := state.Applied() > n.state.Applied()
+	if newer {
+		n.state = state
+		n.history.reset(state.Applied())
+	}
+	n.mu.Unlock()
+	if newer {
+		n.advanced()
+	}
+	return nil
+}
+
+// readTruncated restores the newest snapshot in the log, after the wanted records have left the log's retention.
+func (n *Node) readTruncated(ctx context.Context, page tglogclient.Page) error {
+	var newest *tgconfig.Snapshot
+	var assembler tgconfig.Assembler
+	for from, next := page.First, page.Next; from < next; {
+		read, err := n.source.Read(ctx, ConfigStream, from, 0)
+		if err != nil {
+			return err
+		}
+		for _, e := range read.Entries {
+			from = e.Offset + 1
+			for _, r := range e.Records {
+				if s, complete, err := assembler.Add(r); err == nil && complete && s.Covered >= page.First {
+					newest = &s
+				}
+			}
+		}
+		if len(read.Entries) == 0 {
+			break
+		}
+	}
+	if newest == nil {
+		return errors.Newf("log starts at offset %d and has no snapshot", page.First)
+	}
+	return n.restoreSnapshot(*newest)
+}
--- /dev/null
+++ b/io/tgnode/follow.go
@@ -0,0 +1,185 @@
+package tgnode
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"tanagergrade/core/tgconfig"
+	"tanagergrade/core/tgframe"
+	"tanagergrade/io/tglogclient"
+)
+
+const (
+	// fallbackAge is the mean age of the last confirmation at which a daemon that is no reader reads the log; the age
+	// differs between daemons, so that the first ones to read spare the others.
+	fallbackAge      = 10 * time.Second
+	fallbackInterval = 30 * time.Second // longest mean time between such reads; 7,400 daemons make 250 reads/s in an outage
+	followPause      = 200 * time.Millisecond
+	followWait       = time.Second
+	idleCheck        = 500 * time.Millisecond
+	maxDecisions     = 64
+	maxReaderPause   = 2 * time.Second // between reads of a reader during an outage
+)
+
+// Decision is a verdict on a configuration record, for the dump.
+type Decision struct {
+	Conflicts []tgconfig.Entity `json:"conflicts,omitempty"`
+	Offset    uint64            `json:"offset"`
+	Reason    string            `json:"reason,omitempty"`
+	Verdict   tgconfig.Verdict  `json:"verdict"`
+}
+
+// Follow reads stream from its start and passes each append to apply until ctx ends.
+func Follow(
+	ctx context.Context, c *tglogclient.Client, stream string, log *logrus.Entry, apply func(tglogclient.Entry) error,
+) {
+	next := uint64(0)
+	for ctx.Err() == nil {
+		page, err := c.Read(ctx, stream, next, followWait)
+		if err != nil {
+			log.WithError(err).WithField("stream", stream).Debug("read from the log failed")
+			sleep(ctx, followPause)
+			continue
+		}
+		for _, e := range page.Entries {
+			if err := apply(e); err != nil {
+				log.WithError(err).WithFields(logrus.Fields{"offset": e.Offset, "stream": stream}).
+					Error("record cannot be applied")
+			}
+			next = e.Offset + 1
+		}
+	}
+}
+
+// readLog reads the configuration from the log: always as one of the readers of the data centre, else only when no
+// confirmation arrives by gossip.
+func (n *Node) readLog(ctx context.Context) {
+	pause := followPause
+	for ctx.Err() == nil {
+		reader := n.peers.Reader()
+		if !reader && !n.needsLog() {
+			pause = followPause
+			sleep(ctx, idleCheck)
+			continue
+		}
+		wait := followWait
+		if !reader {
+			wait = 0
+		}
+		err := n.readPage(ctx, wait)
+		if err == nil {
+			pause = followPause
+			if !reader {
+				sleep(ctx, idleCheck)
+			}
+			continue
+		}
+		n.Log.WithError(err).WithField("stream", ConfigStream).Debug("read from the log failed")
+		limit := fallbackInterval
+		if reader {
+			limit = maxReaderPause
+		}
+		sleep(ctx, jitter(pause))
+		pause = min(2*pause, limit)
+	}
+}
+
+// needsLog reports whether gossip has failed to confirm the configuration for so long that the log has to be asked.
+func (n *Node) needsLog() bool {
+	applied := n.Applied()
+	c := n.tracker.Confirmation(applied)
+	age := time.Since(n.started)
+	if c != nil {
+		age = c.Age
+	}
+	return age > n.fallback
+}
+
+func (n *Node) readPage(ctx context.Context, wait time.Duration) error {
+	sent, from := time.Now(), n.Applied()
+	page, err := n.source.Read(ctx, ConfigStream, from, wait)
+	if errors.Is(err, tglogclient.ErrTruncated) {
+		return n.readTruncated(ctx, page)
+	}
+	if err != nil {
+		return err
+	}
+	entries := make([]tgframe.LogEntry, len(page.Entries))
+	for i, e := range page.Entries {
+		entries[i] = tgframe.LogEntry{Offset: e.Offset, Records: e.Records}
+	}
+	n.applyEntries(from, entries)
+	if len(page.Entries) == 0 {
+		// The log looked again after waiting.
+		sent = sent.Add(wait)
+	}
+	if applied := n.Applied(); applied >= page.Next {
+		n.tracker.Confirm(sent, page.Next)
+		n.setBooted()
+	}
+	return nil
+}
+
+// applyEntries folds entries, which are all that the stream has from offset from on.
+func (n *Node) applyEntries(from uint64, entries []tgframe.LogEntry) {
+	n.mu.Lock()
+	if from > n.state.Applied() {
+		n.mu.Unlock()
+		return
+	}
+	changed := false
+	for _, e := range entries {
+		if e.Offset < n.state.Applied() {
+			continue
+		}
+		changed = true
+		decisions := n.state.Apply(e.Offset, e.Records)
+		n.history.add(e)
+		n.counters.spread(e.Age)
+		for _, d := range decisions {
+			n.record(Decision{Conflicts: d.Conflicts, Offset: e.Offset, Reason: d.Reason, Verdict: d.Verdict})
+		}
+	}
+	n.mu.Unlock()
+	if changed {
+		n.advanced()
+	}
+}
+
+func (n *Node) record(d Decision) {
+	n.decisions = append(n.decisions, d)
+	if extra := len(n.decisions) - maxDecisions; extra > 0 {
+		n.decisions = n.decisions[extra:]
+	}
+	n.Log.WithFields(logrus.Fields{"offset": d.Offset, "reason": d.Reason, "verdict": d.Verdict}).
+		Info("configuration change")
+}
+
+// advanced takes the consequences of a newer configuration.
+func (n *Node) advanced() {
+	n.mu.Lock()
+	dropped := n.marks.Prune(n.state)
+	applied := n.state.Applied()
+	n.mu.Unlock()
+	for _, m := range dropped {
+		n.Log.WithFields(logrus.Fields{"kind": m.Kind, "mark": m.ID, "name": m.Name}).Info("mark decided by the log")
+	}
+	n.tracker.Shown(0, applied)
+	n.updateRemoved()
+	n.signalNews()
+}
+
+func (n *Node) signalNews() {
+	select {
+	case n.news <- struct{}{}:
+	default:
+	}
+}
+
+func jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(rand.Int64N(int64(d)+1))
+}
--- /dev/null
+++ b/io/tgnode/gossip.go
@@ -0,0 +1,273 @@
+package tgnode
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+
+	"tanagergrade/core/tgframe"
+	"tanagergrade/io/tglink"
+)
+
+const (
+	contactTries    = 3 // peers tried in one round, so that lost messages do not look like a lost data centre
+	exchangeTimeout = 350 * time.Millisecond
+	farRounds       = 5 // one contact with another region in so many rounds
+	gossipInterval  = time.Second
+	maxUpdates      = 6 // member updates in one frame
+	minBootPeers    = 3 // peers that a daemon compares its configuration with before it works
+)
+
+// gossip compares state with peers, jittered so that daemons started together do not stay in step.
+func (n *Node) gossip(ctx context.Context) {
+	version := uint64(0)
+	for round := rand.IntN(farRounds); ctx.Err() == nil; round++ {
+		n.members.Expire()
+		if v := n.members.Version(); v != version {
+			version = v
+			n.peers.Update(n.members.Peers())
+		}
+		next := time.Now().Add(gossipInterval*4/5 + time.Duration(rand.Int64N(int64(gossipInterval)*2/5)))
+		var wg conc.WaitGroup
+		for _, name := range n.roundTargets(round) {
+			wg.Go(func() { n.contact(ctx, name) })
+		}
+		wg.Wait()
+		sleep(ctx, time.Until(next))
+	}
+}
+
+// roundTargets returns the data centres to contact: the own one, one other of the region, at times one of another region.
+func (n *Node) roundTargets(round int) []string {
+	targets := []string{n.Settings.DataCentre}
+	region := n.region()
+	var near, far []string
+	cfg := n.Config()
+	names := slices.AppendSeq(n.peers.DataCentres(), maps.Keys(cfg.DataCentres))
+	slices.Sort(names)
+	for _, name := range slices.Compact(names) {
+		switch {
+		case name == n.Settings.DataCentre:
+		case slices.Contains(region, name):
+			near = append(near, name)
+		default:
+			far = append(far, name)
+		}
+	}
+	if len(near) > 0 {
+		targets = append(targets, near[round%len(near)])
+	}
+	if len(far) > 0 && round%farRounds == 0 {
+		targets = append(targets, far[round/farRounds%len(far)])
+	}
+	return targets
+}
+
+// region returns the data centres of the own region, the own one included.
+func (n *Node) region() []string {
+	cfg := n.Config()
+	own := cfg.DataCentres[n.Settings.DataCentre].Region
+	names := []string{n.Settings.DataCentre}
+	for name, d := range cfg.DataCentres {
+		if name != n.Settings.DataCentre && d.Region == own && own != "" {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// contact exchanges gossip with one peer of a data centre, or with the next ones if it does not answer.
+func (n *Node) contact(ctx context.Context, dataCentre string) {
+	for range contactTries {
+		m, ok := n.peers.Next(dataCentre)
+		if !ok {
+			n.contactSeed(ctx, dataCentre)
+			return
+		}
+		if n.exchangeGossip(ctx, m) == nil || ctx.Err() != nil {
+			return
+		}
+		if n.members.Failed(m.Name) >= 2 && m.DataCentre == n.Settings.DataCentre && m.Status != tgframe.MemberLeaving {
+			go n.verifySilent(ctx, m)
+		}
+	}
+}
+
+// contactSeed contacts a seed or a companion that the configuration names, for data centres without a known member.
+func (n *Node) contactSeed(ctx context.Context, dataCentre string) {
+	if seeds := n.Settings.Seeds; len(seeds) > 0 && len(n.members.Peers()) == 0 {
+		_ = n.exchangeGossip(ctx, tgframe.Member{Address: seeds[rand.IntN(len(seeds))]})
+		return
+	}
+	for _, u := range n.Config().Upstreams {
+		if u.DataCentre == dataCentre && u.Companion.IsValid() && u.Companion != n.Settings.LinkAddress {
+			_ = n.exchangeGossip(ctx, tgframe.Member{Address: u.Companion})
+			return
+		}
+	}
+}
+
+// exchangeGossip compares state with one peer; the name of the peer may be unknown.
+func (n *Node) exchangeGossip(ctx context.Context, m tgframe.Member) error {
+	sent := time.Now()
+	g := n.newGossip(m.Name, m.DataCentre)
+	if digest := n.marks.Digest(); digest != 0 && n.shownDigest(m.Name) != digest {
+		g.Marks = n.marks.Marks()
+	}
+	reply, err := n.roundTrip(ctx, m.Address, tgframe.Frame{Gossip: g, Kind: tgframe.KindGossip}, exchangeTimeout)
+	if err != nil {
+		return err
+	}
+	if reply.Gossip == nil || reply.Sender == nil {
+		return errors.Newf("daemon at %s answered gossip with kind %q", m.Address, reply.Kind)
+	}
+	n.lastAnswer.Store(int64(time.Since(n.started)))
+	n.tracker.Answered(sent, n.Applied(), reply.Gossip)
+	n.takeGossip(reply.Sender, reply.Gossip)
+	n.noteAnswer(reply.Sender.Name)
+	return nil
+}
+
+func (n *Node) newGossip(receiver, dataCentre string) *tgframe.Gossip {
+	self := n.members.Self()
+	return &tgframe.Gossip{
+		DataCentre: self.DataCentre,
+		Generation: self.Generation,
+		MarkDigest: n.marks.Digest(),
+		Members:    n.members.Updates(receiver, dataCentre, maxUpdates),
+		Number:     self.Incarnation,
+	}
+}
+
+// answerGossip returns the reply to a peer's gossip.
+func (n *Node) answerGossip(sender *tgframe.Sender, g *tgframe.Gossip) *tgframe.Gossip {
+	n.takeGossip(sender, g)
+	reply := n.newGossip(sender.Name, g.DataCentre)
+	reply.Confirmed = n.tracker.Confirmation(n.Applied())
+	reply.Reach = n.tracker.Reach()
+	region := n.region()
+	maps.DeleteFunc(reply.Reach, func(name string, _ time.Duration) bool { return !slices.Contains(region, name) })
+	if reply.MarkDigest != 0 && reply.MarkDigest != g.MarkDigest {
+		reply.Marks = n.marks.Marks()
+	}
+	return reply
+}
+
+// takeGossip takes what does not depend on how old the message is.
+func (n *Node) takeGossip(sender *tgframe.Sender, g *tgframe.Gossip) {
+	n.mu.Lock()
+	n.digests[sender.Name] = g.MarkDigest
+	added := n.marks.Merge(g.Marks, n.state)
+	n.mu.Unlock()
+	leaving := n.members.Merge(g.Members)
+	n.members.Observe(tgframe.Member{
+		Address: sender.Address, DataCentre: g.DataCentre, Generation: g.Generation, Incarnation: g.Number, Name: sender.Name,
+	})
+	n.Observe(sender)
+	if added || leaving {
+		n.updateRemoved()
+		n.signalNews()
+	}
+}
+
+func (n *Node) shownDigest(peer string) uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.digests[peer]
+}
+
+// noteAnswer ends the start phase when enough peers have answered and none has shown a newer configuration.
+func (n *Node) noteAnswer(peer string) {
+	known := len(n.members.Peers())
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.booted {
+		return
+	}
+	n.answered[peer] = true
+	if len(n.answered) >= min(minBootPeers, known) && n.state.Applied() > 0 && n.state.Applied() >= n.tracker.HighestShown() {
+		n.booted = true
+	}
+}
+
+func (n *Node) setBooted() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.booted = true
+}
+
+// Observe takes the identity that came with a frame of any kind and fetches what this process lacks.
+func (n *Node) Observe(s *tgframe.Sender) {
+	if s == nil || s.Name == n.Settings.Name {
+		return
+	}
+	n.peers.Shown(s.Name, s.Applied)
+	applied := n.Applied()
+	n.tracker.Shown(s.Applied, applied)
+	if s.Applied > applied && s.Address.IsValid() {
+		select {
+		case n.behind <- s.Address:
+		default:
+		}
+	}
+}
+
+// HandleControl answers a control frame and reports whether the frame was one. Daemons call it for first frames of
+// kinds that they do not serve themselves.
+func (n *Node) HandleControl(ctx context.Context, x tglink.Exchange, f tgframe.Frame) bool {
+	if f.Sender == nil {
+		return false
+	}
+	var reply tgframe.Frame
+	switch {
+	case f.Kind == tgframe.KindFetch && f.Fetch != nil:
+		n.Observe(f.Sender)
+		fetched, release := n.answerFetch(f.Fetch)
+		defer release()
+		reply = tgframe.Frame{Fetched: fetched, Kind: tgframe.KindFetched}
+	case f.Kind == tgframe.KindGossip && f.Gossip != nil:
+		reply = tgframe.Frame{Gossip: n.answerGossip(f.Sender, f.Gossip), Kind: tgframe.KindGossip}
+	case f.Kind == tgframe.KindProbe && f.Probe != nil:
+		n.Observe(f.Sender)
+		reply = tgframe.Frame{Kind: tgframe.KindProbe, Probe: n.answerProbe(ctx, f.Probe)}
+	default:
+		return false
+	}
+	n.counters.received(f)
+	reply.Sender = n.Sender()
+	n.counters.sent(reply)
+	sendCtx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	defer cancel()
+	_ = x.Send(sendCtx, reply)
+	return true
+}
+
+// roundTrip sends f to the daemon at address and returns its answer.
+func (n *Node) roundTrip(
+	ctx context.Context, address netip.AddrPort, f tgframe.Frame, timeout time.Duration,
+) (tgframe.Frame, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	x, err := n.link.Open(ctx, address)
+	if err != nil {
+		return tgframe.Frame{}, err
+	}
+	defer x.Close()
+	f.Sender = n.Sender()
+	n.counters.sent(f)
+	if err := x.Send(ctx, f); err != nil {
+		return tgframe.Frame{}, err
+	}
+	reply, err := x.Receive(ctx)
+	if err != nil {
+		return tgframe.Frame{}, err
+	}
+	n.counters.received(reply)
+	return reply, nil
+}
--- /dev/null
+++ b/io/tgnode/marks.go
@@ -0,0 +1,78 @@
+package tgnode
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"tanagergrade/core/tgframe"
+	"tanagergrade/core/tgmark"
+	"tanagergrade/core/tgrecord"
+)
+
+const (
+	markInterval      = 2 * time.Second
+	othersMarkedAfter = 10 * time.Second // a daemon that is no reader writes a mark that the readers have left so long
+)
+
+// Mark takes a volatile mark from an operator. A base of 0 stands for the configuration that this process has.
+func (n *Node) Mark(m tgframe.Mark) error {
+	if m.ID == uuid.Nil {
+		m.ID = uuid.New()
+	}
+	if m.Base == 0 {
+		m.Base = n.Applied()
+	}
+	if _, err := tgmark.Record(m, n.Config(), n.Settings.Name); err != nil {
+		return err
+	}
+	n.mu.Lock()
+	added := n.marks.Merge([]tgframe.Mark{m}, n.state)
+	n.mu.Unlock()
+	if !added {
+		return errors.Newf("mark %s on %q is known, or the configuration has changed since offset %d", m.ID, m.Name, m.Base)
+	}
+	n.updateRemoved()
+	n.signalNews()
+	return nil
+}
+
+// writeMarks writes marks to the log when it is back. Several daemons may do so: readers ignore a repeated ID.
+func (n *Node) writeMarks(ctx context.Context) {
+	var since time.Time
+	for ctx.Err() == nil {
+		sleep(ctx, jitter(markInterval))
+		marks := n.marks.Marks()
+		c := n.tracker.Confirmation(n.Applied())
+		if len(marks) == 0 || c == nil || c.Age > markInterval*2 {
+			since = time.Time{}
+			continue
+		}
+		if since.IsZero() {
+			since = time.Now()
+		}
+		if n.peers.Reader() || time.Since(since) > othersMarkedAfter {
+			n.appendMarks(ctx, marks)
+		}
+	}
+}
+
+func (n *Node) appendMarks(ctx context.Context, marks []tgframe.Mark) {
+	records := make([]tgrecord.Record, 0, len(marks))
+	for _, m := range marks {
+		r, err := tgmark.Record(m, n.Config(), n.Settings.Name)
+		if err != nil {
+			n.Log.WithError(err).WithField("mark", m.ID).Warn("mark cannot be written")
+			continue
+		}
+		records = append(records, r)
+	}
+	if len(records) == 0 {
+		return
+	}
+	if _, err := n.source.Append(ctx, ConfigStream, records); err != nil {
+		n.Log.WithError(err).Debug("append of marks failed")
+	}
+}
--- a/io/tgnode/node.go
+++ b/io/tgnode/node.go
@@ -1,17 +1,25 @@
-// Package tgnode is the part that entry and companion share: identity, configuration and state dump.
+// Package tgnode is the part that entry and companion share: identity, configuration, membership, gossip, freshness,
+// volatile marks and state dump.
 package tgnode
 
 import (
 	"context"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
 
 	"tanagergrade/core/tgconfig"
 	"tanagergrade/core/tgframe"
+	"tanagergrade/core/tgfreshness"
+	"tanagergrade/core/tggossip"
+	"tanagergrade/core/tgmark"
+	"tanagergrade/core/tgmember"
+	"tanagergrade/core/tgrecord"
 	"tanagergrade/io/tglink"
 	"tanagergrade/io/tglogclient"
 )
@@ -19,18 +27,21 @@
 // ConfigStream is the stream of configuration changes.
 const ConfigStream = "config"
 
-const (
-	followWait  = time.Second
-	followPause = 200 * time.Millisecond // between reads after an error
-)
-
 // Settings are what a process learns from its settings file.
 type Settings struct {
-	AdminAddress netip.AddrPort
-	DataCentre   string
-	LinkAddress  netip.AddrPort
-	LogAddress   netip.AddrPort
-	Name         string
+	AdminAddress  netip.AddrPort
+	DataCentre    string
+	LinkAddress   netip.AddrPort
+	LogAddress    netip.AddrPort
+	Name          string
+	Seeds         []netip.AddrPort // link addresses of peers to contact while none is known
+	VMListAddress netip.AddrPort   // not valid if there is no VM list; peers then come from the configuration
+}
+
+// logSource is what the node needs of the log service.
+type logSource interface {
+	Append(ctx context.Context, stream string, records []tgrecord.Record) (uint64, error)
+	Read(ctx context.Context, stream string, from uint64, wait time.Duration) (tglogclient.Page, error)
 }
 
 // Node is the control part of a daemon.
@@ -41,20 +52,76 @@
 	Settings    Settings
 	Transport   tglink.Link
 
-	mu    sync.Mutex
-	state *tgconfig.State
+	behind     chan netip.AddrPort // address of a peer that has shown a newer configuration
+	counters   *counters
+	fallback   time.Duration // age of the last confirmation at which this daemon reads the log although it is no reader
+	lastAnswer atomic.Int64  // when a peer last answered, as time since started
+	link       tglink.Dialer
+	marks      *tgmark.Table
+	members    *tgmember.Table
+	news       chan struct{} // something to push to peers at once
+	peers      *tggossip.Peers
+	following  atomic.Bool   // Run was called; before, there is no freshness to judge
+	removals   atomic.Uint64 // grows with each change of removed
+	removed    atomic.Pointer[removedCapacity]
+	source     logSource
+	started    time.Time
+	tracker    *tgfreshness.Tracker
+	vms        vmSource
+	verify     sync.Mutex    // held while a silent member is probed
+	serving    chan struct{} // one element for each snapshot being sent
+
+	mu        sync.Mutex
+	answered  map[string]bool // peers that answered before the node was bootstrapped
+	booted    bool            // the configuration was compared with the log or several peers
+	decisions []Decision
+	digests   map[string]uint64 // digest of the marks that each peer showed last
+	history   history
+	snapshot  []byte // encoded state at snapshotAt
+	state     *tgconfig.State
+
+	snapshotAt uint64
 }
 
 // New returns a node that does not run yet.
 func New(settings Settings, transport tglink.Link, logger *logrus.Logger) *Node {
-	return &Node{
+	client := tglogclient.New(settings.LogAddress)
+	n := newNode(settings, transport, client, logger)
+	n.LogClient, n.Transport = client, transport
+	if settings.VMListAddress.IsValid() {
+		n.vms = newVMClient(settings.VMListAddress)
+	}
+	return n
+}
+
+func newNode(settings Settings, link tglink.Dialer, source logSource, logger *logrus.Logger) *Node {
+	now := time.Now()
+	self := tgframe.Member{
+		Address: settings.LinkAddress, DataCentre: settings.DataCentre, Generation: uint64(now.UnixNano()), Name: settings.Name,
+	}
+	n := &Node{
 		Incarnation: uuid.New(),
 		Log:         logger.WithField("process", settings.Name),
-		LogClient:   tglogclient.New(settings.LogAddress),
 		Settings:    settings,
-		Transport:   transport,
-		state:       tgconfig.NewState(),
+
+		answered: map[string]bool{},
+		behind:   make(chan netip.AddrPort, 1),
+		counters: newCounters(),
+		digests:  map[string]uint64{},
+		fallback: jitter(fallbackAge),
+		link:     link,
+		marks:    tgmark.NewTable(),
+		members:  tgmember.NewTable(self),
+		news:     make(chan struct{}, 1),
+		peers:    tggossip.NewPeers(self),
+		serving:  make(chan struct{}, maxSnapshotsServed),
+		source:   source,
+		started:  now,
+		state:    tgconfig.NewState(),
+		tracker:  tgfreshness.NewTracker(settings.DataCentre),
 	}
+	n.removed.Store(&removedCapacity{})
+	return n
 }
 
 // Config returns the accepted configuration.
@@ -73,44 +140,32 @@
 
 // Sender returns the identity that goes with the first frame of each direction.
 func (n *Node) Sender() *tgframe.Sender {
-	return &tgframe.Sender{Applied: n.Applied(), Incarnation: n.Incarnation, Name: n.Settings.Name}
+	return &tgframe.Sender{
+		Address: n.Settings.LinkAddress, Applied: n.Applied(), Incarnation: n.Incarnation, Name: n.Settings.Name,
+	}
 }
 
-// Run follows the configuration until ctx ends.
+// Run keeps the control state up to date until ctx ends.
 func (n *Node) Run(ctx context.Context) {
-	Follow(ctx, n.LogClient, ConfigStream, n.Log, n.apply)
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	n.following.Store(true)
+	n.joinVMs(ctx)
+	wg.Go(func() { n.readLog(ctx) })
+	wg.Go(func() { n.gossip(ctx) })
+	wg.Go(func() { n.push(ctx) })
+	wg.Go(func() { n.catchUp(ctx) })
+	wg.Go(func() { n.writeMarks(ctx) })
+	wg.Go(func() { n.pollVMs(ctx) })
 }
 
-func (n *Node) apply(e tglogclient.Entry) error {
-	n.mu.Lock()
-	decisions := n.state.Apply(e.Offset, e.Records)
-	n.mu.Unlock()
-	for _, d := range decisions {
-		n.Log.WithFields(logrus.Fields{"offset": e.Offset, "reason": d.Reason, "verdict": d.Verdict}).
-			Info("configuration change")
-	}
-	return nil
-}
+// Serve answers the control frames of other daemons until ctx ends, for a daemon that serves nothing else.
+func (n *Node) Serve(ctx context.Context) error { return n.Transport.Serve(ctx, n.serve) }
 
-// Follow reads stream from its start and passes each append to apply until ctx ends.
-func Follow(
-	ctx context.Context, c *tglogclient.Client, stream string, log *logrus.Entry, apply func(tglogclient.Entry) error,
-) {
-	next := uint64(0)
-	for ctx.Err() == nil {
-		page, err := c.Read(ctx, stream, next, followWait)
-		if err != nil {
-			log.WithError(err).WithField("stream", stream).Debug("read from the log failed")
-			sleep(ctx, followPause)
-			continue
-		}
-		for _, e := range page.Entries {
-			if err := apply(e); err != nil {
-				log.WithError(err).WithFields(logrus.Fields{"offset": e.Offset, "stream": stream}).
-					Error("record cannot be applied")
-			}
-			next = e.Offset + 1
-		}
+func (n *Node) serve(ctx context.Context, x tglink.Exchange) {
+	f, err := x.Receive(ctx)
+	if err == nil && !n.HandleControl(ctx, x, f) {
+		n.Log.WithField("kind", f.Kind).Warn("unexpected first frame")
 	}
 }
 
--- /dev/null
+++ b/io/tgnode/vms.go
@@ -0,0 +1,143 @@
+package tgnode
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"tanagergrade/core/tgframe"
+)
+
+const (
+	joinJitter      = 2 * time.Second // spreads the first reads after a mass restart
+	joinTries       = 3
+	readerVMPoll    = time.Second
+	vmLeaving       = "leaving"
+	vmPoll          = 5 * time.Minute // of daemons that are no readers, which hear of leaving VMs by gossip
+	vmTimeout       = 2 * time.Second
+	maxVMReplyBytes = 16 << 20
+)
+
+// vmSource reads the VM list: what changed after version since.
+type vmSource interface {
+	VMs(ctx context.Context, since uint64) (vms []tgframe.Member, version uint64, err error)
+}
+
+type vmClient struct {
+	address netip.AddrPort
+	http    *fasthttp.Client
+}
+
+func newVMClient(address netip.AddrPort) *vmClient {
+	return &vmClient{address: address, http: &fasthttp.Client{
+		MaxIdemponentCallAttempts: 1,
+		MaxResponseBodySize:       maxVMReplyBytes,
+		NoDefaultUserAgentHeader:  true,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+	}}
+}
+
+// VMs implements vmSource.
+func (c *vmClient) VMs(_ context.Context, since uint64) ([]tgframe.Member, uint64, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + c.address.String() + "/v1/vms?since=" + strconv.FormatUint(since, 10))
+	if err := c.http.DoTimeout(req, resp, vmTimeout); err != nil {
+		return nil, 0, errors.Wrap(err, "read the VM list")
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return nil, 0, errors.Newf("VM list answered with status %d", resp.StatusCode())
+	}
+	var reply struct {
+		Version uint64 `json:"version"`
+		VMs     []struct {
+			Address    netip.AddrPort `json:"address"`
+			DataCentre string         `json:"dataCentre"`
+			Name       string         `json:"name"`
+			State      string         `json:"state"`
+		} `json:"vms"`
+	}
+	if err := json.Unmarshal(resp.Body(), &reply); err != nil {
+		return nil, 0, errors.Wrap(err, "decode the VM list")
+	}
+	vms := make([]tgframe.Member, len(reply.VMs))
+	for i, vm := range reply.VMs {
+		vms[i] = tgframe.Member{
+			Address: vm.Address, DataCentre: vm.DataCentre, Name: vm.Name, Status: tgframe.MemberListed,
+		}
+		if vm.State == vmLeaving {
+			vms[i].Status = tgframe.MemberLeaving
+		}
+	}
+	return vms, reply.Version, nil
+}
+
+// joinVMs learns of peers before the first contact, so that a daemon does not take itself for the only one.
+func (n *Node) joinVMs(ctx context.Context) {
+	if n.vms == nil {
+		return
+	}
+	for range joinTries {
+		sleep(ctx, rand.N(joinJitter))
+		if n.readVMs(ctx, &vmView{leaving: map[string]tgframe.Member{}}) == nil {
+			n.peers.Update(n.members.Peers())
+			return
+		}
+	}
+}
+
+// vmView is what one daemon has read of the VM list.
+type vmView struct {
+	leaving map[string]tgframe.Member
+	version uint64
+}
+
+// pollVMs reads the VM list: often as a reader of the data centre, else rarely.
+func (n *Node) pollVMs(ctx context.Context) {
+	if n.vms == nil {
+		return
+	}
+	view := &vmView{leaving: map[string]tgframe.Member{}}
+	last := time.Now()
+	for ctx.Err() == nil {
+		sleep(ctx, jitter(readerVMPoll))
+		if !n.peers.Reader() && time.Since(last) < vmPoll {
+			continue
+		}
+		last = time.Now().Add(-rand.N(vmPoll / 4))
+		if err := n.readVMs(ctx, view); err != nil {
+			n.Log.WithError(err).Debug("read of the VM list failed")
+		}
+	}
+}
+
+func (n *Node) readVMs(ctx context.Context, view *vmView) error {
+	vms, version, err := n.vms.VMs(ctx, view.version)
+	if err != nil {
+		return err
+	}
+	view.version = version
+	for _, m := range vms {
+		if m.Status == tgframe.MemberLeaving {
+			view.leaving[m.Name] = m
+		} else {
+			delete(view.leaving, m.Name)
+		}
+	}
+	// A leaving mark is repeated at each read, in case a restart of the process on that VM looked like a new member.
+	for _, m := range view.leaving {
+		vms = append(vms, m)
+	}
+	if n.members.List(vms) {
+		n.updateRemoved()
+		n.signalNews()
+	}
+	return nil
+}
