Write the folded configuration to the log again before it expires

Cause: when the records of an accepted configuration left the log's retention and every process restarted, the configuration was gone.

Conclusion: what must last outlives the retention without a store of our own.

--- a/core/tgconfig/config.go
+++ b/core/tgconfig/config.go
@@ -77,14 +77,15 @@
 // Settings are limits and timeouts of the whole deployment.
 type Settings struct {
 	ClaimTimeout     time.Duration `cbor:"claimTimeout" toml:"claimTimeout"`         // wait for a claim to be read back
+	ColdConcurrency  int           `cbor:"coldConcurrency" toml:"coldConcurrency"`   // attempts a cold upstream bears
 	DrainTimeout     time.Duration `cbor:"drainTimeout" toml:"drainTimeout"`         // bound of a graceful shutdown
 	MaxQueued        int           `cbor:"maxQueued" toml:"maxQueued"`               // waiting attempts of one upstream
 	MaxRequestBytes  int           `cbor:"maxRequestBytes" toml:"maxRequestBytes"`   // size of a request body
 	RequestTimeout   time.Duration `cbor:"requestTimeout" toml:"requestTimeout"`     // from arrival to the end of the answer
+	RetryBudgetRatio float64       `cbor:"retryBudgetRatio" toml:"retryBudgetRatio"` // retries for each request
 	SilenceTimeout   time.Duration `cbor:"silenceTimeout" toml:"silenceTimeout"`     // silence after which a connection is replaced
+	SnapshotInterval time.Duration `cbor:"snapshotInterval" toml:"snapshotInterval"` // at most a quarter of the log's retention
 	WarmConcurrency  int           `cbor:"warmConcurrency" toml:"warmConcurrency"`   // attempts a warm upstream bears
-	ColdConcurrency  int           `cbor:"coldConcurrency" toml:"coldConcurrency"`   // attempts a cold upstream bears
-	RetryBudgetRatio float64       `cbor:"retryBudgetRatio" toml:"retryBudgetRatio"` // retries for each request
 }
 
 // Upstream is a model engine or an instance of a plain service.
--- /dev/null
+++ b/core/tgconfig/schedule.go
@@ -0,0 +1,78 @@
+package tgconfig
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/google/uuid"
+
+	"tanagergrade/core/tgrecord"
+)
+
+// maxSnapshotLag is the number of offsets after which a snapshot is due whatever the time; it bounds what a
+// fresh daemon has to fold.
+const maxSnapshotLag = Window / 4
+
+// StoredSnapshot is the newest complete snapshot in the log, as far as it was read.
+type StoredSnapshot struct {
+	At      time.Time // by the clock of its writer; zero if there is none
+	Covered uint64
+}
+
+// Stored returns the newest complete snapshot in the log.
+func (s *State) Stored() StoredSnapshot { return s.stored }
+
+// noteSnapshot notes a part of a snapshot; the configuration does not change.
+func (s *State) noteSnapshot(r tgrecord.Record) {
+	part, err := tgrecord.Decode[SnapshotPart](r)
+	if err != nil {
+		return
+	}
+	if s.parts[part.Snapshot] == nil {
+		s.parts[part.Snapshot] = map[int]bool{}
+	}
+	s.parts[part.Snapshot][part.Index] = true // an append may be repeated
+	if len(s.parts[part.Snapshot]) < part.Total {
+		return
+	}
+	if part.Covered >= s.stored.Covered {
+		s.stored = StoredSnapshot{At: timeOf(r.ID), Covered: part.Covered}
+	}
+	clear(s.parts) // what is still incomplete was given up by its writer, or its writer wins later
+}
+
+// timeOf returns the time in a record ID, which is a UUIDv7.
+func timeOf(id uuid.UUID) time.Time {
+	if id.Version() != 7 {
+		return time.Time{}
+	}
+	return time.Unix(id.Time().UnixTime())
+}
+
+// SnapshotSchedule says when a daemon writes a snapshot. Each daemon adds a jitter, so that the first spares the
+// others; two snapshots at once are harmless.
+type SnapshotSchedule struct {
+	jitter  float64 // 0 to 1, part of the interval that is added
+	started time.Time
+}
+
+// NewSnapshotSchedule returns the schedule of a daemon that starts now.
+func NewSnapshotSchedule(now time.Time) SnapshotSchedule {
+	return SnapshotSchedule{jitter: rand.Float64(), started: now} //nolint:gosec // jitter is no secret
+}
+
+// Due reports whether a snapshot of s is to be written.
+func (p SnapshotSchedule) Due(s *State, now time.Time) bool {
+	if s.applied == 0 || s.applied == s.stored.Covered {
+		return false
+	}
+	if lag := s.applied - s.stored.Covered; float64(lag) > maxSnapshotLag*(1+p.jitter) {
+		return true
+	}
+	last := s.stored.At
+	if last.IsZero() {
+		last = p.started
+	}
+	interval := s.cfg.Settings.SnapshotInterval
+	return now.Sub(last) > interval+time.Duration(p.jitter*float64(interval))
+}
--- a/core/tgconfig/settings.go
+++ b/core/tgconfig/settings.go
@@ -24,6 +24,7 @@
 	}
 	required := map[string]time.Duration{
 		"claimTimeout": s.ClaimTimeout, "requestTimeout": s.RequestTimeout, "silenceTimeout": s.SilenceTimeout,
+		"snapshotInterval": s.SnapshotInterval,
 	}
 	for key, value := range required {
 		if value == 0 {
--- a/core/tgconfig/state.go
+++ b/core/tgconfig/state.go
@@ -35,11 +35,13 @@
 
 // State folds the config stream; every reader of the same records reaches the same State.
 type State struct {
-	applied uint64               // offset after the last append folded; only grows
-	cfg     *Config              // replaced, never modified
-	seen    map[uuid.UUID]uint64 // offset of each change folded within Window
-	touched map[Entity]uint64    // offset after the last accepted change of an entity, within Window
-	trimmed uint64               // applied when seen and touched were last trimmed
+	applied uint64                     // offset after the last append folded; only grows
+	cfg     *Config                    // replaced, never modified
+	parts   map[uuid.UUID]map[int]bool // parts seen of snapshots that are not complete
+	seen    map[uuid.UUID]uint64       // offset of each change folded within Window
+	stored  StoredSnapshot
+	touched map[Entity]uint64 // offset after the last accepted change of an entity, within Window
+	trimmed uint64            // applied when seen and touched were last trimmed
 }
 
 // NewState returns the state before the first record.
@@ -53,6 +55,7 @@
 			Settings:    DefaultSettings(),
 			Upstreams:   map[string]Upstream{},
 		},
+		parts:   map[uuid.UUID]map[int]bool{},
 		seen:    map[uuid.UUID]uint64{},
 		touched: map[Entity]uint64{},
 	}
@@ -80,12 +83,15 @@
 	}
 	decisions := make([]Decision, 0, len(records))
 	for _, r := range records {
-		if r.Kind != tgrecord.KindConfigChange {
-			continue
+		switch r.Kind {
+		case tgrecord.KindConfigChange:
+			d := s.applyChange(offset, r)
+			d.ID = r.ID
+			decisions = append(decisions, d)
+		case tgrecord.KindSnapshot:
+			s.noteSnapshot(r)
+		default:
 		}
-		d := s.applyChange(offset, r)
-		d.ID = r.ID
-		decisions = append(decisions, d)
 	}
 	s.applied = offset + 1
 	s.trim()
--- a/io/tgnode/node.go
+++ b/io/tgnode/node.go
@@ -156,6 +156,7 @@
 	wg.Go(func() { n.push(ctx) })
 	wg.Go(func() { n.catchUp(ctx) })
 	wg.Go(func() { n.writeMarks(ctx) })
+	wg.Go(func() { n.writeSnapshots(ctx) })
 	wg.Go(func() { n.pollVMs(ctx) })
 }
 
--- /dev/null
+++ b/io/tgnode/snapshots_test.go
@@ -0,0 +1,48 @@
+package tgnode
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+
+	"tanagergrade/core/tgconfig"
+)
+
+// TestRestartAfterRetention guards against an accepted configuration that is lost when its records leave the log and
+// every process restarts, and against a log filled by snapshots that all daemons write.
+func TestRestartAfterRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 5, 3, "a1", "a2", "b1")
+		defer func() { c.stop(c.names...) }()
+		settings := tgconfig.DefaultSettings()
+		settings.SnapshotInterval = time.Minute
+		raw, err := cbor.Marshal(settings)
+		assert.NilError(t, err)
+		c.publish(1, tgconfig.Change{Entities: []tgconfig.EntityChange{{
+			Entity: tgconfig.Entity{Kind: tgconfig.EntitySettings}, Value: raw,
+		}}})
+		c.publish(1, withdraw(t, "a2"))
+		time.Sleep(10 * time.Minute)
+
+		before := c.nodes[c.names[0]].Node
+		stored, applied := before.state.Stored(), before.Applied()
+		assert.Assert(t, stored.Covered > 2, "no snapshot covers the changes")
+		assert.Assert(t, applied < 60, "%d appends in 10 minutes", applied) // 10 snapshots, some of them by several daemons
+		c.stop(c.names...)
+		c.log.Truncate(ConfigStream, stored.Covered)
+		for _, name := range c.names {
+			c.start(name, 0)
+		}
+		_, ok := c.await(inForceBound, c.names, func(n *Node) bool { return n.Ready() == nil })
+		assert.Assert(t, ok, "not all daemons are back")
+		for _, name := range c.names {
+			cfg := c.nodes[name].Config()
+			assert.Equal(t, cfg.DataCentres["a2"].State, tgconfig.Withdrawn)
+			assert.Equal(t, cfg.Settings.SnapshotInterval, time.Minute)
+			assert.Equal(t, len(cfg.Upstreams), len(c.names))
+		}
+	})
+}
