Dial from a new port after a connection has gone silent

Cause: a new QUIC connection left from the same socket as the silent one, so whatever had lost track of that flow kept dropping its packets.

Change: after a live connection was given up or a dial failed, connections to that peer get sockets of their own. A UDP relay that loses its flows stands in for the middlebox.

Conclusion: re-attaching works where only new flows pass.

--- a/io/tglink/peer.go
+++ b/io/tglink/peer.go
@@ -24,6 +24,7 @@
 	current *connection // nil if there is none to use
 	failed  time.Time   // of the last dial, if it failed
 	failure error
+	suspect bool // a connection or a dial over the shared socket has failed, so new ones get sockets of their own
 }
 
 // connection is closed when it is retired and its last exchange has ended.
@@ -59,6 +60,7 @@
 	p.failure = err
 	if err != nil {
 		p.failed = time.Now()
+		p.suspect = true
 		return nil, err
 	}
 	p.current = &connection{conn: conn, made: time.Now(), open: 1}
@@ -84,6 +86,13 @@
 	return p.current
 }
 
+// isSuspect reports whether the next connection needs a socket of its own.
+func (p *peer) isSuspect() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.suspect
+}
+
 // release ends one exchange of l.
 func (p *peer) release(l *connection) {
 	p.mu.Lock()
@@ -101,6 +110,7 @@
 		return
 	}
 	p.current = nil
+	p.suspect = p.suspect || l.conn.Context().Err() == nil
 	l.retired = true
 	l.closeIfUnused()
 }
--- a/io/tglink/quic.go
+++ b/io/tglink/quic.go
@@ -70,6 +70,9 @@
 	p := t.peer(address)
 	l, err := p.acquire(ctx, func() (*quic.Conn, error) {
 		t.dials.Add(1)
+		if p.isSuspect() {
+			return t.dialFresh(ctx, address)
+		}
 		return t.transport.Dial(ctx, net.UDPAddrFromAddrPort(address), t.tlsConfig, quicConfig())
 	})
 	if err != nil {
@@ -84,6 +87,28 @@
 	return newExchange(stream, func() { p.release(l) }), nil
 }
 
+// dialFresh makes a connection from a new port. What has lost track of a flow between two addresses and ports
+// keeps dropping its packets, whichever QUIC connection they belong to.
+func (t *Transport) dialFresh(ctx context.Context, address netip.AddrPort) (*quic.Conn, error) {
+	local := net.UDPAddrFromAddrPort(netip.AddrPortFrom(t.Address().Addr(), 0))
+	udp, err := net.ListenUDP("udp", local)
+	if err != nil {
+		return nil, errors.Wrap(err, "open socket")
+	}
+	transport := &quic.Transport{Conn: udp}
+	closeSocket := func() {
+		_ = transport.Close()
+		_ = udp.Close()
+	}
+	conn, err := transport.Dial(ctx, net.UDPAddrFromAddrPort(address), t.tlsConfig, quicConfig())
+	if err != nil {
+		closeSocket()
+		return nil, err
+	}
+	context.AfterFunc(conn.Context(), closeSocket)
+	return conn, nil
+}
+
 func (t *Transport) peer(address netip.AddrPort) *peer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/io/tglink/quic_test.go
+++ b/io/tglink/quic_test.go
@@ -14,6 +14,7 @@
 	"tanagergrade/core/tgframe"
 	"tanagergrade/io/tgkey"
 	"tanagergrade/io/tglink"
+	"tanagergrade/io/tgstandin"
 )
 
 // startPair returns a transport and the address of another one that serves handler.
@@ -110,3 +111,38 @@
 	assert.Equal(t, client.Dials()-before, 1)
 	echo()
 }
+
+// Guards against a new connection that takes the path of the one that went silent: something between the two ends has
+// lost track of that path for good.
+func TestForgetTakesNewPath(t *testing.T) {
+	client, address := startPair(t, func(ctx context.Context, x tglink.Exchange) {
+		for {
+			f, err := x.Receive(ctx)
+			if err != nil || x.Send(ctx, f) != nil {
+				return
+			}
+		}
+	})
+	relay, err := tgstandin.NewRelay(address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.NilError(t, relay.Close()) })
+	echo := func() error {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		x, err := client.Open(ctx, relay.Address())
+		if err != nil {
+			return err
+		}
+		defer x.Close()
+		if err := x.Send(ctx, tgframe.Frame{Kind: tgframe.KindAccepted}); err != nil {
+			return err
+		}
+		_, err = x.Receive(ctx)
+		return err
+	}
+	assert.NilError(t, echo())
+	assert.Equal(t, relay.LoseFlows(), 1)
+	assert.Assert(t, echo() != nil, "the silent connection still works")
+	client.Forget(relay.Address())
+	assert.NilError(t, echo())
+}
