Inject faults in the demo and claim before admission

Cause: the demo showed no failure. With faults it showed one: during a log outage reads of the ledger were refused as overloaded, because requests that waited for a claim held all places at the upstream.

Change: the demo loses a connection's flows, withdraws and restores a data centre, kills an engine and stops the log, and compares what callers were told with what ran. Claims are waited for before admission, at most maxQueued at once; a claim whose request is then not admitted is released.

Conclusion: a slow log delays only the requests that need it.

--- a/io/tgcommand/demo.go
+++ b/io/tgcommand/demo.go
@@ -1,7 +1,9 @@
 package tgcommand
 
 import (
+	"io"
 	"net/netip"
+	"os"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
@@ -45,7 +47,8 @@
 	ctx, cancel := contextWithCancel(cmd)
 	defer cancel()
 	d, err := tgdemo.Start(ctx, tgdemo.Options{
-		Entries: c.demo.entries, Listen: listen, Logger: logger, Requests: c.demo.requests, Seed: c.demo.seed,
+		Entries: c.demo.entries, Listen: listen, Logger: logger, Progress: c.progress(), Requests: c.demo.requests,
+		Seed: c.demo.seed,
 	})
 	if err != nil {
 		return err
@@ -60,3 +63,15 @@
 	d.Wait()
 	return err
 }
+
+// progress returns where progress is shown: on a terminal only.
+func (c *config) progress() io.Writer {
+	f, ok := c.stderr.(*os.File)
+	if !ok {
+		return nil
+	}
+	if info, err := f.Stat(); err != nil || info.Mode()&os.ModeCharDevice == 0 {
+		return nil
+	}
+	return f
+}
--- a/io/tgcompanion/attempt.go
+++ b/io/tgcompanion/attempt.go
@@ -57,6 +57,15 @@
 		a.fail(f)
 		return
 	}
+	if a.execute.Idempotent || c.node.Config().Upstreams[c.upstream].ChecksIdempotencyKeys {
+		c.runAdmitted(ctx, a)
+		return
+	}
+	c.runClaimed(ctx, a)
+}
+
+// runAdmitted runs the attempt when the upstream can take it.
+func (c *Companion) runAdmitted(ctx context.Context, a *attempt) {
 	release, f := c.admit(ctx, a.execute)
 	if f != nil {
 		a.fail(f)
@@ -64,11 +73,12 @@
 	}
 	var sample tgadmit.Sample
 	defer func() { release(sample) }()
-	if a.execute.Idempotent || c.node.Config().Upstreams[c.upstream].ChecksIdempotencyKeys {
-		sample = c.call(ctx, a)
+	// The wait may have passed the withdrawal of this upstream.
+	if f := c.check(a.execute); f != nil {
+		a.fail(f)
 		return
 	}
-	sample = c.runClaimed(ctx, a)
+	sample = c.call(ctx, a)
 }
 
 // call hands the attempt to the upstream, once.
--- a/io/tgcompanion/claim.go
+++ b/io/tgcompanion/claim.go
@@ -7,7 +7,6 @@
 
 	"github.com/sourcegraph/conc"
 
-	"tanagergrade/core/tgadmit"
 	"tanagergrade/core/tgcall"
 	"tanagergrade/core/tgclaim"
 	"tanagergrade/core/tgconfig"
@@ -96,42 +95,50 @@
 	return tgclaimer.New(c.node.LogClient, u.Pool, tgclaim.MaxKeyAge, identity, c.node.Log)
 }
 
-// runClaimed runs an attempt that is not idempotent under a claim in the log.
-func (c *Companion) runClaimed(ctx context.Context, a *attempt) tgadmit.Sample {
+// runClaimed runs an attempt that is not idempotent under a claim in the log. It waits for the claim before it is
+// admitted, so that a slow log takes no place at the upstream from requests that need no claim.
+func (c *Companion) runClaimed(ctx context.Context, a *attempt) {
 	e := a.execute
-	claimCtx, cancel := context.WithTimeout(ctx, c.node.Config().Settings.ClaimTimeout)
-	defer cancel()
-	claimer := c.claims.await(claimCtx, e.Pool)
 	keyTime, err := tgclaim.KeyTime(e.IdempotencyKey)
-	switch {
-	case err != nil:
+	if err != nil {
 		a.fail(tgcall.NotRunFailure(tgcall.CodeIdempotencyKeyInvalid, "%v", err))
-		return tgadmit.Sample{}
-	case claimer == nil:
-		a.fail(tgcall.NotRunFailure(tgcall.CodeNoUpstream, "claims of pool %q are not followed here", e.Pool))
-		return tgadmit.Sample{}
+		return
+	}
+	settings := c.node.Config().Settings
+	if c.claiming.Add(1) > int64(settings.MaxQueued) {
+		c.claiming.Add(-1)
+		a.fail(tgcall.NotRunFailure(tgcall.CodeOverloaded, "too many claims of upstream %q wait for the log", c.upstream).
+			WithRetryAfter(time.Second))
+		return
 	}
 	key := tgclaim.NewKey(e.Account, e.Pool, e.IdempotencyKey)
-	grant := claimer.Acquire(claimCtx, tgclaimer.Request{
+	claimer, grant := c.acquire(ctx, e.Pool, settings.ClaimTimeout, tgclaimer.Request{
 		Digest: tgclaim.NewDigest(e.Method, e.Path, e.Body), Home: c.isHome(e), Key: key, KeyTime: keyTime,
 	})
+	c.claiming.Add(-1)
 	switch {
 	case grant.Failure != nil:
 		a.fail(grant.Failure)
-		return tgadmit.Sample{}
 	case grant.Replay != nil:
 		c.replay(ctx, a, grant.Replay)
-		return tgadmit.Sample{}
+	default:
+		c.runAdmitted(ctx, a)
+		c.finishClaim(claimer, a, key, grant)
 	}
-	// The wait for the claim may have passed the deadline or the withdrawal of this upstream.
-	if failure := c.check(e); failure != nil {
-		claimer.Release(key, grant.Claim)
-		a.fail(failure)
-		return tgadmit.Sample{}
+}
+
+func (c *Companion) acquire(
+	ctx context.Context, pool string, timeout time.Duration, r tgclaimer.Request,
+) (*tgclaimer.Claimer, tgclaimer.Grant) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	claimer := c.claims.await(ctx, pool)
+	if claimer == nil {
+		return nil, tgclaimer.Grant{
+			Failure: tgcall.NotRunFailure(tgcall.CodeNoUpstream, "claims of pool %q are not followed here", pool),
+		}
 	}
-	sample := c.call(ctx, a)
-	c.finishClaim(claimer, a, key, grant)
-	return sample
+	return claimer, claimer.Acquire(ctx, r)
 }
 
 // isHome reports whether this upstream is the one to which all entries send the key first.
--- a/io/tgcompanion/companion.go
+++ b/io/tgcompanion/companion.go
@@ -19,6 +19,7 @@
 type Companion struct {
 	admission *admission
 	attempts  *registry
+	claiming  atomic.Int64 // attempts that wait for a claim
 	claims    claims
 	client    *tgupstream.Client
 	decisions tgcall.Decisions
--- /dev/null
+++ b/io/tgdemo/caller.go
@@ -0,0 +1,171 @@
+package tgdemo
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"tanagergrade/core/tgcall"
+	"tanagergrade/io/tgstandin"
+)
+
+// kind is a kind of request that the demo sends.
+type kind string
+
+const (
+	kindBalance kind = "balance" // reads the ledger
+	kindDraft   kind = "draft"   // streams a model's answer
+	kindPromise kind = "promise" // adds to the ledger, not idempotent
+	kindSummary kind = "summary" // a model's whole answer
+)
+
+var kinds = []kind{kindBalance, kindDraft, kindPromise, kindSummary}
+
+const requestTimeout = 70 * time.Second // above the system's own
+
+// request is one request of the load.
+type request struct {
+	account string
+	key     string // idempotency key of a promise
+	kind    kind
+	number  int
+}
+
+// outcome is what a caller got.
+type outcome struct {
+	first time.Duration   // until the first token of a draft
+	gaps  []time.Duration // between the tokens of a draft
+	state tgcall.Outcome
+	whole bool // an answered request has its whole and right answer, or a stream ended with an error event
+}
+
+// caller sends requests as a client of the system would.
+type caller struct{ http *fasthttp.Client }
+
+func newCaller() *caller {
+	return &caller{http: &fasthttp.Client{
+		MaxConnsPerHost: 2 * concurrency, MaxIdemponentCallAttempts: 1, ReadTimeout: requestTimeout,
+		RetryIfErr:         func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		StreamResponseBody: true,
+	}}
+}
+
+func (q request) prompt() string { return fmt.Sprintf("prompt-%d", q.number) }
+
+// send sends q to the entry at address.
+func (c *caller) send(address netip.AddrPort, q request) outcome {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.Set("Authorization", "Bearer "+bearerKey(q.account))
+	path := plainRoute
+	switch q.kind {
+	case kindBalance:
+	case kindDraft, kindSummary:
+		path = "/v1/chat/completions"
+		req.Header.SetMethod(fasthttp.MethodPost)
+		req.SetBodyString(fmt.Sprintf(`{"model":%q,"stream":%t,"messages":[{"role":"user","content":%q}]}`,
+			model, q.kind == kindDraft, q.prompt()))
+	case kindPromise:
+		req.Header.SetMethod(fasthttp.MethodPost)
+		req.Header.Set("Idempotency-Key", q.key)
+		req.SetBodyString(fmt.Sprintf(`{"amount":%d}`, q.number))
+	}
+	req.SetRequestURI("http://" + address.String() + path)
+	started := time.Now()
+	if err := c.http.DoTimeout(req, resp, requestTimeout); err != nil {
+		return outcome{state: tgcall.Unknown}
+	}
+	defer resp.CloseBodyStream()
+	if resp.StatusCode() >= fasthttp.StatusBadRequest {
+		return outcome{state: tgcall.Outcome(resp.Header.Peek("Tanagergrade-Outcome"))}
+	}
+	if q.kind == kindDraft {
+		return readDraft(resp.BodyStream(), q.prompt(), started)
+	}
+	body, err := io.ReadAll(resp.BodyStream())
+	return outcome{state: tgcall.Answered, whole: err == nil && rightBody(q, body)}
+}
+
+func rightBody(q request, body []byte) bool {
+	if q.kind == kindSummary {
+		var answer struct {
+			Choices []struct {
+				Message struct {
+					Content string `json:"content"`
+				} `json:"message"`
+			} `json:"choices"`
+		}
+		return json.Unmarshal(body, &answer) == nil && len(answer.Choices) == 1 &&
+			answer.Choices[0].Message.Content == strings.Join(tgstandin.Answer(q.prompt(), 0), "")
+	}
+	return json.Valid(body)
+}
+
+// readDraft reads a stream and compares it with the answer that the prompt has.
+func readDraft(body io.Reader, prompt string, started time.Time) outcome {
+	o := outcome{state: tgcall.Answered}
+	var content strings.Builder
+	last := started
+	scanner := bufio.NewScanner(body)
+	for scanner.Scan() {
+		data, ok := bytes.CutPrefix(scanner.Bytes(), []byte("data: "))
+		if !ok {
+			continue
+		}
+		if string(data) == "[DONE]" {
+			o.whole = content.String() == strings.Join(tgstandin.Answer(prompt, 0), "")
+			return o
+		}
+		token, state, err := parseEvent(data)
+		if err != nil {
+			return o
+		}
+		if state != "" {
+			// An explicit error is an honest end.
+			return outcome{state: state}
+		}
+		now := time.Now()
+		if content.Len() == 0 {
+			o.first = now.Sub(started)
+		} else {
+			o.gaps = append(o.gaps, now.Sub(last))
+		}
+		last = now
+		content.WriteString(token)
+	}
+	return o
+}
+
+// parseEvent returns the token of an event, or the outcome that an error event states.
+func parseEvent(data []byte) (token string, state tgcall.Outcome, err error) {
+	var event struct {
+		Choices []struct {
+			Delta struct {
+				Content string `json:"content"`
+			} `json:"delta"`
+		} `json:"choices"`
+		Error *struct {
+			Outcome tgcall.Outcome `json:"outcome"`
+		} `json:"error"`
+	}
+	if err := json.Unmarshal(data, &event); err != nil {
+		return "", "", errors.Wrap(err, "decode event")
+	}
+	switch {
+	case event.Error != nil:
+		return "", event.Error.Outcome, nil
+	case len(event.Choices) != 1:
+		return "", "", errors.New("event has no choice")
+	default:
+		return event.Choices[0].Delta.Content, "", nil
+	}
+}
--- a/io/tgdemo/demo.go
+++ b/io/tgdemo/demo.go
@@ -3,9 +3,7 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"crypto/tls"
-	"encoding/hex"
 	"fmt"
 	"io"
 	"net"
@@ -15,15 +13,16 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
 
 	"tanagergrade/core/tgconfig"
-	"tanagergrade/core/tgrecord"
 	"tanagergrade/io/tgcompanion"
 	"tanagergrade/io/tgentry"
 	"tanagergrade/io/tgkey"
 	"tanagergrade/io/tglink"
 	"tanagergrade/io/tglogclient"
 	"tanagergrade/io/tgnode"
+	"tanagergrade/io/tgpublisher"
 	"tanagergrade/io/tgstandin"
 	"tanagergrade/io/tgupstream"
 )
@@ -33,29 +32,32 @@
 	Entries  int            // further entries beside the first
 	Listen   netip.AddrPort // the first entry's address
 	Logger   *logrus.Logger
-	Requests int // 0 to stay until interrupted
+	Progress io.Writer // shows progress; nil for none
+	Requests int       // 0 to stay until interrupted
 	Seed     uint64
 }
 
 const (
-	dataCentres  = 3
-	engines      = 6
-	ledgers      = 3
+	logRetention = 48 * time.Hour
+	readyTimeout = 20 * time.Second
 	tokenPause   = 5 * time.Millisecond
-	logRetention = time.Hour
-	demoKey      = "demo-key"
-	readyTimeout = 10 * time.Second
+	vmListLag    = time.Second
 )
 
 // Demo is a running demo.
 type Demo struct {
 	book    *tgstandin.Book
 	cfg     *tgconfig.Config
+	engines []*tgstandin.Engine // engine i is in data centre i modulo dataCentres
 	entries []netip.AddrPort
 	log     *tgstandin.Log
 	logAddr netip.AddrPort
 	options Options
+	relay   *tgstandin.Relay // before the companion of the second engine
+	seeds   []netip.AddrPort
 	tls     *tls.Config
+	vms     *tgstandin.VMList
+	vmsAddr netip.AddrPort
 	wg      conc.WaitGroup
 }
 
@@ -65,64 +67,45 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Demo{book: &tgstandin.Book{}, log: tgstandin.NewLog(logRetention), options: options, tls: tlsConfig}
-	server, err := tgstandin.Serve(d.log.Handle)
-	if err != nil {
-		return nil, err
-	}
-	d.logAddr = server.Address()
-	d.newConfig()
-	if err := d.startUpstreams(ctx); err != nil {
-		return nil, err
-	}
-	if err := d.publish(ctx); err != nil {
-		return nil, err
+	d := &Demo{
+		book: &tgstandin.Book{}, cfg: newConfig(), log: tgstandin.NewLog(logRetention), options: options, tls: tlsConfig,
+		vms: tgstandin.NewVMList(vmListLag),
 	}
-	for i := range 1 + options.Entries {
-		address := options.Listen
-		if address.Port() != 0 {
-			address = netip.AddrPortFrom(address.Addr(), address.Port()+uint16(i))
-		}
-		if err := d.startEntry(ctx, i, address); err != nil {
-			return nil, err
+	for _, step := range []func(context.Context) error{
+		d.startPlatform, d.startUpstreams, d.publishConfig, d.startEntries, d.awaitReady,
+	} {
+		if err := step(ctx); err != nil {
+			return d, err
 		}
 	}
-	return d, d.awaitReady(ctx)
+	return d, nil
 }
 
 // Wait waits until all daemons have stopped.
 func (d *Demo) Wait() { d.wg.Wait() }
 
-func (d *Demo) newConfig() {
-	sum := sha256.Sum256([]byte(demoKey))
-	d.cfg = &tgconfig.Config{
-		Accounts:    map[string]tgconfig.Account{"demo": {KeyHash: hex.EncodeToString(sum[:]), Priority: "live", Share: 1}},
-		DataCentres: map[string]tgconfig.DataCentre{},
-		Pools: map[string]tgconfig.Pool{
-			"drafting": {Kind: tgconfig.ModelPool, Models: []string{"thai-draft"}},
-			"ledger": {
-				Kind: tgconfig.PlainPool, PathPrefix: "/ledger/",
-				Operations: []tgconfig.Operation{{Idempotent: true, Method: "GET", Path: "/ledger/promises"}},
-			},
-		},
-		Settings:  tgconfig.DefaultSettings(),
-		Upstreams: map[string]tgconfig.Upstream{},
-	}
-	for i := range dataCentres {
-		d.cfg.DataCentres[dataCentreName(i)] = tgconfig.DataCentre{Region: "bkk", State: tgconfig.Active}
+func (d *Demo) startPlatform(context.Context) error {
+	log, err := tgstandin.Serve(d.log.Handle)
+	if err != nil {
+		return err
+	}
+	vms, err := tgstandin.Serve(d.vms.Handle)
+	if err != nil {
+		return err
 	}
+	d.logAddr, d.vmsAddr = log.Address(), vms.Address()
+	return nil
 }
 
-func dataCentreName(i int) string { return "bkk-" + string(rune('a'+i%dataCentres)) }
-
 func (d *Demo) startUpstreams(ctx context.Context) error {
 	for i := range engines {
 		e := tgstandin.NewEngine(fmt.Sprintf("draft-%d", i+1), tokenPause)
+		d.engines = append(d.engines, e)
 		server, err := tgstandin.Serve(e.Handle)
 		if err != nil {
 			return err
 		}
-		if err := d.startCompanion(ctx, e.Name, "drafting", dataCentreName(i), server.Address()); err != nil {
+		if err := d.startCompanion(ctx, e.Name, modelPool, dataCentreName(i), server.Address()); err != nil {
 			return err
 		}
 	}
@@ -132,10 +115,23 @@
 		if err != nil {
 			return err
 		}
-		if err := d.startCompanion(ctx, l.Name, "ledger", dataCentreName(i), server.Address()); err != nil {
+		if err := d.startCompanion(ctx, l.Name, plainPool, dataCentreName(i), server.Address()); err != nil {
 			return err
 		}
 	}
+	return d.startRelay(d.engines[1].Name)
+}
+
+// startRelay puts a relay between the entries and one companion.
+func (d *Demo) startRelay(upstream string) error {
+	u := d.cfg.Upstreams[upstream]
+	relay, err := tgstandin.NewRelay(u.Companion)
+	if err != nil {
+		return err
+	}
+	d.relay = relay
+	u.Companion = relay.Address()
+	d.cfg.Upstreams[upstream] = u
 	return nil
 }
 
@@ -144,10 +140,16 @@
 	if err != nil {
 		return nil, err
 	}
-	settings := tgnode.Settings{
-		DataCentre: dataCentre, LinkAddress: transport.Address(), LogAddress: d.logAddr, Name: name,
+	address := transport.Address()
+	d.vms.Set(tgstandin.VM{Address: address, DataCentre: dataCentre, Name: name, State: "live"})
+	node := tgnode.New(tgnode.Settings{
+		DataCentre: dataCentre, LinkAddress: address, LogAddress: d.logAddr, Name: name, Seeds: d.seeds,
+		VMListAddress: d.vmsAddr,
+	}, transport, d.options.Logger)
+	if len(d.seeds) < dataCentres {
+		d.seeds = append(d.seeds, address)
 	}
-	return tgnode.New(settings, transport, d.options.Logger), nil
+	return node, nil
 }
 
 func (d *Demo) startCompanion(ctx context.Context, upstream, pool, dataCentre string, address netip.AddrPort) error {
@@ -155,9 +157,7 @@
 	if err != nil {
 		return err
 	}
-	d.cfg.Upstreams[upstream] = tgconfig.Upstream{
-		Address: address, Companion: node.Settings.LinkAddress, DataCentre: dataCentre, Pool: pool, State: tgconfig.Active,
-	}
+	d.cfg.Upstreams[upstream] = newUpstream(pool, dataCentre, address, node.Settings.LinkAddress)
 	c := tgcompanion.New(node, upstream, tgupstream.New(address))
 	d.wg.Go(func() {
 		if err := c.Run(ctx); err != nil {
@@ -167,6 +167,19 @@
 	return nil
 }
 
+func (d *Demo) startEntries(ctx context.Context) error {
+	for i := range 1 + d.options.Entries {
+		address := d.options.Listen
+		if address.Port() != 0 {
+			address = netip.AddrPortFrom(address.Addr(), address.Port()+uint16(i))
+		}
+		if err := d.startEntry(ctx, i, address); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (d *Demo) startEntry(ctx context.Context, i int, address netip.AddrPort) error {
 	node, err := d.newNode(fmt.Sprintf("entry-%d", i+1), dataCentreName(i))
 	if err != nil {
@@ -188,17 +201,13 @@
 	return nil
 }
 
-func (d *Demo) publish(ctx context.Context) error {
-	change, err := tgconfig.Diff(tgconfig.NewState().Config(), d.cfg)
-	if err != nil {
-		return err
-	}
-	record, err := tgrecord.New(tgrecord.KindConfigChange, "demo", 0, change)
-	if err != nil {
-		return err
-	}
-	_, err = tglogclient.New(d.logAddr).Append(ctx, tgnode.ConfigStream, []tgrecord.Record{record})
-	return errors.Wrap(err, "publish the demo's configuration")
+func (d *Demo) publishConfig(ctx context.Context) error {
+	return d.publish(ctx, func(cfg *tgconfig.Config) (tgconfig.Change, error) { return tgconfig.Diff(cfg, d.cfg) })
+}
+
+func (d *Demo) publish(ctx context.Context, build func(*tgconfig.Config) (tgconfig.Change, error)) error {
+	_, err := tgpublisher.New(tglogclient.New(d.logAddr), "demo").Publish(ctx, build)
+	return errors.Wrap(err, "publish configuration")
 }
 
 func (d *Demo) awaitReady(ctx context.Context) error {
@@ -215,16 +224,24 @@
 	return nil
 }
 
-// Describe prints what runs where and one command per kind of request.
+func ready(address netip.AddrPort) bool {
+	status, _, err := fasthttp.GetTimeout(nil, "http://"+address.String()+"/readyz", time.Second)
+	return err == nil && status == fasthttp.StatusOK
+}
+
+// Describe prints what runs where and one command for each kind of request.
 func (d *Demo) Describe(w io.Writer) {
-	fmt.Fprintf(w, "log service  %s\n", d.logAddr)
+	fmt.Fprintf(w, "log service  http://%s\nVM list      http://%s\n", d.logAddr, d.vmsAddr)
 	for i, address := range d.entries {
-		fmt.Fprintf(w, "entry-%d      %s\n", i+1, address)
+		fmt.Fprintf(w, "entry-%-6d http://%s (%s)\n", i+1, address, dataCentreName(i))
 	}
+	fmt.Fprintf(w, "upstreams    %d engines of model %s and %d ledgers in %s, %s, %s, each with a companion\n",
+		engines, model, ledgers, dataCentreName(0), dataCentreName(1), dataCentreName(2))
 	base := "http://" + d.entries[0].String()
-	auth := "-H 'Authorization: Bearer " + demoKey + "'"
-	fmt.Fprintf(w, "\ncurl -N %s %s/v1/chat/completions -d '%s'\n", auth, base,
-		`{"model":"thai-draft","stream":true,"messages":[{"role":"user","content":"hello"}]}`)
-	fmt.Fprintf(w, "curl %s -H 'Idempotency-Key: %s' %s/ledger/promises -d '%s'\n", auth, newKey(), base, `{"amount":100}`)
-	fmt.Fprintf(w, "curl %s %s/ledger/promises\n", auth, base)
+	auth := "-H 'Authorization: Bearer " + bearerKey(accounts[0].name) + "'"
+	chat := `{"model":"` + model + `","stream":%t,"messages":[{"role":"user","content":"hello"}]}`
+	fmt.Fprintf(w, "\ndraft    curl -N %s %s/v1/chat/completions -d '%s'\n", auth, base, fmt.Sprintf(chat, true))
+	fmt.Fprintf(w, "summary  curl %s %s/v1/chat/completions -d '%s'\n", auth, base, fmt.Sprintf(chat, false))
+	fmt.Fprintf(w, "promise  curl %s -H 'Idempotency-Key: %s' %s%s -d '{\"amount\":100}'\n", auth, newKey(), base, plainRoute)
+	fmt.Fprintf(w, "balance  curl %s %s%s\n\n", auth, base, plainRoute)
 }
--- /dev/null
+++ b/io/tgdemo/fault.go
@@ -0,0 +1,131 @@
+package tgdemo
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"tanagergrade/core/tgconfig"
+)
+
+// loadDuration is the time over which the requests are spread; the faults lie within it.
+const loadDuration = 20 * time.Second
+
+// withdrawalBound is the time after which a withdrawn data centre gets no new work.
+const withdrawalBound = 5 * time.Second
+
+// withdrawnIndex is the data centre that is withdrawn and restored.
+const withdrawnIndex = 1
+
+// fault is something that goes wrong or is repaired at a time after the start of the load.
+type fault struct {
+	at     time.Duration
+	name   string
+	inject func(ctx context.Context) error
+}
+
+func (d *Demo) faults() []fault {
+	return []fault{
+		{at: time.Second, name: "a connection goes silent", inject: d.loseFlows},
+		{at: 3 * time.Second, name: "data centre " + dataCentreName(withdrawnIndex) + " is withdrawn", inject: func(ctx context.Context) error {
+			return d.setDataCentre(ctx, tgconfig.Withdrawn)
+		}},
+		{at: 11 * time.Second, name: "data centre " + dataCentreName(withdrawnIndex) + " is restored", inject: func(ctx context.Context) error {
+			return d.setDataCentre(ctx, tgconfig.Active)
+		}},
+		{at: 12 * time.Second, name: "engine draft-1 dies", inject: func(context.Context) error {
+			d.engines[0].SetDead(true)
+			return nil
+		}},
+		{at: 14 * time.Second, name: "the log is down", inject: func(context.Context) error {
+			d.log.SetDown(true)
+			return nil
+		}},
+		{at: 17 * time.Second, name: "the log is back, engine draft-1 too", inject: func(context.Context) error {
+			d.log.SetDown(false)
+			d.engines[0].SetDead(false)
+			return nil
+		}},
+	}
+}
+
+func (d *Demo) loseFlows(context.Context) error {
+	if d.relay.LoseFlows() == 0 {
+		return errors.New("no connection goes through the relay")
+	}
+	return nil
+}
+
+func (d *Demo) setDataCentre(ctx context.Context, state tgconfig.CapacityState) error {
+	name := dataCentreName(withdrawnIndex)
+	return d.publish(ctx, func(cfg *tgconfig.Config) (tgconfig.Change, error) {
+		next := *cfg
+		next.DataCentres = map[string]tgconfig.DataCentre{}
+		for n, dc := range cfg.DataCentres {
+			if n == name {
+				dc.State = state
+			}
+			next.DataCentres[n] = dc
+		}
+		return tgconfig.Diff(cfg, &next)
+	})
+}
+
+// injector injects the faults and watches the withdrawn data centre.
+type injector struct {
+	demo      *Demo
+	forbidden atomic.Int64 // executions in the withdrawn data centre after the bound
+}
+
+func (j *injector) run(ctx context.Context) error {
+	started := time.Now()
+	for _, f := range j.demo.faults() {
+		if !sleepUntil(ctx, started.Add(f.at)) {
+			return nil
+		}
+		if err := f.inject(ctx); err != nil {
+			return errors.Wrap(err, f.name)
+		}
+		if w := j.demo.options.Progress; w != nil {
+			fmt.Fprintf(w, "\r%6.1f s  %s\n", time.Since(started).Seconds(), f.name)
+		}
+	}
+	return nil
+}
+
+// watch counts what runs in the withdrawn data centre between the bound and its return.
+func (j *injector) watch(ctx context.Context) {
+	started := time.Now()
+	faults := j.demo.faults()
+	if !sleepUntil(ctx, started.Add(faults[1].at+withdrawalBound)) {
+		return
+	}
+	before := j.demo.executionsIn(withdrawnIndex)
+	if sleepUntil(ctx, started.Add(faults[2].at-100*time.Millisecond)) {
+		j.forbidden.Store(j.demo.executionsIn(withdrawnIndex) - before)
+	}
+}
+
+func (d *Demo) executionsIn(dataCentre int) int64 {
+	n := int64(0)
+	for i, e := range d.engines {
+		if i%dataCentres == dataCentre {
+			n += e.Executions.Load()
+		}
+	}
+	return n
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	t := time.NewTimer(time.Until(at))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
