Show the refusal of an append in the error of a publication

Cause: with a log that answers 413 the command reported only the timeout of its last read. Change: the error of the append goes before that of the read. Conclusion: operators see why the log refused a change.

--- a/io/tgpublisher/errors.go
+++ b/io/tgpublisher/errors.go
@@ -54,7 +54,7 @@
 
 // UnresolvedError says that a change was sent but its verdict is not known; it may still take effect.
 type UnresolvedError struct {
-	Err error // last error of the log, if there was one
+	Err error // last error of the append, else of the read
 	ID  uuid.UUID
 }
 
--- a/io/tgpublisher/publisher.go
+++ b/io/tgpublisher/publisher.go
@@ -1,6 +1,7 @@
 package tgpublisher
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -99,26 +100,23 @@
 		}
 	}
 	appended, readable := false, true
-	var lastErr error
+	var appendErr, readErr error
 	for ctx.Err() == nil {
 		if !appended && readable {
-			_, err := p.client.Append(ctx, tgnode.ConfigStream, []tgrecord.Record{record})
-			appended = err == nil
-			if err != nil {
-				lastErr = err
-			}
+			_, appendErr = p.client.Append(ctx, tgnode.ConfigStream, []tgrecord.Record{record})
+			appended = appendErr == nil
 		}
-		_, err := p.reader.read(ctx, readWait, observe)
+		_, readErr = p.reader.read(ctx, readWait, observe)
 		if found {
 			return decision, nil
 		}
-		readable = err == nil
-		if err != nil {
-			lastErr = err
+		readable = readErr == nil
+		if !readable {
 			pause(ctx, retryPause)
 		}
 	}
-	return decision, &UnresolvedError{Err: lastErr, ID: record.ID}
+	// The reason of a refused append says more than the timeout of the last read.
+	return decision, &UnresolvedError{Err: cmp.Or(appendErr, readErr), ID: record.ID}
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/io/tgpublisher/publisher_test.go
+++ b/io/tgpublisher/publisher_test.go
@@ -39,6 +39,7 @@
 		region  string
 		code    int
 		changes int // records of the change in the log
+		message string
 	}{
 		{
 			name: "append is refused twice", region: "r", code: tgexit.OK, changes: 1,
@@ -49,6 +50,10 @@
 				return 0
 			},
 		},
+		{
+			name: "append is always refused", region: "r", code: tgexit.Log, changes: 0, message: "status 413",
+			fault: func(*tgstandin.Log, int32) int { return fasthttp.StatusRequestEntityTooLarge },
+		},
 		{name: "change is invalid", region: "", code: tgexit.Failed, changes: 0},
 		{
 			name: "log goes down before the append", region: "r", code: tgexit.Log, changes: 0,
@@ -111,6 +116,9 @@
 			defer cancel()
 			results, err := New(client, "test").Publish(ctx, addDataCentre(tt.region))
 			assert.Equal(t, tgexit.Code(err), tt.code, "%v", err)
+			if tt.message != "" {
+				assert.ErrorContains(t, err, tt.message)
+			}
 			var unresolved *UnresolvedError
 			assert.Equal(t, errors.As(err, &unresolved), tt.code == tgexit.Log, "%v", err)
 			log.SetDelay(0)
