--- a/io/tgcompanion/companion.go
+++ b/io/tgcompanion/companion.go
@@ -9,7 +9,6 @@
 	"github.com/sourcegraph/conc"
 
 	"tanagergrade/core/tgcall"
-	"tanagergrade/core/tgclaim"
 	"tanagergrade/core/tgframe"
 	"tanagergrade/io/tglink"
 	"tanagergrade/io/tgnode"
@@ -20,12 +19,13 @@
 type Companion struct {
 	admission *admission
 	attempts  *registry
-	claims    *tgclaim.Table
+	claims    claims
 	client    *tgupstream.Client
 	decisions tgcall.Decisions
 	draining  atomic.Bool
 	node      *tgnode.Node
 	running   conc.WaitGroup
+	started   time.Time
 	upstream  string // name in the configuration
 }
 
@@ -34,9 +34,9 @@
 	return &Companion{
 		admission: newAdmission(),
 		attempts:  newRegistry(),
-		claims:    tgclaim.NewTable(),
 		client:    client,
 		node:      node,
+		started:   time.Now(),
 		upstream:  upstream,
 	}
 }
@@ -71,6 +71,7 @@
 	if err != nil {
 		return
 	}
+	c.node.Observe(f.Sender)
 	switch {
 	case f.Kind == tgframe.KindAttach && f.Attach != nil:
 		c.attach(ctx, x, f.Attach)
@@ -87,7 +88,9 @@
 		}
 		c.follow(ctx, x, a, uint64(f.Execute.Delivered))
 	default:
-		c.node.Log.WithField("kind", f.Kind).Warn("unexpected first frame")
+		if !c.node.HandleControl(ctx, x, f) {
+			c.node.Log.WithField("kind", f.Kind).Warn("unexpected first frame")
+		}
 	}
 }
 
