Connect node, entry and companion to admin interface and settings

Change: the daemon commands register the dumps and metrics of node, entry and companion; snapshotInterval is at least 1m. Conclusion: status, dump and metrics show what the daemons know.

--- a/core/tgconfig/settings.go
+++ b/core/tgconfig/settings.go
@@ -5,7 +5,10 @@
 	"time"
 )
 
-const maxRequestBytes = 64 << 20 // the entry's HTTP server refuses larger bodies before it reads settings
+const (
+	maxRequestBytes     = 64 << 20    // the entry's HTTP server refuses larger bodies before it reads settings
+	minSnapshotInterval = time.Minute // a snapshot of the size in two years takes about 20 appends of a shared log
+)
 
 func (v *validator) checkSettings() {
 	s := v.cfg.Settings
@@ -37,6 +40,9 @@
 	if s.WarmConcurrency < s.ColdConcurrency {
 		v.addf(path.child("warmConcurrency"), "must be at least coldConcurrency (%d), not %d", s.ColdConcurrency, s.WarmConcurrency)
 	}
+	if s.SnapshotInterval < minSnapshotInterval {
+		v.addf(path.child("snapshotInterval"), "must be at least %s, not %s", minSnapshotInterval, s.SnapshotInterval)
+	}
 	if s.MaxRequestBytes > maxRequestBytes {
 		v.addf(path.child("maxRequestBytes"), "must be at most %d, not %d", maxRequestBytes, s.MaxRequestBytes)
 	}
--- a/io/tgcommand/daemon.go
+++ b/io/tgcommand/daemon.go
@@ -94,7 +94,7 @@
 }
 
 // run serves the admin interface while run runs, which ends after ctx.
-func (d *daemon) run(ctx context.Context, part any, run func(ctx context.Context) error) error {
+func (d *daemon) run(ctx context.Context, part dumper, run func(ctx context.Context) error) error {
 	d.register(part)
 	adminCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -114,17 +114,24 @@
 	return err
 }
 
-// register adds the sources that every daemon has; parts that are Registrars add or replace their own.
-func (d *daemon) register(part any) {
+// dumper is the entry or the companion of a process.
+type dumper interface{ Dump() any }
+
+// register adds the sources that every daemon has and those of part.
+func (d *daemon) register(part dumper) {
 	d.registry.SetStatus(d.status)
 	d.registry.Add("config", func() any { return d.node.Config().Lines() })
 	d.registry.Add("keys", func() any { return d.keys.State() })
 	d.registry.Add("process", func() any { return d.status() })
 	d.publishMetrics()
-	for _, p := range []any{d.node, part} {
-		if r, ok := p.(tgadmin.Registrar); ok {
-			r.RegisterAdmin(d.registry)
-		}
+	d.node.RegisterAdmin(d.registry)
+	role := string(d.process.Role)
+	d.registry.Add(role, part.Dump)
+	if v, ok := part.(interface{ Vars() *expvar.Map }); ok && expvar.Get(role) == nil {
+		expvar.Publish(role, v.Vars())
+	}
+	if r, ok := part.(tgadmin.Registrar); ok {
+		r.RegisterAdmin(d.registry)
 	}
 }
 
