--- a/io/tgcompanion/attempt.go
+++ b/io/tgcompanion/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -10,33 +9,48 @@
 	"tanagergrade/core/tgadmit"
 	"tanagergrade/core/tganswer"
 	"tanagergrade/core/tgcall"
-	"tanagergrade/core/tgclaim"
 	"tanagergrade/core/tgframe"
 	"tanagergrade/io/tgupstream"
 )
 
+const (
+	maxReplayBytes = 1 << 20 // output of an idempotent attempt that is kept for a re-attach
+	maxResultBytes = 8 << 20 // answer of a claimed attempt, which is recorded whole
+)
+
+// Reasons for the end of an attempt's context.
+var (
+	errCancelled = errors.New("cancelled by the entry")
+	errDrained   = errors.New("companion stopped before the attempt finished")
+	errNoReader  = errors.New("nobody reads the answer")
+)
+
 // attempt is one run of a request at this upstream.
 type attempt struct {
 	buffer  *tganswer.Buffer
-	cancel  context.CancelFunc
+	cancel  context.CancelCauseFunc
 	execute *tgframe.Execute
-}
+	started time.Time
 
-func newAttempt(e *tgframe.Execute, cancel context.CancelFunc) *attempt {
-	return &attempt{buffer: tganswer.NewBuffer(uint64(e.Delivered)), cancel: cancel, execute: e}
+	// The rest is guarded by the registry's lock.
+	delivered bool        // a reader has confirmed the end
+	ended     time.Time   // zero while it runs
+	idle      *time.Timer // cancels an attempt without a reader
+	readers   int
 }
 
-func (a *attempt) reader(next uint64) *tganswer.Reader { return tganswer.NewReader(a.buffer, next) }
+func newAttempt(e *tgframe.Execute, cancel context.CancelCauseFunc) *attempt {
+	buffer := tganswer.NewBuffer(uint64(e.Delivered), maxReplayBytes)
+	if !e.Idempotent {
+		buffer = tganswer.NewWholeBuffer(maxResultBytes)
+	}
+	return &attempt{buffer: buffer, cancel: cancel, execute: e, started: time.Now()}
+}
 
 func (a *attempt) fail(f *tgcall.Failure) {
 	a.buffer.Finish(tgframe.End{Failure: f, Outcome: f.Outcome})
 }
 
-func (a *attempt) digest() [sha256.Size]byte {
-	e := a.execute
-	return sha256.Sum256([]byte(e.Method + "\x00" + e.Path + "\x00" + string(e.Body)))
-}
-
 // run decides whether the attempt may run here and runs it.
 func (c *Companion) run(ctx context.Context, a *attempt) {
 	if f := c.check(a.execute); f != nil {
@@ -57,48 +71,43 @@
 	sample = c.runClaimed(ctx, a)
 }
 
-// runClaimed runs a non-idempotent attempt under a claim in the log.
-func (c *Companion) runClaimed(ctx context.Context, a *attempt) tgadmit.Sample {
-	claim := tgclaim.Claim{
-		Digest:      a.digest(),
-		Holder:      c.node.Settings.Name,
-		Incarnation: c.node.Incarnation,
-		Key:         tgclaim.NewKey(a.execute.Account, a.execute.Pool, a.execute.IdempotencyKey),
-	}
-	id, replay, failure := c.acquireClaim(ctx, a.execute.Pool, claim)
-	switch {
-	case failure != nil:
-		a.fail(failure)
-		return tgadmit.Sample{}
-	case replay != nil:
-		a.buffer.SetHead(replay.Head)
-		a.buffer.Append(replay.Body)
-		a.buffer.Finish(tgframe.End{Outcome: tgcall.Answered, Replayed: true})
-		return tgadmit.Sample{}
-	}
-	sample := c.call(ctx, a)
-	c.recordOutcome(ctx, a, claim.Key, id)
-	return sample
-}
-
 // call hands the attempt to the upstream, once.
 func (c *Companion) call(ctx context.Context, a *attempt) tgadmit.Sample {
-	s := &sink{buffer: a.buffer, observe: c.observe(a.execute), started: time.Now()}
+	s := &sink{attempt: a, ctx: ctx, observe: c.observe(a.execute), started: time.Now()}
 	err := c.client.Do(ctx, a.execute, s)
-	sample := tgadmit.Sample{
-		FirstToken: s.first, Observed: s.observed, OK: err == nil, Tokens: s.chunks, Total: time.Since(s.started),
+	failure := c.failure(ctx, s, err)
+	if failure != nil {
+		a.fail(failure)
+	} else {
+		a.buffer.Finish(tgframe.End{Outcome: tgcall.Answered})
+	}
+	ok := failure == nil && s.status < statusServerError
+	return tgadmit.Sample{
+		FirstToken: s.first, Observed: s.observed, OK: ok, Tokens: s.chunks, Total: time.Since(s.started),
 	}
+}
+
+// failure returns why there is no whole answer, or nil if there is one.
+func (c *Companion) failure(ctx context.Context, s *sink, err error) *tgcall.Failure {
 	var notSent *tgupstream.NotSentError
 	switch {
+	case s.events && s.splitter.Done():
+		return nil // the stream is whole; what the connection does after its terminal event is of no interest
 	case errors.As(err, &notSent):
-		a.fail(tgcall.NotRunFailure(tgcall.CodeUpstreamUnreachable, "upstream %q: %v", c.upstream, err))
+		return tgcall.NotRunFailure(tgcall.CodeUpstreamUnreachable, "upstream %q: %v", c.upstream, err)
+	case errors.Is(err, errServerError):
+		return tgcall.UnknownFailure(tgcall.CodeUpstreamFailed, "upstream %q answered with status %d", c.upstream, s.status)
+	case ctx.Err() != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+		return tgcall.UnknownFailure(tgcall.CodeDeadlineExceeded, "no whole answer before the deadline")
+	case ctx.Err() != nil:
+		return tgcall.UnknownFailure(tgcall.CodeCancelled, "%v", context.Cause(ctx))
+	case errors.Is(err, tgupstream.ErrUnframed), errors.Is(err, tganswer.ErrTooLarge):
+		return tgcall.UnknownFailure(tgcall.CodeAnswerIncomplete, "upstream %q: %v", c.upstream, err)
 	case err != nil:
-		a.fail(tgcall.UnknownFailure(tgcall.CodeUpstreamLost, "upstream %q: %v", c.upstream, err))
-	case s.events && !s.splitter.Done():
-		sample.OK = false
-		a.fail(tgcall.UnknownFailure(tgcall.CodeAnswerIncomplete, "the upstream's stream ended without its last event"))
+		return tgcall.UnknownFailure(tgcall.CodeUpstreamLost, "upstream %q: %v", c.upstream, err)
+	case s.events:
+		return tgcall.UnknownFailure(tgcall.CodeAnswerIncomplete, "the upstream's stream ended without its terminal event")
 	default:
-		a.buffer.Finish(tgframe.End{Outcome: tgcall.Answered})
+		return nil
 	}
-	return sample
 }
