Add load estimate, placement and rebalancing decision

Cause: expert popularity drifts and swaps; ranks run in lock-step, so one overloaded rank slows every step, but moving experts costs store bytes.

Change: estimator with swap detection and a long average for alternating patterns; placement with replicas and a weighted split over them; balancer with a cost rule and a bounded search; baselines always, greedy, static and round robin; bound on skew; choice of the rank of a request.

--- /dev/null
+++ b/core/tgexpert/estimator.go
@@ -0,0 +1,131 @@
+package tgexpert
+
+import "math"
+
+const (
+	fastWeight     = 0.6  // of the newest window in the short average
+	slowWeight     = 0.03 // of the newest window in the long average
+	swapDistance   = 0.08 // share of tokens that changed experts; noise of a window stays under 0.01
+	flapWindows    = 40   // swaps that follow each other faster are alternating patterns
+	initialPersist = 1e6  // windows; before the first swap a pattern is taken to persist
+)
+
+// Estimator averages the loads of windows of steps. A layer whose loads swap suddenly starts anew from the windows
+// after the swap once two of them agree, so one odd window does not move the average.
+type Estimator struct {
+	age     []int // windows since the last swap, by layer
+	fast    Loads
+	last    Loads
+	persist []float64 // windows that a pattern lasts on average, by layer
+	slow    Loads
+	windows int
+}
+
+// NewEstimator returns an estimator without observations.
+func NewEstimator(layers, experts int) *Estimator {
+	e := &Estimator{
+		age: make([]int, layers), fast: NewLoads(layers, experts), last: NewLoads(layers, experts),
+		persist: make([]float64, layers), slow: NewLoads(layers, experts),
+	}
+	for i := range e.persist {
+		e.persist[i] = initialPersist
+	}
+	return e
+}
+
+// Observe takes the mean loads per step of one window.
+func (e *Estimator) Observe(window Loads) {
+	for layer := range window.Layers {
+		e.observe(layer, window.Layer(layer))
+	}
+	copy(e.last.Tokens, window.Tokens)
+	e.windows++
+}
+
+func (e *Estimator) observe(layer int, w []float64) {
+	fast, last, slow := e.fast.Layer(layer), e.last.Layer(layer), e.slow.Layer(layer)
+	if e.windows == 0 {
+		copy(fast, w)
+		copy(slow, w)
+		return
+	}
+	e.age[layer]++
+	// A window that agrees with the one before but not with the average follows a swap.
+	if distance(w, fast) > swapDistance && distance(last, fast) > swapDistance && distance(w, last) < swapDistance {
+		if age := float64(e.age[layer]); e.persist[layer] == initialPersist {
+			e.persist[layer] = max(age, flapWindows) // one swap is no pattern
+		} else {
+			e.persist[layer] += (age - e.persist[layer]) / 2
+		}
+		e.age[layer] = 0
+		for i := range fast {
+			fast[i] = (w[i] + last[i]) / 2
+		}
+		if !e.alternates(layer) {
+			copy(slow, fast)
+		}
+		return
+	}
+	odd := distance(w, fast) > swapDistance && distance(last, fast) < swapDistance
+	for i := range fast {
+		if !odd {
+			fast[i] += fastWeight * (w[i] - fast[i])
+		}
+		slow[i] += slowWeight * (w[i] - slow[i])
+	}
+}
+
+func (e *Estimator) alternates(layer int) bool {
+	return e.persist[layer] < flapWindows && e.age[layer] < 2*flapWindows
+}
+
+// Current returns the loads expected in the next steps. The split over replicas follows them; it costs nothing, so a
+// layer that looks swapped takes its last window at once.
+func (e *Estimator) Current() Loads {
+	l := NewLoads(e.fast.Layers, e.fast.Experts)
+	for layer := range l.Layers {
+		from := e.fast.Layer(layer)
+		if last := e.last.Layer(layer); distance(last, from) > swapDistance {
+			from = last
+		}
+		copy(l.Layer(layer), from)
+	}
+	return l
+}
+
+// Lasting returns the loads that a placement has to serve: the current ones, or the long average of a layer whose
+// patterns alternate.
+func (e *Estimator) Lasting() Loads {
+	l := NewLoads(e.fast.Layers, e.fast.Experts)
+	copy(l.Tokens, e.fast.Tokens)
+	for layer := range l.Layers {
+		if e.alternates(layer) {
+			copy(l.Layer(layer), e.slow.Layer(layer))
+		}
+	}
+	return l
+}
+
+// Windows returns the number of windows observed.
+func (e *Estimator) Windows() int { return e.windows }
+
+// distance returns the share of load that lies on other experts in a than in b.
+func distance(a, b []float64) float64 {
+	sumA, sumB := sum(a), sum(b)
+	if sumA == 0 || sumB == 0 {
+		return 0
+	}
+	d := 0.0
+	for i := range a {
+		d += math.Abs(a[i]/sumA - b[i]/sumB)
+	}
+	return d / 2
+}
+
+func sum(values []float64) float64 {
+	s := 0.0
+	for _, v := range values {
+		s += v
+	}
+	return s
+}
--- /dev/null
+++ b/core/tgexpert/improve.go
@@ -0,0 +1,167 @@
+package tgexpert
+
+const (
+	maxLayerTries  = 48    // changes tried in one layer
+	candidateHosts = 32    // lightest ranks tried as targets; 6 left 0.011 more skew at 32 ranks
+	evenEnough     = 1.004 // of the mean load; the noise of single steps is larger
+	patience       = 8     // experts moved without a gain before the search of a layer ends
+)
+
+// change is one step of the improvement of a layer: the expert of slot from gets a replica in slot to, or the two
+// slots swap their experts.
+type change struct {
+	from, to int
+	moves    int     // experts to load
+	slowest  float64 // estimate of the largest load among the ranks concerned
+	swap     bool
+}
+
+// improve changes the placement of the layer and returns the number of experts moved. It follows the best single
+// changes, also over some that bring nothing alone because several ranks are equally loaded, and keeps the changes up
+// to the point where the fall of the largest rank load less gain for each expert moved is greatest. It tries at most
+// limit changes and returns how many it tried.
+func (s *solver) improve(gain float64, limit int) (bestMoves, tried int) {
+	s.split(splitRounds)
+	before := s.load[s.heaviest()]
+	s.bestExperts = append(s.bestExperts[:0], s.experts...)
+	s.bestWeights = append(s.bestWeights[:0], s.weights...)
+	moves, bestScore := 0, 0.0
+	even := sum(s.load) / float64(len(s.load)) * evenEnough
+	for ; tried < limit && moves-bestMoves < patience; tried++ {
+		heaviest := s.heaviest()
+		if s.load[heaviest] < even {
+			break
+		}
+		c, ok := s.bestChange(heaviest, s.load[heaviest])
+		if !ok {
+			break
+		}
+		s.apply(c)
+		s.split(resplitRounds)
+		moves += c.moves
+		if score := before - s.load[s.heaviest()] - gain*float64(moves); score > bestScore {
+			bestMoves, bestScore = moves, score
+			copy(s.bestExperts, s.experts)
+			copy(s.bestWeights, s.weights)
+		}
+	}
+	copy(s.experts, s.bestExperts)
+	copy(s.weights, s.bestWeights)
+	return bestMoves, tried
+}
+
+func (s *solver) heaviest() int {
+	h := 0
+	for r, l := range s.load {
+		if l > s.load[h] {
+			h = r
+		}
+	}
+	return h
+}
+
+// bestChange returns the change that lowers the heaviest rank most, by an estimate without a new split.
+func (s *solver) bestChange(heaviest int, before float64) (change, bool) {
+	best := change{slowest: before}
+	found := false
+	for _, light := range s.lightest() {
+		for from := heaviest * s.slots; from < (heaviest+1)*s.slots; from++ {
+			e := s.experts[from]
+			if e == Empty || s.holds(light, e) || light == heaviest {
+				continue
+			}
+			for to := light * s.slots; to < (light+1)*s.slots; to++ {
+				if c, ok := s.estimate(from, to); ok && c.slowest < best.slowest {
+					best, found = c, true
+				}
+			}
+		}
+	}
+	return best, found
+}
+
+func (s *solver) lightest() []int {
+	order := s.order[:0]
+	for r := range s.load {
+		i := len(order)
+		if i < candidateHosts {
+			order = append(order, r)
+		} else if s.load[r] < s.load[order[i-1]] {
+			i--
+			order[i] = r
+		} else {
+			continue
+		}
+		for ; i > 0 && s.load[order[i]] < s.load[order[i-1]]; i-- {
+			order[i], order[i-1] = order[i-1], order[i]
+		}
+	}
+	return order
+}
+
+func (s *solver) estimate(from, to int) (change, bool) {
+	heavy, light := s.rank(from), s.rank(to)
+	share := s.weights[from] * s.tokens[s.experts[from]]
+	victim := s.experts[to]
+	if victim == Empty || len(s.replicas[victim]) > 1 {
+		released, other := 0.0, 0.0
+		if victim != Empty {
+			released = s.weights[to] * s.tokens[victim]
+			other = released + s.lightestHost(victim, to)
+		}
+		rest := s.load[light] - released
+		part := min(share, (s.load[heavy]-rest)/2)
+		return change{from: from, moves: 1, slowest: max(s.load[heavy]-part, rest+part, other), to: to}, part > 0
+	}
+	back := s.weights[to] * s.tokens[victim]
+	slowest := max(s.load[heavy]-share+back, s.load[light]-back+share)
+	return change{from: from, moves: 2, slowest: slowest, swap: true, to: to}, !s.holds(heavy, victim) && share > back
+}
+
+// lightestHost returns the lowest load among the ranks that hold other replicas of expert.
+func (s *solver) lightestHost(expert, without int) float64 {
+	load := -1.0
+	for _, slot := range s.replicas[expert] {
+		if l := s.load[s.rank(slot)]; slot != without && (load < 0 || l < load) {
+			load = l
+		}
+	}
+	return load
+}
+
+func (s *solver) apply(c change) {
+	e, victim := s.experts[c.from], s.experts[c.to]
+	if c.swap {
+		s.replace(c.from, victim)
+		s.replace(c.to, e)
+		s.weights[c.from], s.weights[c.to] = s.weights[c.to], s.weights[c.from]
+		return
+	}
+	if victim != Empty {
+		for _, slot := range s.replicas[victim] {
+			if slot != c.to {
+				s.weights[slot] += s.weights[c.to] // the next split divides it
+				break
+			}
+		}
+	}
+	s.replace(c.to, e)
+	s.weights[c.to] = 0
+}
+
+func (s *solver) replace(slot, expert int) {
+	if old := s.experts[slot]; old != Empty {
+		slots := s.replicas[old]
+		for i, v := range slots {
+			if v == slot {
+				slots[i] = slots[len(slots)-1]
+				s.replicas[old] = slots[:len(slots)-1]
+				break
+			}
+		}
+	}
+	s.experts[slot] = expert
+	if expert != Empty {
+		s.replicas[expert] = append(s.replicas[expert], slot)
+	}
+}
--- /dev/null
+++ b/core/tgexpert/policy_test.go
@@ -0,0 +1,144 @@
+package tgexpert
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+// shape is the size of a group in the measurements.
+type shape struct{ ranks, slots int }
+
+var shapes = []shape{{8, 9}, {16, 5}, {32, 3}} // 64 experts; one spare slot on each rank
+
+const (
+	benchExperts  = 64
+	benchLayers   = 60
+	tokensPerRank = 2048 // in a step; each goes to 8 experts
+	topK          = 8
+	windowSteps   = 50
+	windows       = 200
+	stepsSampled  = 5 // steps of each window whose loads are drawn
+)
+
+// benchCosts: 44 MB is an expert of 3 matrices of 7168 x 2048 bytes; a token time of 26 ns lets a balanced step of 60
+// layers take 26 ms, the bound between tokens.
+func benchCosts() Costs {
+	return Costs{
+		BytesPerExpert: 44e6, CachePerMove: 5 * time.Millisecond, Horizon: 150_000, Pause: 26 * time.Millisecond,
+		StoreRate: 2e9, TokenTime: 26 * time.Nanosecond,
+	}
+}
+
+type result struct {
+	bytes, changes float64
+	skews, excess  []float64 // skew, and skew over its bound
+}
+
+func (r *result) mean() float64 { return sum(r.skews) / float64(len(r.skews)) }
+
+func quantile(values []float64, q float64) float64 {
+	s := slices.Sorted(slices.Values(values))
+	return s[int(q*float64(len(s)-1))]
+}
+
+var policies = []struct {
+	name  string
+	start func(Loads, shape) *Placement
+	make  func() Policy
+}{
+	{"balancer", packed, func() Policy { return NewBalancer(benchCosts()) }},
+	{"always", packed, func() Policy { return Always{} }},
+	{"greedy", packed, func() Policy { return Greedy{} }},
+	{"static", packed, func() Policy { return Static{} }},
+	{"roundRobin", inTurn, func() Policy { return Static{} }},
+}
+
+func packed(l Loads, s shape) *Placement { return Pack(l, s.ranks, s.slots) }
+
+func inTurn(l Loads, s shape) *Placement { return NewPlacement(l.Layers, l.Experts, s.ranks, s.slots) }
+
+// run drives all policies with the same loads.
+func run(kind string, s shape, tokens int, seed uint64) []*result {
+	t := newTraffic(kind, benchLayers, benchExperts, float64(s.ranks*tokens*topK), seed)
+	step, window := NewLoads(benchLayers, benchExperts), NewLoads(benchLayers, benchExperts)
+	results := make([]*result, len(policies))
+	placements := make([]*Placement, len(policies))
+	decide := make([]Policy, len(policies))
+	estimator := NewEstimator(benchLayers, benchExperts)
+	for w := range windows {
+		expected := t.next(windows)
+		for i := range policies {
+			if w == 0 {
+				results[i], decide[i], placements[i] = &result{}, policies[i].make(), policies[i].start(expected, s)
+			}
+		}
+		t.draw(expected, window, windowSteps)
+		for range stepsSampled {
+			t.draw(expected, step, 1)
+			for i, p := range placements {
+				skew := p.Skew(step)
+				results[i].skews = append(results[i].skews, skew)
+				results[i].excess = append(results[i].excess, skew/step.Bound(s.ranks, s.slots))
+			}
+		}
+		estimator.Observe(window)
+		for i, p := range decide {
+			if d := p.Decide(placements[i], estimator); d.Placement != nil {
+				placements[i] = d.Placement
+				results[i].bytes += float64(d.Moves) * benchCosts().BytesPerExpert
+				results[i].changes++
+			}
+		}
+	}
+	return results
+}
+
+// BenchmarkPolicies measures skew and bytes of all policies on the same seeded traffic.
+func BenchmarkPolicies(b *testing.B) {
+	for _, s := range shapes {
+		for _, kind := range []string{"day", "drift", "flap", "swap"} {
+			for seed := uint64(1); seed <= 3; seed++ {
+				results := run(kind, s, tokensPerRank, seed)
+				for i, r := range results {
+					b.Run(fmt.Sprintf("ranks=%d/%s/seed=%d/%s", s.ranks, kind, seed, policies[i].name), func(b *testing.B) {
+						report(b, r)
+					})
+				}
+			}
+		}
+	}
+}
+
+func report(b *testing.B, r *result) {
+	b.Helper()
+	for range b.N {
+		b.ReportMetric(r.mean(), "skew")
+		b.ReportMetric(sum(r.excess)/float64(len(r.excess)), "skew/bound")
+		b.ReportMetric(quantile(r.excess, 0.99), "p99/bound")
+		b.ReportMetric(r.bytes/1e9, "GB")
+		b.ReportMetric(r.changes, "changes")
+		b.ReportMetric(0, "ns/op")
+	}
+}
+
+// BenchmarkDecision measures one decision of the balancer after a swap of all experts.
+func BenchmarkDecision(b *testing.B) {
+	for _, size := range []struct{ ranks, experts, layers int }{
+		{8, 64, 60}, {16, 64, 60}, {32, 64, 60}, {64, 64, 60}, {32, 32, 60}, {32, 128, 60}, {32, 64, 30}, {32, 64, 120},
+	} {
+		for _, kind := range []string{"steady", "swap"} {
+			b.Run(fmt.Sprintf("ranks=%d/experts=%d/layers=%d/%s", size.ranks, size.experts, size.layers, kind), func(b *testing.B) {
+				t := newTraffic("swap", size.layers, size.experts, float64(size.ranks*tokensPerRank*topK), 1)
+				slots := (size.experts+size.ranks-1)/size.ranks + 1
+				p := Pack(t.a, size.ranks, slots)
+				e := NewEstimator(size.layers, size.experts)
+				e.Observe(map[string]Loads{"steady": t.a, "swap": t.b}[kind])
+				for b.Loop() {
+					NewBalancer(benchCosts()).Decide(p, e) // a new one, since a balancer skips layers searched before
+				}
+			})
+		}
+	}
+}
