--- a/core/tggossip/peers.go
+++ b/core/tggossip/peers.go
@@ -27,7 +27,7 @@
 	local      []tgframe.Member            // all peers of the own data centre
 	mu         sync.Mutex
 	neighbours []tgframe.Member // fixed neighbours of the own data centre
-	next       map[string]int   // round robin position by data centre
+	next       map[string]int   // position of Next by data centre
 	reader     bool
 	self       tgframe.Member
 	shown      map[string]uint64 // highest offset that each peer has shown
@@ -56,6 +56,9 @@
 			p.foreign[m.DataCentre] = append(p.foreign[m.DataCentre], m)
 		}
 	}
+	for _, peers := range p.foreign {
+		slices.SortFunc(peers, func(a, b tgframe.Member) int { return cmp.Compare(a.Name, b.Name) })
+	}
 	p.shown = known
 	p.neighbours = successors(p.self, p.local)
 	p.reader = isReader(p.self, p.local)
@@ -130,7 +133,8 @@
 	return names
 }
 
-// Next returns the next peer in dataCentre, round robin over the neighbours or the known representatives.
+// Next returns the peer to contact in dataCentre: the neighbours in turn, or one representative of another data centre
+// until Skip. Staying with one keeps connections few: with eight in turn, keepalives alone cost 2 KB/s.
 func (p *Peers) Next(dataCentre string) (tgframe.Member, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -141,12 +145,30 @@
 	if len(peers) == 0 {
 		return tgframe.Member{}, false
 	}
-	i, ok := p.next[dataCentre]
-	if !ok {
-		i = rand.IntN(len(peers)) // daemons that start together begin at different representatives
+	if _, ok := p.next[dataCentre]; !ok {
+		p.next[dataCentre] = rand.IntN(len(peers)) // daemons that start together begin at different representatives
+	}
+	chosen := peers[p.next[dataCentre]%len(peers)]
+	if dataCentre == p.self.DataCentre {
+		p.next[dataCentre]++
 	}
-	p.next[dataCentre] = i + 1
-	return peers[i%len(peers)], true
+	return chosen, true
+}
+
+// Skip makes Next return another representative of dataCentre.
+func (p *Peers) Skip(dataCentre string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if dataCentre != p.self.DataCentre {
+		p.next[dataCentre]++
+	}
+}
+
+// Local returns the number of known peers in the own data centre.
+func (p *Peers) Local() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.local)
 }
 
 // Random returns up to count peers of the own data centre other than the excluded one.
--- a/io/tgnode/control_bench_test.go
+++ b/io/tgnode/control_bench_test.go
@@ -50,6 +50,15 @@
 	return float64(total)
 }
 
+// forgetPairs returns the number of pairs of daemons that opened exchanges since the last call.
+func (c *cluster) forgetPairs() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := len(c.pairs)
+	c.pairs = map[[2]string]bool{}
+	return n
+}
+
 // BenchmarkSpread measures, in one data centre with three readers of the log, the time until a change is in force at
 // all daemons, and the control traffic and processor time of each.
 func BenchmarkSpread(b *testing.B) {
@@ -63,7 +72,7 @@
 			b.Run(fmt.Sprintf("loss=%.0f%%/daemons=%d", loss*100, size), func(b *testing.B) {
 				var longest time.Duration
 				for range b.N {
-					longest = max(longest, measureSpread(b, seed, size, changes, loss))
+					longest = max(longest, measureSpread(b, seed, changes, loss, size, "a1"))
 				}
 				points = append(points, plotter.XY{X: float64(size), Y: longest.Seconds()})
 			})
@@ -81,23 +90,39 @@
 	}
 }
 
-func measureSpread(b *testing.B, seed uint64, size, changes int, loss float64) time.Duration {
+// BenchmarkTraffic measures the same in seven data centres of three regions, and the peers of each daemon.
+func BenchmarkTraffic(b *testing.B) {
+	for _, size := range []int{5, 10, 20, 40, 80} {
+		b.Run(fmt.Sprintf("perDataCentre=%d", size), func(b *testing.B) {
+			for range b.N {
+				measureSpread(b, 1, 5, 0, size, "a1", "a2", "a3", "b1", "b2", "c1", "c2")
+			}
+		})
+	}
+}
+
+func measureSpread(
+	b *testing.B, seed uint64, changes int, loss float64, perDataCentre int, dataCentres ...string,
+) time.Duration {
 	b.Helper()
 	const quiet = 60 * time.Second
+	size := perDataCentre * len(dataCentres)
 	var delays []time.Duration
-	var bytes, messages, perChange, cost float64
+	var bytes, messages, messagesPerChange, peers, perChange, cost float64
 	paused(b, func(t *testing.T) {
 		t.Helper()
-		c := newCluster(t, seed, size, "a1")
+		c := newCluster(t, seed, perDataCentre, dataCentres...)
 		defer c.stop(c.names...)
 		c.impair(loss, 0, connected)
 		time.Sleep(2 * settle)
+		c.forgetPairs()
 		sentBytes, sent, cpu := c.sum("sentBytes"), c.sum("sentMessages"), processorTime()
 		time.Sleep(quiet)
 		seconds := float64(size) * quiet.Seconds()
 		bytes, messages = (c.sum("sentBytes")-sentBytes)/seconds, (c.sum("sentMessages")-sent)/seconds
 		cost = (processorTime() - cpu).Seconds() / seconds
-		sentBytes = c.sum("sentBytes")
+		peers = float64(c.forgetPairs()) / float64(size)
+		sentBytes, sent = c.sum("sentBytes"), c.sum("sentMessages")
 		started := time.Now()
 		for i := range changes {
 			offset := c.publish(uint64(i+1), withdraw(t, fmt.Sprintf("b%d", i)))
@@ -114,7 +139,9 @@
 			}
 			assert.Equal(t, len(in), size, "change %d is not in force everywhere", i)
 		}
-		perChange = (c.sum("sentBytes") - sentBytes - bytes*float64(size)*time.Since(started).Seconds()) / float64(size*changes)
+		lasted := float64(size) * time.Since(started).Seconds()
+		perChange = (c.sum("sentBytes") - sentBytes - bytes*lasted) / float64(size*changes)
+		messagesPerChange = (c.sum("sentMessages") - sent - messages*lasted) / float64(size*changes)
 	})
 	slices.Sort(delays)
 	b.ReportMetric(delays[len(delays)/2].Seconds(), "p50-s")
@@ -123,6 +150,8 @@
 	b.ReportMetric(bytes, "sentB/s")
 	b.ReportMetric(messages, "sent/s")
 	b.ReportMetric(perChange, "sentB/change")
+	b.ReportMetric(messagesPerChange, "sent/change")
+	b.ReportMetric(peers, "contacted")
 	b.ReportMetric(cost*100, "%core")
 	b.ReportMetric(0, "ns/op")
 	return delays[len(delays)-1]
--- a/io/tgnode/fault_test.go
+++ b/io/tgnode/fault_test.go
@@ -225,3 +225,34 @@
 		})
 	}
 }
+
+// TestSnapshotOutlivesRetention guards against a configuration that is lost with the log's old records, and against
+// every reader writing the snapshot.
+func TestSnapshotOutlivesRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 4, 3, "a1", "a2")
+		defer c.stop(c.names...)
+		time.Sleep(settle)
+		c.publish(1, withdraw(t, "a1"))
+		time.Sleep(settle)
+		for _, name := range c.names {
+			n := c.nodes[name].Node
+			n.mu.Lock()
+			n.snapshotSeen = n.snapshotSeen.Add(-2 * snapshotInterval)
+			n.mu.Unlock()
+		}
+		appends := c.log.Appends()
+		time.Sleep(3 * snapshotCheck)
+		written := c.log.Appends() - appends
+		assert.Assert(t, written >= 1 && written <= 3, "%d snapshots were written by %d readers", written, len(c.names))
+		last := c.publish(uint64(c.log.Appends()), withdraw(t, "a2"))
+		time.Sleep(settle)
+		c.log.Truncate(ConfigStream, 2)
+		c.restart(c.names...)
+		took, ok := c.await(settle, c.names, func(n *Node) bool { return n.Ready() == nil && n.Applied() == last+1 })
+		assert.Assert(t, ok, "not back %s after the restart", took)
+		for _, name := range c.names {
+			assert.Assert(t, !c.nodes[name].Usable("a1-0") && !c.nodes[name].Usable("a2-3"))
+		}
+	})
+}
--- a/io/tgnode/fetch.go
+++ b/io/tgnode/fetch.go
@@ -155,6 +155,7 @@
 	if newer {
 		n.state = state
 		n.history.reset(state.Applied())
+		n.publish()
 	}
 	n.mu.Unlock()
 	if newer {
--- a/io/tgnode/follow.go
+++ b/io/tgnode/follow.go
@@ -119,7 +119,7 @@
 	}
 	if applied := n.Applied(); applied >= page.Next {
 		n.tracker.Confirm(sent, page.Next)
-		n.setBooted()
+		n.booted.Store(true)
 	}
 	return nil
 }
@@ -138,18 +138,26 @@
 		}
 		changed = true
 		decisions := n.state.Apply(e.Offset, e.Records)
-		n.history.add(e)
+		n.history.add(n.noteSnapshots(e))
 		n.counters.spread(e.Age)
 		for _, d := range decisions {
 			n.record(Decision{Conflicts: d.Conflicts, Offset: e.Offset, Reason: d.Reason, Verdict: d.Verdict})
 		}
 	}
+	n.publish()
 	n.mu.Unlock()
 	if changed {
 		n.advanced()
 	}
 }
 
+// publish shows the folded state to readers that do not wait for mu, which the caller holds. The configuration goes first:
+// an offset that is shown is in force.
+func (n *Node) publish() {
+	n.cfg.Store(n.state.Config())
+	n.applied.Store(n.state.Applied())
+}
+
 func (n *Node) record(d Decision) {
 	n.decisions = append(n.decisions, d)
 	if extra := len(n.decisions) - maxDecisions; extra > 0 {
--- a/io/tgnode/gossip.go
+++ b/io/tgnode/gossip.go
@@ -20,8 +20,9 @@
 	exchangeTimeout = 350 * time.Millisecond
 	farRounds       = 5 // one contact with another region in so many rounds
 	gossipInterval  = time.Second
-	maxUpdates      = 6 // member updates in one frame
-	minBootPeers    = 3 // peers that a daemon compares its configuration with before it works
+	manyLocal       = 32 // peers of the own data centre from which on their contacts with others make up for fewer own ones
+	maxUpdates      = 6  // member updates in one frame
+	minBootPeers    = 3  // peers that a daemon compares its configuration with before it works
 )
 
 // gossip compares state with peers, jittered so that daemons started together do not stay in step.
@@ -46,6 +47,10 @@
 // roundTargets returns the data centres to contact: the own one, one other of the region, at times one of another region.
 func (n *Node) roundTargets(round int) []string {
 	targets := []string{n.Settings.DataCentre}
+	pause := 1
+	if n.peers.Local() >= manyLocal {
+		pause = 2
+	}
 	region := n.region()
 	var near, far []string
 	cfg := n.Config()
@@ -60,8 +65,8 @@
 			far = append(far, name)
 		}
 	}
-	if len(near) > 0 {
-		targets = append(targets, near[round%len(near)])
+	if len(near) > 0 && round%pause == 0 {
+		targets = append(targets, near[round/pause%len(near)])
 	}
 	if len(far) > 0 && round%farRounds == 0 {
 		targets = append(targets, far[round/farRounds%len(far)])
@@ -93,6 +98,7 @@
 		if n.exchangeGossip(ctx, m) == nil || ctx.Err() != nil {
 			return
 		}
+		n.peers.Skip(dataCentre)
 		if n.members.Failed(m.Name) >= 2 && m.DataCentre == n.Settings.DataCentre && m.Status != tgframe.MemberLeaving {
 			go n.verifySilent(ctx, m)
 		}
@@ -184,24 +190,18 @@
 
 // noteAnswer ends the start phase when enough peers have answered and none has shown a newer configuration.
 func (n *Node) noteAnswer(peer string) {
+	if n.booted.Load() {
+		return
+	}
 	known := len(n.members.Peers())
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.booted {
-		return
-	}
 	n.answered[peer] = true
-	if len(n.answered) >= min(minBootPeers, known) && n.state.Applied() > 0 && n.state.Applied() >= n.tracker.HighestShown() {
-		n.booted = true
+	if len(n.answered) >= min(minBootPeers, known) && n.Applied() > 0 && n.Applied() >= n.tracker.HighestShown() {
+		n.booted.Store(true)
 	}
 }
 
-func (n *Node) setBooted() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.booted = true
-}
-
 // Observe takes the identity that came with a frame of any kind and fetches what this process lacks.
 func (n *Node) Observe(s *tgframe.Sender) {
 	if s == nil || s.Name == n.Settings.Name {
--- a/io/tgnode/memnet_test.go
+++ b/io/tgnode/memnet_test.go
@@ -36,6 +36,7 @@
 	loss       float64
 	mu         sync.Mutex
 	nodes      map[string]*running
+	pairs      map[[2]string]bool // daemons that opened exchanges with each other
 	random     *rand.Rand
 	byAddress  map[netip.AddrPort]string
 	names      []string
@@ -56,7 +57,7 @@
 	c := &cluster{
 		tb: tb, byAddress: map[netip.AddrPort]string{}, cut: connected,
 		dataCentre: map[string]string{}, latency: time.Millisecond, log: tgstandin.NewLog(24 * time.Hour),
-		nodes: map[string]*running{}, random: rand.New(rand.NewPCG(seed, seed)), vms: tgstandin.NewVMList(0),
+		nodes: map[string]*running{}, pairs: map[[2]string]bool{}, random: rand.New(rand.NewPCG(seed, seed)), vms: tgstandin.NewVMList(0),
 	}
 	cfg := *tgconfig.NewState().Config()
 	cfg.DataCentres, cfg.Upstreams = map[string]tgconfig.DataCentre{}, map[string]tgconfig.Upstream{}
@@ -227,6 +228,9 @@
 	}
 	c := x.c
 	c.mu.Lock()
+	if x.peer == nil {
+		c.pairs[[2]string{x.from, x.to}] = true
+	}
 	copies := 1
 	if c.random.Float64() < c.loss || c.cut(x.from, x.to) {
 		copies = 0
--- a/io/tgnode/node.go
+++ b/io/tgnode/node.go
@@ -52,7 +52,10 @@
 	Settings    Settings
 	Transport   tglink.Link
 
-	behind     chan netip.AddrPort // address of a peer that has shown a newer configuration
+	applied    atomic.Uint64                   // of state
+	booted     atomic.Bool                     // the configuration was compared with the log or several peers
+	behind     chan netip.AddrPort             // address of a peer that has shown a newer configuration
+	cfg        atomic.Pointer[tgconfig.Config] // of state; requests read it without waiting for a change being applied
 	counters   *counters
 	fallback   time.Duration // age of the last confirmation at which this daemon reads the log although it is no reader
 	lastAnswer atomic.Int64  // when a peer last answered, as time since started
@@ -73,14 +76,14 @@
 
 	mu        sync.Mutex
 	answered  map[string]bool // peers that answered before the node was bootstrapped
-	booted    bool            // the configuration was compared with the log or several peers
 	decisions []Decision
 	digests   map[string]uint64 // digest of the marks that each peer showed last
 	history   history
 	snapshot  []byte // encoded state at snapshotAt
 	state     *tgconfig.State
 
-	snapshotAt uint64
+	snapshotAt   uint64
+	snapshotSeen time.Time // when part of a snapshot was last seen in the log
 }
 
 // New returns a node that does not run yet.
@@ -120,23 +123,17 @@
 		state:    tgconfig.NewState(),
 		tracker:  tgfreshness.NewTracker(settings.DataCentre),
 	}
+	n.snapshotSeen = now
 	n.removed.Store(&removedCapacity{})
+	n.cfg.Store(n.state.Config())
 	return n
 }
 
 // Config returns the accepted configuration.
-func (n *Node) Config() *tgconfig.Config {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.state.Config()
-}
+func (n *Node) Config() *tgconfig.Config { return n.cfg.Load() }
 
 // Applied returns the offset after the last configuration record folded.
-func (n *Node) Applied() uint64 {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.state.Applied()
-}
+func (n *Node) Applied() uint64 { return n.applied.Load() }
 
 // Sender returns the identity that goes with the first frame of each direction.
 func (n *Node) Sender() *tgframe.Sender {
@@ -156,6 +153,7 @@
 	wg.Go(func() { n.push(ctx) })
 	wg.Go(func() { n.catchUp(ctx) })
 	wg.Go(func() { n.writeMarks(ctx) })
+	wg.Go(func() { n.writeSnapshots(ctx) })
 	wg.Go(func() { n.pollVMs(ctx) })
 }
 
--- a/io/tgnode/push.go
+++ b/io/tgnode/push.go
@@ -27,15 +27,17 @@
 		case <-n.news:
 		}
 		targets := n.peers.Neighbours()
-		if others := n.peers.DataCentres(); len(others) > 0 {
+		d := n.marks.Digest()
+		all := d != digest || n.members.HasLeavingNews()
+		digest = d
+		// Other data centres have readers of their own; only what the log does not carry goes to them from everybody.
+		if others := n.peers.DataCentres(); len(others) > 0 && (all || n.peers.Reader()) {
 			if m, ok := n.peers.Next(others[rand.IntN(len(others))]); ok {
 				targets = append(targets, m)
 			}
 		}
-		if d := n.marks.Digest(); d == digest && !n.members.HasLeavingNews() {
+		if !all {
 			targets = n.peers.Lagging(targets, n.Applied())
-		} else {
-			digest = d
 		}
 		for _, m := range targets {
 			wg.Go(func() { n.pushTo(ctx, m) })
--- a/io/tgnode/removed.go
+++ b/io/tgnode/removed.go
@@ -61,15 +61,12 @@
 
 // Ready returns why this process must not take new work; nil if it may.
 func (n *Node) Ready() error {
-	n.mu.Lock()
-	booted, applied := n.booted, n.state.Applied()
-	n.mu.Unlock()
 	switch {
-	case applied == 0:
+	case n.Applied() == 0:
 		return errors.New("configuration is missing")
 	case !n.following.Load():
 		return nil
-	case !booted:
+	case !n.booted.Load():
 		return errors.New("configuration has not been compared with the log or several peers yet")
 	}
 	switch s := n.Status(); s {
