--- a/core/tgconfig/defaults.go
+++ b/core/tgconfig/defaults.go
@@ -13,7 +13,7 @@
 		RequestTimeout:   60 * time.Second,
 		RetryBudgetRatio: 0.1,
 		SilenceTimeout:   3 * time.Second,
-		SnapshotInterval: time.Hour,
+		SnapshotInterval: 6 * time.Hour,
 		WarmConcurrency:  16,
 	}
 }
--- a/io/tgnode/fault_test.go
+++ b/io/tgnode/fault_test.go
@@ -235,14 +235,10 @@
 		time.Sleep(settle)
 		c.publish(1, withdraw(t, "a1"))
 		time.Sleep(settle)
-		for _, name := range c.names {
-			n := c.nodes[name].Node
-			n.mu.Lock()
-			n.snapshotSeen = n.snapshotSeen.Add(-2 * snapshotInterval)
-			n.mu.Unlock()
-		}
+		const interval = 5 * time.Minute
+		c.publish(1, snapshotEvery(t, interval))
 		appends := c.log.Appends()
-		time.Sleep(3 * snapshotCheck)
+		time.Sleep(2*interval + time.Minute)
 		written := c.log.Appends() - appends
 		assert.Assert(t, written >= 1 && written <= 3, "%d snapshots were written by %d readers", written, len(c.names))
 		last := c.publish(uint64(c.log.Appends()), withdraw(t, "a2"))
--- a/io/tgnode/snapshot.go
+++ b/io/tgnode/snapshot.go
@@ -6,48 +6,54 @@
 
 	"github.com/google/uuid"
 
+	"tanagergrade/core/tgconfig"
 	"tanagergrade/core/tgframe"
 	"tanagergrade/core/tgrecord"
 )
 
-// snapshotInterval is the mean time from one snapshot in the log to the next. Claims need a retention of 24 h, so that
-// several snapshots lie within half of it. Each reader reads 8.6 MB for each snapshot at the two-year size, 0.4 KB/s.
-const snapshotInterval = 6 * time.Hour
-
 const (
-	snapshotCheck = time.Minute
-	snapshotWait  = 10 * time.Second // between checks that another daemon has not written one meanwhile
+	snapshotCheck = 5 * time.Second
+	snapshotWait  = 10 * time.Second // mean time for which a reader gives way to others that are due too
+	storeTimeout  = 30 * time.Second // bound for appending all parts
 )
 
-// writeSnapshots rewrites the folded state in the log, so that the log's retention loses nothing. Only readers write;
-// two that write at once do no harm.
+// writeSnapshots writes the folded configuration to the log again, well before the records that it comes from
+// leave the log. Only readers write; two that write at once do no harm. Each reader reads 8.6 MB for each snapshot at
+// the two-year size, which is 0.4 KB/s at the default interval.
 func (n *Node) writeSnapshots(ctx context.Context) {
-	due := jitter(snapshotInterval)
-	for ctx.Err() == nil {
+	schedule := tgconfig.NewSnapshotSchedule(time.Now())
+	for {
 		sleep(ctx, jitter(snapshotCheck))
-		if !n.snapshotDue(due) || !n.peers.Reader() {
+		if ctx.Err() != nil {
+			return
+		}
+		if !n.snapshotDue(schedule) {
 			continue
 		}
-		// Readers whose jitter is alike give way to the first.
 		sleep(ctx, jitter(snapshotWait))
-		if !n.snapshotDue(due) || ctx.Err() != nil {
+		if ctx.Err() != nil || !n.snapshotDue(schedule) {
 			continue
 		}
 		if err := n.writeSnapshot(ctx); err != nil {
 			n.Log.WithError(err).Warn("snapshot was not written")
 		}
-		due = jitter(snapshotInterval)
 	}
 }
 
-func (n *Node) snapshotDue(age time.Duration) bool {
-	c := n.tracker.Confirmation(n.Applied())
+func (n *Node) snapshotDue(schedule tgconfig.SnapshotSchedule) bool {
+	if !n.peers.Reader() || n.Ready() != nil {
+		return false
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return time.Since(n.snapshotSeen) >= age && n.state.Applied() > 0 && c != nil && c.Age < fallbackAge
+	interval := n.state.Config().Settings.SnapshotInterval
+	recent := !n.snapshotSeen.IsZero() && time.Since(n.snapshotSeen) < interval/2
+	return !recent && schedule.Due(n.state, time.Now())
 }
 
 func (n *Node) writeSnapshot(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
 	n.mu.Lock()
 	snapshot, err := n.state.Snapshot()
 	n.mu.Unlock()
@@ -67,6 +73,7 @@
 			return err
 		}
 	}
+	n.Log.WithField("covered", snapshot.Covered).WithField("parts", len(parts)).Info("snapshot written")
 	return nil
 }
 
--- a/io/tgnode/snapshots_test.go
+++ b/io/tgnode/snapshot_test.go
@@ -17,13 +17,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, 5, 3, "a1", "a2", "b1")
 		defer func() { c.stop(c.names...) }()
-		settings := tgconfig.DefaultSettings()
-		settings.SnapshotInterval = time.Minute
-		raw, err := cbor.Marshal(settings)
-		assert.NilError(t, err)
-		c.publish(1, tgconfig.Change{Entities: []tgconfig.EntityChange{{
-			Entity: tgconfig.Entity{Kind: tgconfig.EntitySettings}, Value: raw,
-		}}})
+		c.publish(1, snapshotEvery(t, time.Minute))
 		c.publish(1, withdraw(t, "a2"))
 		time.Sleep(10 * time.Minute)
 
@@ -46,3 +40,15 @@
 		}
 	})
 }
+
+// snapshotEvery returns a change that sets the snapshot interval.
+func snapshotEvery(t *testing.T, interval time.Duration) tgconfig.Change {
+	t.Helper()
+	settings := tgconfig.DefaultSettings()
+	settings.SnapshotInterval = interval
+	raw, err := cbor.Marshal(settings)
+	assert.NilError(t, err)
+	return tgconfig.Change{Entities: []tgconfig.EntityChange{{
+		Entity: tgconfig.Entity{Kind: tgconfig.EntitySettings}, Value: raw,
+	}}}
+}
