--- a/core/tganswer/assembler.go
+++ b/core/tganswer/assembler.go
@@ -49,17 +49,18 @@
 // Wanted returns the sequence number of the first chunk that has not arrived.
 func (a *Assembler) Wanted() uint64 { return a.next }
 
-// Add takes a frame; frames of other attempts and repeated frames change nothing.
+// Add takes a frame; frames of other attempts and repeated frames change nothing. It keeps the data of f, not f.
 func (a *Assembler) Add(f *tgframe.Frame) {
 	if f.Attempt != a.attempt {
 		return
 	}
-	switch {
-	case f.Kind == tgframe.KindHead && f.Head != nil && a.head == nil:
+	if f.Head != nil && a.head == nil {
 		a.head = f.Head
-	case f.Kind == tgframe.KindChunk && f.Chunk != nil:
+	}
+	if f.Chunk != nil {
 		a.addChunk(f.Chunk)
-	case f.Kind == tgframe.KindEnd && f.End != nil && a.end == nil:
+	}
+	if f.End != nil && a.end == nil {
 		a.end = f.End
 	}
 }
--- a/core/tganswer/buffer_test.go
+++ b/core/tganswer/buffer_test.go
@@ -16,10 +16,10 @@
 func readAll(r *tganswer.Reader) (body string, ended bool) {
 	var f tgframe.Frame
 	for r.Read(&f) {
-		switch {
-		case f.Chunk != nil:
+		if f.Chunk != nil {
 			body += string(f.Chunk.Data)
-		case f.End != nil:
+		}
+		if f.End != nil {
 			return body, true
 		}
 	}
--- a/core/tganswer/reader.go
+++ b/core/tganswer/reader.go
@@ -43,7 +43,7 @@
 func (r *Reader) Wake() <-chan struct{} { return r.wake }
 
 // Read fills f with the next frame, valid until the next call, or returns false if there is none yet.
-// Chunks that are ready together go into one frame.
+// The head, chunks and end that are ready together go into one frame.
 func (r *Reader) Read(f *tgframe.Frame) bool {
 	b := r.buffer
 	b.mu.Lock()
@@ -52,7 +52,6 @@
 	if !r.headSent && b.head != nil {
 		r.headSent = true
 		f.Head, f.Kind = b.head, tgframe.KindHead
-		return true
 	}
 	if r.next >= b.base && r.next < b.base+uint64(len(b.chunks)) {
 		r.readChunks(b.chunks[r.next-b.base:])
@@ -61,13 +60,11 @@
 		case b.space <- struct{}{}:
 		default:
 		}
-		return true
 	}
-	if b.end != nil {
+	if b.end != nil && r.next >= b.base+uint64(len(b.chunks)) {
 		f.End, f.Kind = b.end, tgframe.KindEnd
-		return true
 	}
-	return false
+	return f.Kind != ""
 }
 
 func (r *Reader) readChunks(ready [][]byte) {
--- a/core/tgframe/frame.go
+++ b/core/tgframe/frame.go
@@ -24,18 +24,19 @@
 	KindProgress Kind = "progress"
 )
 
-// Frame is one message of an exchange; the field named by Kind is set.
+// Frame is one message of an exchange; the field named by Kind is set. A frame of an answer also carries what
+// precedes it, if that is ready at the same time: an end its last chunks, a chunk the head.
 type Frame struct {
 	Attach   *Attach   `cbor:"attach,omitempty"`
-	Attempt  uuid.UUID `cbor:"attempt"` // set on reply frames; the reader drops frames of other attempts
+	Attempt  [16]byte  `cbor:"attempt"` // UUID, set on reply frames; as an array it is encoded without an allocation
 	Cancel   *Cancel   `cbor:"cancel,omitempty"`
 	Chunk    *Chunk    `cbor:"chunk,omitempty"`
 	End      *End      `cbor:"end,omitempty"`
 	Execute  *Execute  `cbor:"execute,omitempty"`
 	Head     *Head     `cbor:"head,omitempty"`
 	Kind     Kind      `cbor:"kind"`
-	Progress *Progress `cbor:"progress,omitempty"`
-	Sender   *Sender   `cbor:"sender,omitempty"` // set on the first frame of each direction
+	Progress *Progress `cbor:"progress,omitempty"` // also set if Kind is accepted
+	Sender   *Sender   `cbor:"sender,omitempty"`   // set on the first frame of each direction
 }
 
 // Sender identifies the process that sent a frame.
--- a/io/tgcompanion/follow.go
+++ b/io/tgcompanion/follow.go
@@ -64,9 +64,7 @@
 	sendCtx, cancel := context.WithDeadline(ctx, a.execute.Deadline.Add(attemptRetention))
 	defer cancel()
 	id := a.execute.Attempt
-	if x.Send(sendCtx, tgframe.Frame{Attempt: id, Kind: tgframe.KindAccepted, Sender: c.node.Sender()}) != nil {
-		return
-	}
+	sender := c.node.Sender() // goes with the first frame
 	heartbeat := time.NewTicker(heartbeatInterval)
 	defer heartbeat.Stop()
 	f := tgframe.Frame{Attempt: id}
@@ -77,6 +75,7 @@
 				end.Load = c.load()
 				f.End = &end
 			}
+			f.Sender, sender = sender, nil
 			if x.Send(sendCtx, f) != nil {
 				return
 			}
@@ -91,8 +90,13 @@
 		case <-sendCtx.Done():
 			return
 		case <-heartbeat.C:
-			p := &tgframe.Progress{Load: c.load(), Next: a.buffer.Next(), Running: true}
-			if x.Send(sendCtx, tgframe.Frame{Attempt: id, Kind: tgframe.KindProgress, Progress: p}) != nil {
+			p := tgframe.Frame{Attempt: id, Kind: tgframe.KindProgress, Sender: sender}
+			if sender != nil {
+				p.Kind = tgframe.KindAccepted
+			}
+			p.Progress = &tgframe.Progress{Load: c.load(), Next: a.buffer.Next(), Running: true}
+			sender = nil
+			if x.Send(sendCtx, p) != nil {
 				return
 			}
 		}
--- a/io/tgentry/attempt.go
+++ b/io/tgentry/attempt.go
@@ -125,10 +125,12 @@
 }
 
 func (a *attempt) open() bool {
-	ctx, cancel := context.WithTimeout(a.call.ctx, openTimeout)
-	defer cancel()
+	ctx, cancel := context.WithCancel(a.call.ctx)
+	silence := time.AfterFunc(openTimeout, cancel)
 	x, err := a.call.entry.node.Transport.Open(ctx, a.address)
 	if err != nil {
+		silence.Stop()
+		cancel()
 		return false
 	}
 	f := tgframe.Frame{Kind: tgframe.KindExecute, Sender: a.call.entry.node.Sender()}
@@ -141,13 +143,12 @@
 		f.Attach = &tgframe.Attach{Attempt: a.execute.Attempt, Deadline: a.execute.Deadline, Next: a.assembler.Wanted()}
 		a.call.entry.counters.reattaches.Add(1)
 	}
+	a.cancel, a.ctx, a.exchange, a.silence = cancel, ctx, x, silence
 	if x.Send(ctx, f) != nil {
-		_ = x.Close()
+		a.disconnect()
 		return false
 	}
-	a.exchange = x
-	a.ctx, a.cancel = context.WithCancel(a.call.ctx)
-	a.silence = time.AfterFunc(a.call.silence, a.cancel)
+	silence.Reset(a.call.silence)
 	return true
 }
 
--- a/io/tgentry/shutdown_test.go
+++ b/io/tgentry/shutdown_test.go
@@ -32,7 +32,6 @@
 // daemons are an entry and two companions over QUIC, HTTP and a log service on loopback.
 type daemons struct {
 	address string // of the entry
-	engines []*tgstandin.Engine
 	logAddr netip.AddrPort
 	stop    map[string]func() // ends a daemon and waits for it
 	tls     *tls.Config
@@ -66,7 +65,21 @@
 	tb.Cleanup(d.stop[name])
 }
 
+// startDaemons starts two engines and the daemons in front of them.
 func startDaemons(tb testing.TB, interval time.Duration) *daemons {
+	tb.Helper()
+	addresses := make([]netip.AddrPort, 0, 2)
+	for _, name := range upstreamNames[:2] {
+		server, err := tgstandin.Serve(tgstandin.NewEngine(name, interval).Handle)
+		assert.NilError(tb, err)
+		tb.Cleanup(func() { _ = server.Close() })
+		addresses = append(addresses, server.Address())
+	}
+	return startDaemonsAt(tb, addresses)
+}
+
+// startDaemonsAt starts a companion for each engine address and an entry.
+func startDaemonsAt(tb testing.TB, engines []netip.AddrPort) *daemons {
 	tb.Helper()
 	d := &daemons{stop: map[string]func(){}}
 	var err error
@@ -82,17 +95,13 @@
 		Settings:    tgconfig.DefaultSettings(),
 		Upstreams:   map[string]tgconfig.Upstream{},
 	}
-	for _, name := range upstreamNames[:2] {
-		e := tgstandin.NewEngine(name, interval)
-		d.engines = append(d.engines, e)
-		server, err := tgstandin.Serve(e.Handle)
-		assert.NilError(tb, err)
-		tb.Cleanup(func() { _ = server.Close() })
+	for i, address := range engines {
+		name := upstreamNames[i]
 		node := d.newNode(tb, "companion-"+name)
 		cfg.Upstreams[name] = tgconfig.Upstream{
-			Address: server.Address(), Companion: node.Settings.LinkAddress, DataCentre: "a", Pool: "p", State: tgconfig.Active,
+			Address: address, Companion: node.Settings.LinkAddress, DataCentre: "a", Pool: "p", State: tgconfig.Active,
 		}
-		d.run(tb, name, tgcompanion.New(node, name, tgupstream.New(server.Address())).Run)
+		d.run(tb, name, tgcompanion.New(node, name, tgupstream.New(address)).Run)
 	}
 	change, err := tgconfig.Diff(tgconfig.NewState().Config(), cfg)
 	assert.NilError(tb, err)
--- a/io/tglink/exchange.go
+++ b/io/tglink/exchange.go
@@ -22,21 +22,30 @@
 	lengthSize   = 4
 	maxFrameSize = 80 << 20 // above the largest request body that an entry takes
 	readSize     = 4 << 10
+	smallWrite   = 1 << 10 // quic-go takes a write below the size of a packet without waiting for the peer
 )
 
+var noLength [lengthSize]byte // replaced when the length is known
+
 // ErrFrameTooLarge says that a frame exceeds the limit of both sides.
 var ErrFrameTooLarge = errors.New("frame is too large")
 
 // exchange sends each frame as its length in four bytes and its CBOR encoding.
 type exchange struct {
-	buffer  bytes.Buffer // frame being sent, under sendMu
+	buffer  bytes.Buffer  // frame being sent, under sendMu
+	frame   tgframe.Frame // being sent, under sendMu
 	onClose func()
 	once    sync.Once
 	reader  *bufio.Reader
 	sendMu  sync.Mutex
-	stream  *quic.Stream
 
-	// The context that the read deadline follows; Receive is called by one goroutine at a time.
+	sendDeadline time.Time // of the stream, under sendMu
+
+	stream *quic.Stream
+
+	// The rest belongs to Receive, which is called by one goroutine at a time.
+	chunk    tgframe.Chunk // of the last frame
+	in       tgframe.Frame // last frame; decoding into fields of the exchange saves an allocation for each
 	received []byte
 	watched  context.Context //nolint:containedctx // lets calls with the same context share one watch
 	unwatch  func() bool
@@ -46,15 +55,14 @@
 	return &exchange{onClose: onClose, reader: bufio.NewReaderSize(stream, readSize), stream: stream}
 }
 
-// Close ends both directions; what was sent is still delivered.
+// Close ends both directions; what was sent is still delivered. The other side may have ended them before.
 func (x *exchange) Close() error {
-	var err error
 	x.once.Do(func() {
 		x.stream.CancelRead(codeClosed)
-		err = errors.Wrap(x.stream.Close(), "close stream")
+		_ = x.stream.Close()
 		x.onClose()
 	})
-	return err
+	return nil
 }
 
 // Receive returns the next frame. Calls with the same context share one watch of its end.
@@ -64,25 +72,37 @@
 			return tgframe.Frame{}, err
 		}
 	}
-	var f tgframe.Frame
 	data, err := x.read()
-	if err != nil {
-		if ctx.Err() != nil {
-			err = ctx.Err()
-		}
-		return f, errors.Wrap(err, "receive frame")
+	switch {
+	case err == io.EOF: //nolint:errorlint // the regular end of an exchange, reported without the cost of a stack
+		return tgframe.Frame{}, err
+	case ctx.Err() != nil:
+		return tgframe.Frame{}, errors.Wrap(ctx.Err(), "receive frame")
+	case err != nil:
+		return tgframe.Frame{}, errors.Wrap(err, "receive frame")
+	}
+	x.chunk = tgframe.Chunk{}
+	x.in = tgframe.Frame{Chunk: &x.chunk}
+	if err := cbor.Unmarshal(data, &x.in); err != nil {
+		return tgframe.Frame{}, errors.Wrap(err, "decode frame")
+	}
+	if x.chunk.Data == nil {
+		x.in.Chunk = nil
 	}
-	return f, errors.Wrap(cbor.Unmarshal(data, &f), "decode frame")
+	return x.in, nil
 }
 
-// watch makes reads fail once ctx has ended.
+// watch makes reads fail once ctx has ended. The stream gets no deadline before: with one, quic-go makes a timer for
+// every read that waits.
 func (x *exchange) watch(ctx context.Context) error {
 	if x.unwatch != nil {
 		x.unwatch()
 	}
-	deadline, _ := ctx.Deadline()
-	if err := x.stream.SetReadDeadline(deadline); err != nil {
-		return errors.Wrap(err, "set read deadline")
+	if err := ctx.Err(); err != nil {
+		return errors.Wrap(err, "receive frame")
+	}
+	if err := x.stream.SetReadDeadline(time.Time{}); err != nil {
+		return errors.Wrap(err, "reset read deadline")
 	}
 	x.watched = ctx
 	x.unwatch = context.AfterFunc(ctx, func() { _ = x.stream.SetReadDeadline(time.Unix(1, 0)) })
@@ -120,13 +140,17 @@
 	return n >= lengthSize+int(binary.BigEndian.Uint32(header))
 }
 
-// Send sends one frame; several goroutines may send at once.
+// Send sends one frame; several goroutines may send at once. An end frame closes this direction, so that the end of
+// the stream goes out in the same packet.
 func (x *exchange) Send(ctx context.Context, f tgframe.Frame) error {
 	x.sendMu.Lock()
 	defer x.sendMu.Unlock()
 	x.buffer.Reset()
-	x.buffer.Write(make([]byte, lengthSize))
-	if err := cbor.MarshalToBuffer(f, &x.buffer); err != nil {
+	x.buffer.Write(noLength[:])
+	x.frame = f
+	err := cbor.MarshalToBuffer(&x.frame, &x.buffer)
+	x.frame = tgframe.Frame{}
+	if err != nil {
 		return errors.Wrap(err, "encode frame")
 	}
 	data := x.buffer.Bytes()
@@ -134,10 +158,20 @@
 		return ErrFrameTooLarge
 	}
 	binary.BigEndian.PutUint32(data, uint32(len(data)-lengthSize))
-	deadline, _ := ctx.Deadline()
-	if err := x.stream.SetWriteDeadline(deadline); err != nil {
-		return errors.Wrap(err, "set write deadline")
+	if deadline, _ := ctx.Deadline(); !deadline.Equal(x.sendDeadline) {
+		if err := x.stream.SetWriteDeadline(deadline); err != nil {
+			return errors.Wrap(err, "set write deadline")
+		}
+		x.sendDeadline = deadline
+	}
+	if len(data) > smallWrite {
+		defer context.AfterFunc(ctx, func() { _ = x.stream.SetWriteDeadline(time.Unix(1, 0)) })()
 	}
-	_, err := x.stream.Write(data)
-	return errors.Wrap(err, "send frame")
+	if _, err = x.stream.Write(data); err != nil {
+		return errors.Wrap(err, "send frame")
+	}
+	if f.Kind == tgframe.KindEnd {
+		return errors.Wrap(x.stream.Close(), "close stream")
+	}
+	return nil
 }
--- a/io/tglink/link.go
+++ b/io/tglink/link.go
@@ -13,9 +13,9 @@
 	// Buffered reports whether Receive would return a frame without waiting.
 	Buffered() bool
 	Close() error
-	// Receive is called by one goroutine at a time.
+	// Receive is called by one goroutine at a time. The frame's chunk is valid until the next call, its data longer.
 	Receive(ctx context.Context) (tgframe.Frame, error)
-	// Send encodes f before it returns. After an error the frame may have been delivered.
+	// Send encodes f before it returns; no frame follows an end. After an error the frame may have been delivered.
 	Send(ctx context.Context, f tgframe.Frame) error
 }
 
