Add orders to upstreams with fencing and the weight-store budget

Cause: orders come from lease holders that may be paused, replies get lost, and some upstreams ignore fencing tokens.

Change: fence of the companion, executor that sends one order at a time, settles lost replies by reading the state back and conflicts by log order, and one budget of the weight store's rate, urgent transfers first.

Conclusion: ready for the companion; only group changes use it so far.

--- /dev/null
+++ b/core/tgorder/budget.go
@@ -0,0 +1,90 @@
+package tgorder
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// Grant allows the transfer of Bytes from the weight store until Expires.
+type Grant struct {
+	Bytes   int64     `json:"bytes"`
+	Expires time.Time `json:"expires"`
+	Group   string    `json:"group"`
+	ID      uint64    `json:"id"`
+}
+
+// Budget shares out the weight store's rate among all groups and upstreams. Its holder has the lease of the budget. A
+// new holder grants nothing before the grants of the one before have expired, so both together keep the rate.
+type Budget struct {
+	mu        sync.Mutex
+	available float64 // bytes; at most burst
+	burst     float64
+	free      time.Time // start of grants
+	lifetime  time.Duration
+	nextID    uint64
+	rate      float64 // bytes/s
+	updated   time.Time
+	waiting   []request
+}
+
+type request struct {
+	bytes  int64
+	group  string
+	grant  chan Grant
+	id     uint64
+	urgent bool
+}
+
+// NewBudget returns the budget of a new holder for a store of the given rate in bytes/s. Grants last for lifetime.
+func NewBudget(rate float64, lifetime time.Duration) *Budget {
+	free := time.Now().Add(lifetime)
+	return &Budget{burst: rate, free: free, lifetime: lifetime, rate: rate, updated: free}
+}
+
+// Request queues a transfer behind the urgent ones and, if it is not urgent, behind all others. The grant arrives on
+// the channel; cancel withdraws a request that has none yet.
+func (b *Budget) Request(group string, bytes int64, urgent bool) (grant <-chan Grant, cancel func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.nextID++
+	r := request{bytes: bytes, grant: make(chan Grant, 1), group: group, id: b.nextID, urgent: urgent}
+	at := len(b.waiting)
+	if urgent {
+		at = slices.IndexFunc(b.waiting, func(w request) bool { return !w.urgent })
+		if at < 0 {
+			at = len(b.waiting)
+		}
+	}
+	b.waiting = slices.Insert(b.waiting, at, r)
+	return r.grant, func() { b.cancel(r.id) }
+}
+
+func (b *Budget) cancel(id uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.waiting = slices.DeleteFunc(b.waiting, func(r request) bool { return r.id == id })
+}
+
+// Issue hands out the grants that the rate allows now and returns the time until the next one, or false if none
+// waits. A transfer larger than the burst is granted when the budget is full and paid off afterwards.
+func (b *Budget) Issue() (time.Duration, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	if now.Before(b.free) {
+		return b.free.Sub(now), len(b.waiting) > 0
+	}
+	b.available = min(b.burst, b.available+now.Sub(b.updated).Seconds()*b.rate)
+	b.updated = now
+	for len(b.waiting) > 0 {
+		r := b.waiting[0]
+		if missing := min(float64(r.bytes), b.burst) - b.available; missing > 0 {
+			return time.Duration(missing/b.rate*float64(time.Second)) + 1, true
+		}
+		b.available -= float64(r.bytes)
+		b.waiting = b.waiting[1:]
+		r.grant <- Grant{Bytes: r.bytes, Expires: now.Add(b.lifetime), Group: r.group, ID: r.id}
+	}
+	return 0, false
+}
--- /dev/null
+++ b/core/tgorder/executor.go
@@ -0,0 +1,144 @@
+package tgorder
+
+import "sync"
+
+// ActionKind says what the caller does next with the upstream.
+type ActionKind string
+
+// Kinds of actions.
+const (
+	ActionNone ActionKind = "none"
+	ActionRead ActionKind = "read" // read the upstream's state and pass it to Observe
+	ActionSend ActionKind = "send" // send the order and pass the result to Done
+)
+
+// Action is the next thing to do with the upstream.
+type Action struct {
+	Kind  ActionKind
+	Order Order
+}
+
+// Result says what became of an order that was sent.
+type Result string
+
+// Results of sending.
+const (
+	ResultDone    Result = "done"
+	ResultStale   Result = "stale"   // the upstream has seen a higher token
+	ResultUnknown Result = "unknown" // the reply was lost; the order may have been carried out or may yet be
+)
+
+// Executor brings one upstream into the state that its orders ask for. It is the only sender of orders to the
+// upstream and sends one at a time. The last order about a resource in log order wins.
+type Executor struct {
+	mu       sync.Mutex
+	fence    Fence
+	inFlight *Order
+	pending  []Resource // in the order of arrival
+	read     bool       // the state has to be read before anything is sent
+	sure     bool       // the upstream checks tokens itself
+	wanted   map[Resource]Order
+}
+
+// NewExecutor returns the executor of an upstream. One that checks tokens itself needs no Learn after a restart.
+func NewExecutor(checksFencing bool) *Executor {
+	return &Executor{read: true, sure: checksFencing, wanted: map[Resource]Order{}}
+}
+
+// Learn takes the highest token that the log shows.
+func (x *Executor) Learn(token uint64) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.fence.Learn(token)
+}
+
+// Apply takes an order. It returns a StaleTokenError, SupersededError or TokenUnknownError if the order is rejected.
+func (x *Executor) Apply(o Order) error {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.sure && !x.fence.known {
+		x.fence.Learn(o.Token)
+	}
+	if err := x.fence.Check(o.Token); err != nil {
+		return err
+	}
+	if old, ok := x.wanted[o.Resource]; ok && o.Position.Less(old.Position) {
+		return &SupersededError{By: old.Position}
+	}
+	x.wanted[o.Resource] = o
+	x.enqueue(o.Resource)
+	return nil
+}
+
+func (x *Executor) enqueue(r Resource) {
+	for _, p := range x.pending {
+		if p == r {
+			return
+		}
+	}
+	x.pending = append(x.pending, r)
+}
+
+// Next returns the next action; it is none while an order is in flight.
+func (x *Executor) Next() Action {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	switch {
+	case x.inFlight != nil || len(x.pending) == 0 && !x.read:
+		return Action{Kind: ActionNone}
+	case x.read:
+		return Action{Kind: ActionRead}
+	}
+	o := x.wanted[x.pending[0]]
+	x.pending = x.pending[1:]
+	x.inFlight = &o
+	return Action{Kind: ActionSend, Order: o}
+}
+
+// Done takes the result of the order in flight. A lost reply is settled by reading the state back.
+func (x *Executor) Done(r Result) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	o := x.inFlight
+	if o == nil {
+		return
+	}
+	x.inFlight = nil
+	switch r {
+	case ResultStale:
+		// A newer holder gives orders; if this one still stands in the log, that holder sends it again.
+		if x.wanted[o.Resource] == *o {
+			delete(x.wanted, o.Resource)
+		}
+	case ResultUnknown:
+		x.read = true
+		x.enqueue(o.Resource)
+	}
+}
+
+// Observe takes the upstream's state and queues each wanted order that it does not show. It is also called at
+// intervals, which corrects an order that took effect late.
+func (x *Executor) Observe(s State) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.read = false
+	kept := x.pending[:0]
+	for _, r := range x.pending {
+		if !s.Shows(x.wanted[r]) {
+			kept = append(kept, r)
+		}
+	}
+	x.pending = kept
+	for r, o := range x.wanted {
+		if !s.Shows(o) && (x.inFlight == nil || x.inFlight.Resource != r) {
+			x.enqueue(r)
+		}
+	}
+}
+
+// Settled reports whether the upstream has all that was asked for.
+func (x *Executor) Settled() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return !x.read && x.inFlight == nil && len(x.pending) == 0
+}
--- /dev/null
+++ b/core/tgorder/order.go
@@ -0,0 +1,94 @@
+// Package tgorder decides which orders an upstream is sent, fences them and shares out the weight store's rate.
+package tgorder
+
+import "fmt"
+
+// Kind says what an order changes.
+type Kind string
+
+// Kinds of orders.
+const (
+	KindLoad   Kind = "load"
+	KindRole   Kind = "role"
+	KindUnload Kind = "unload"
+)
+
+// ResourceKind says what is loaded or unloaded.
+type ResourceKind string
+
+// Kinds of resources.
+const (
+	ResourceAdapter ResourceKind = "adapter"
+	ResourceModel   ResourceKind = "model"
+	ResourceRole    ResourceKind = "role" // the one resource of role orders
+	ResourceVersion ResourceKind = "version"
+)
+
+// Resource is what orders conflict about.
+type Resource struct {
+	Kind ResourceKind `json:"kind"`
+	Name string       `json:"name"` // empty for the role
+}
+
+// Position is the place of an order in the log.
+type Position struct {
+	Index  int    `json:"index"`
+	Offset uint64 `json:"offset"`
+}
+
+// Less orders positions as the log does.
+func (p Position) Less(other Position) bool {
+	if p.Offset != other.Offset {
+		return p.Offset < other.Offset
+	}
+	return p.Index < other.Index
+}
+
+// Order asks an upstream for a state, so it can be carried out any number of times.
+type Order struct {
+	Kind     Kind     `json:"kind"`
+	Position Position `json:"position"`
+	Resource Resource `json:"resource"`
+	Role     string   `json:"role,omitempty"` // of role orders
+	Token    uint64   `json:"token"`          // of the lease under which it was given
+}
+
+// State is what an upstream reports.
+type State struct {
+	Loaded map[Resource]bool `json:"loaded"`
+	Role   string            `json:"role"`
+}
+
+// Shows reports whether the upstream is in the state that o asks for.
+func (s State) Shows(o Order) bool {
+	switch o.Kind {
+	case KindLoad:
+		return s.Loaded[o.Resource]
+	case KindRole:
+		return s.Role == o.Role
+	default:
+		return !s.Loaded[o.Resource]
+	}
+}
+
+// StaleTokenError says that the order's token is older than one already seen.
+type StaleTokenError struct{ Highest, Token uint64 }
+
+// Error implements error.
+func (e *StaleTokenError) Error() string {
+	return fmt.Sprintf("token %d is stale, the highest is %d", e.Token, e.Highest)
+}
+
+// SupersededError says that a later order about the same resource is in the log.
+type SupersededError struct{ By Position }
+
+// Error implements error.
+func (e *SupersededError) Error() string {
+	return fmt.Sprintf("order is superseded by the one at offset %d, index %d", e.By.Offset, e.By.Index)
+}
+
+// TokenUnknownError says that the companion has restarted and not read the highest token from the log yet.
+type TokenUnknownError struct{}
+
+// Error implements error.
+func (e *TokenUnknownError) Error() string { return "the highest token is not known yet" }
