Add controller and agents of rank groups with stand-ins

Cause: the state machines of a map change need a process that drives them, and proof that no step mixes two maps while messages are lost.

Change: io/tggroup (controller under a lease, agent beside each rank, state for the dump, re-formation on spares or a smaller set), stand-ins of a lock-step rank group with its HTTP interface and of the weight store.

Figures: before, a rank that stalled between commit and its step left the controller staging for 20 s (test bound), since stalls were judged only in the idle phase.

Conclusion: a map changes under load and single faults.

--- /dev/null
+++ b/io/tggroup/agent.go
@@ -0,0 +1,129 @@
+package tggroup
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"tanagergrade/core/tgorder"
+	"tanagergrade/core/tgstep"
+)
+
+const callTimeout = time.Second // of one call to an engine, which answers from memory
+
+// Agent is the only sender of group orders to the engine of one rank. It checks fencing tokens itself and, after a
+// restart, passes no order on before the highest token has been read from the log.
+type Agent struct {
+	address netip.AddrPort
+	fence   tgorder.Fence
+	http    *fasthttp.Client
+	lease   string
+	leases  Leases
+	learnt  bool
+	mu      sync.Mutex // held during an order, so that the engine gets one at a time
+	rank    int
+}
+
+// NewAgent returns the agent of the rank whose engine is at address; lease is the name of the group's lease.
+func NewAgent(rank int, address netip.AddrPort, lease string, leases Leases) *Agent {
+	return &Agent{
+		address: address,
+		http: &fasthttp.Client{
+			Dial:                      func(a string) (net.Conn, error) { return fasthttp.DialTimeout(a, callTimeout) },
+			MaxIdemponentCallAttempts: 1,
+			NoDefaultUserAgentHeader:  true,
+			ReadTimeout:               callTimeout,
+			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+			WriteTimeout:              callTimeout,
+		},
+		lease: lease, leases: leases, rank: rank,
+	}
+}
+
+// Call carries out a controller's request.
+func (a *Agent) Call(ctx context.Context, r Request) (Response, error) {
+	switch r.Kind {
+	case RequestLoads:
+		loads := &RankLoads{}
+		return Response{Loads: loads}, a.call(ctx, "/v1/rank/loads", nil, loads)
+	case RequestOrder:
+		return a.order(ctx, r)
+	case RequestPlacements:
+		var list []RankPlacement
+		err := a.call(ctx, "/v1/rank/placements", nil, &list)
+		return Response{Placements: list}, err
+	case RequestState:
+		state := &tgstep.State{}
+		return Response{State: state}, a.call(ctx, "/v1/rank/state", nil, state)
+	default:
+		return Response{}, errors.Newf("request kind %q does not exist", r.Kind)
+	}
+}
+
+func (a *Agent) order(ctx context.Context, r Request) (Response, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if refusal := a.check(r.Message.Token); refusal != "" {
+		return Response{Reply: &tgstep.Reply{
+			From: a.rank, Kind: r.Message.Kind, Refusal: refusal, Round: r.Message.Round,
+			State: tgstep.State{Token: a.fence.Highest()},
+		}}, nil
+	}
+	body := struct {
+		Message   tgstep.Message `json:"message"`
+		Placement any            `json:"placement"`
+	}{r.Message, r.Placement}
+	reply := &tgstep.Reply{}
+	if err := a.call(ctx, "/v1/rank/orders", body, reply); err != nil {
+		return Response{}, err
+	}
+	return Response{Reply: reply}, nil
+}
+
+func (a *Agent) check(token uint64) tgstep.Refusal {
+	if !a.learnt {
+		highest, ok := a.leases.Token(a.lease)
+		if !ok {
+			return tgstep.RefusalTokenUnknown
+		}
+		a.fence.Learn(highest)
+		a.learnt = true
+	}
+	if a.fence.Check(token) != nil {
+		return tgstep.RefusalStale
+	}
+	return ""
+}
+
+// call sends a request once and decodes the answer; body is nil for a read.
+func (a *Agent) call(ctx context.Context, path string, body, answer any) error {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + a.address.String() + path)
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return errors.Wrap(err, "encode order")
+		}
+		req.Header.SetMethod(fasthttp.MethodPost)
+		req.SetBody(data)
+	}
+	deadline := time.Now().Add(callTimeout)
+	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
+		deadline = d
+	}
+	if err := a.http.DoDeadline(req, resp, deadline); err != nil {
+		return errors.Wrapf(err, "call %s of rank %d", path, a.rank)
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return errors.Newf("%s of rank %d answered status %d", path, a.rank, resp.StatusCode())
+	}
+	return errors.Wrapf(json.Unmarshal(resp.Body(), answer), "decode answer to %s of rank %d", path, a.rank)
+}
--- /dev/null
+++ b/io/tggroup/group_test.go
@@ -0,0 +1,198 @@
+package tggroup
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"tanagergrade/core/tgexpert"
+	"tanagergrade/core/tgstep"
+	"tanagergrade/io/tgstandin"
+)
+
+// fakeLeases is a log with one lease; tests hand it over and take the log down.
+type fakeLeases struct {
+	mu    sync.Mutex
+	down  bool
+	owner *holder
+	token uint64
+}
+
+type holder struct{ log *fakeLeases }
+
+func (h *holder) Acquire(ctx context.Context, _ string) (uint64, error) {
+	for ctx.Err() == nil {
+		h.log.mu.Lock()
+		if !h.log.down && h.log.owner == nil {
+			h.log.owner = h
+			h.log.token++
+		}
+		owner, token := h.log.owner, h.log.token
+		h.log.mu.Unlock()
+		if owner == h {
+			return token, nil
+		}
+		sleep(ctx, time.Millisecond)
+	}
+	return 0, ctx.Err()
+}
+
+func (h *holder) Held(_ string, token uint64) bool {
+	h.log.mu.Lock()
+	defer h.log.mu.Unlock()
+	return !h.log.down && h.log.owner == h && h.log.token == token
+}
+
+func (h *holder) Token(string) (uint64, bool) {
+	h.log.mu.Lock()
+	defer h.log.mu.Unlock()
+	return h.log.token, !h.log.down
+}
+
+// rig is a stand-in group of four ranks and a spare with two companions that can run its controller.
+type rig struct {
+	group  *tgstandin.RankGroup
+	groups [2]*Group
+	leases *fakeLeases
+	loads  [2]tgexpert.Loads
+	store  *tgstandin.WeightStore
+}
+
+func newRig(tb testing.TB) *rig {
+	tb.Helper()
+	const layers, experts, ranks = 2, 8, 5
+	r := &rig{leases: &fakeLeases{}, store: tgstandin.NewWeightStore(1e9)}
+	for i := range r.loads {
+		r.loads[i] = tgexpert.NewLoads(layers, experts)
+		for j := range r.loads[i].Tokens {
+			r.loads[i].Tokens[j] = float64(100 + 900*((j+i*3)%experts/5))
+		}
+	}
+	r.group = tgstandin.NewRankGroup(ranks, 2*time.Millisecond, r.loads[0], r.store)
+	r.group.BytesPerExpert = 1e6
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	tb.Cleanup(func() { cancel(); wg.Wait() })
+	wg.Go(func() { r.group.Run(ctx) })
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	for i := range r.groups {
+		h := &holder{log: r.leases}
+		agents := make(Local, 0, ranks)
+		for rank := range ranks {
+			server, err := tgstandin.Serve(r.group.Rank(rank).Handle)
+			if err != nil {
+				tb.Fatal(err)
+			}
+			tb.Cleanup(func() { _ = server.Close() })
+			agents = append(agents, NewAgent(rank, server.Address(), LeaseName("g"), h))
+		}
+		r.groups[i] = New(Settings{
+			Experts: experts, Layers: layers, Lead: 20, Name: "g", Poll: 10 * time.Millisecond, Ranks: ranks, Size: 4,
+			Slots: 3, StallTimeout: 700 * time.Millisecond, Window: 50 * time.Millisecond,
+		}, agents, h, logrus.NewEntry(logger))
+		r.groups[i].policy = tgexpert.Greedy{}
+		wg.Go(func() { r.groups[i].Run(ctx) })
+	}
+	return r
+}
+
+// until waits for a condition while the loads alternate, which calls for one map after the other.
+func (r *rig) until(tb testing.TB, what string, ok func() bool) {
+	tb.Helper()
+	deadline := time.Now().Add(20 * time.Second)
+	for i := 0; !ok(); i++ {
+		if time.Now().After(deadline) {
+			tb.Fatalf("no %s; controllers: %+v, %+v; group: %+v", what, r.groups[0].Status(), r.groups[1].Status(), r.group.Stats())
+		}
+		r.group.SetLoads(r.loads[i/20%2])
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (r *rig) changes() int { return r.groups[0].Status().Changes + r.groups[1].Status().Changes }
+
+func (r *rig) moreChanges(tb testing.TB, n int) {
+	tb.Helper()
+	from := r.changes()
+	r.until(tb, "map change", func() bool { return r.changes() >= from+n })
+}
+
+// faults are single faults and how the group shows that it has overcome them.
+var faults = []struct {
+	name   string
+	inject func(tb testing.TB, r *rig)
+	heal   func(r *rig)
+}{
+	{"none", func(testing.TB, *rig) {}, func(*rig) {}},
+	{"connection cut", func(_ testing.TB, r *rig) { r.group.Rank(1).SetCut(true) }, func(r *rig) { r.group.Rank(1).SetCut(false) }},
+	{"controller replaced", func(_ testing.TB, r *rig) {
+		r.leases.mu.Lock()
+		defer r.leases.mu.Unlock()
+		for _, g := range r.groups {
+			if h, ok := g.leases.(*holder); ok && h != r.leases.owner {
+				r.leases.owner = h
+				r.leases.token++
+				return
+			}
+		}
+	}, func(*rig) {}},
+	{"engine restart", func(_ testing.TB, r *rig) { r.group.Rank(2).Restart() }, func(*rig) {}},
+	{"replies delayed", func(_ testing.TB, r *rig) { r.group.Rank(1).SetDelay(60 * time.Millisecond) }, func(r *rig) { r.group.Rank(1).SetDelay(0) }},
+	{"stalled rank", func(tb testing.TB, r *rig) {
+		tb.Helper()
+		r.group.Rank(3).SetStalled(true)
+		r.until(tb, "spare in use", func() bool { return (r.groups[0].Status().Members|r.groups[1].Status().Members)&16 != 0 })
+	}, func(*rig) {}},
+}
+
+// TestChangesUnderFaults guards against a step with two maps, and against a group that makes no changes after a fault.
+func TestChangesUnderFaults(t *testing.T) {
+	t.Parallel()
+	for _, tt := range faults {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t)
+			r.moreChanges(t, 2)
+			tt.inject(t, r)
+			time.Sleep(200 * time.Millisecond)
+			tt.heal(r)
+			r.moreChanges(t, 2)
+			s := r.group.Stats()
+			if len(s.Mixed) > 0 {
+				t.Errorf("mixed steps: %v", s.Mixed)
+			}
+			if s.Completed == 0 {
+				t.Error("no step was completed")
+			}
+		})
+	}
+}
+
+// TestLogOutage guards against a controller that changes the map without a confirmed lease.
+func TestLogOutage(t *testing.T) {
+	t.Parallel()
+	r := newRig(t)
+	r.moreChanges(t, 1)
+	r.leases.mu.Lock()
+	r.leases.down = true
+	r.leases.mu.Unlock()
+	idle := func() bool {
+		return r.groups[0].Status().Phase == tgstep.PhaseIdle || r.groups[1].Status().Phase == tgstep.PhaseIdle
+	}
+	time.Sleep(100 * time.Millisecond) // a change in progress is finished
+	r.until(t, "idle controller", idle)
+	before, completed := r.changes(), r.group.Stats().Completed
+	r.until(t, "steps during the outage", func() bool { return r.group.Stats().Completed > completed+100 })
+	if r.changes() != before {
+		t.Errorf("%d changes during the outage", r.changes()-before)
+	}
+	r.leases.mu.Lock()
+	r.leases.down = false
+	r.leases.mu.Unlock()
+	r.moreChanges(t, 1)
+}
--- /dev/null
+++ b/io/tggroup/term.go
@@ -0,0 +1,360 @@
+package tggroup
+
+import (
+	"context"
+	"math/bits"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"tanagergrade/core/tgexpert"
+	"tanagergrade/core/tgstep"
+)
+
+// term is the time in which one token is valid.
+type term struct {
+	controller *tgstep.Controller
+	decided    time.Time // last decision
+	entered    time.Time // present phase
+	armed      time.Time // start of arming
+	group      *Group
+	maps       map[tgstep.ID]*tgexpert.Placement
+	phase      tgstep.Phase
+	progress   *tgstep.Progress
+	proposed   *tgexpert.Placement // of the change in progress
+	sent       time.Time
+	token      uint64
+}
+
+// resendInterval is the time after which a message without the wanted reply is sent again.
+const resendInterval = 20 * time.Millisecond
+
+func newTerm(g *Group, token uint64) *term {
+	s := g.settings
+	now := time.Now()
+	return &term{
+		controller: tgstep.NewController(token, s.Ranks, 1<<uint(s.Size)-1, s.Lead),
+		decided:    now, entered: now, group: g,
+		maps:     map[tgstep.ID]*tgexpert.Placement{},
+		phase:    tgstep.PhaseReading,
+		progress: tgstep.NewProgress(s.Ranks, s.StallTimeout),
+		token:    token,
+	}
+}
+
+// run ends with ctx or when a rank has seen a higher token. A lost lease alone does not end it: a change that was
+// started has to be decided, and the token protects the ranks from a holder that is no longer the newest.
+func (t *term) run(ctx context.Context) {
+	for ctx.Err() == nil && t.controller.Phase() != tgstep.PhaseFenced {
+		if t.controller.Phase() == tgstep.PhaseIdle {
+			if t.superseded() {
+				return
+			}
+			t.watch(ctx)
+			t.decide(ctx)
+		} else {
+			t.exchange(ctx)
+			t.timeouts(ctx)
+		}
+		t.track()
+		t.publish()
+		if t.controller.Phase() == tgstep.PhaseIdle {
+			sleep(ctx, t.group.settings.Poll)
+		}
+	}
+}
+
+// superseded reports whether the log shows a newer holder.
+func (t *term) superseded() bool {
+	token, ok := t.group.leases.Token(LeaseName(t.group.settings.Name))
+	return ok && token > t.token
+}
+
+func (t *term) held() bool {
+	return t.group.leases.Held(LeaseName(t.group.settings.Name), t.token)
+}
+
+// call sends a request to each of the ranks at once and passes the responses on one after the other.
+func (t *term) call(ctx context.Context, requests map[int]Request, take func(rank int, r Response)) {
+	type answer struct {
+		rank     int
+		response Response
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	answers := make(chan answer, len(requests))
+	var wg conc.WaitGroup
+	for rank, r := range requests {
+		wg.Go(func() {
+			response, err := t.group.ranks.Call(callCtx, rank, r)
+			if err != nil {
+				t.group.log.WithError(err).WithField("rank", rank).Debug("call failed")
+				return
+			}
+			answers <- answer{rank, response}
+		})
+	}
+	wg.Wait()
+	close(answers)
+	for a := range answers {
+		take(a.rank, a.response)
+	}
+}
+
+// exchange sends the messages that are due.
+func (t *term) exchange(ctx context.Context) {
+	sleep(ctx, resendInterval-time.Since(t.sent))
+	requests := map[int]Request{}
+	for _, m := range t.controller.Messages() {
+		r := Request{Kind: RequestOrder, Message: m}
+		if m.Kind == tgstep.KindStage {
+			r.Placement = t.placement(ctx, m.Map)
+		}
+		requests[m.To] = r
+	}
+	t.sent = time.Now()
+	phase := t.controller.Phase()
+	t.call(ctx, requests, func(rank int, r Response) {
+		if r.Reply == nil {
+			return
+		}
+		if f := r.Reply.Refusal; f != tgstep.RefusalStale && f != tgstep.RefusalTokenUnknown {
+			t.progress.Observe(rank, r.Reply.State.Next)
+		}
+		t.controller.Receive(*r.Reply)
+	})
+	if t.controller.Phase() != phase {
+		t.sent = time.Time{} // a new phase has new messages
+	}
+}
+
+// placement returns the placement of a map: the proposed one, one that a rank holds, or a new one for a formation.
+func (t *term) placement(ctx context.Context, id tgstep.ID) *tgexpert.Placement {
+	if p, ok := t.maps[id]; ok {
+		return p
+	}
+	if id == t.controller.Change() {
+		if t.proposed == nil {
+			t.proposed = t.initial()
+		}
+		t.maps[id] = t.proposed
+		return t.proposed
+	}
+	requests := map[int]Request{}
+	for i := range t.group.settings.Ranks {
+		requests[i] = Request{Kind: RequestPlacements}
+	}
+	t.call(ctx, requests, func(_ int, r Response) {
+		for _, p := range r.Placements {
+			t.maps[p.ID] = p.Placement
+		}
+	})
+	return t.maps[id]
+}
+
+// initial returns the placement of a new formation from the loads known so far.
+func (t *term) initial() *tgexpert.Placement {
+	s := t.group.settings
+	members := bits.OnesCount64(t.controller.Members())
+	slots := max(s.Slots, (s.Experts+members-1)/members)
+	if t.group.estimator.Windows() == 0 {
+		return tgexpert.NewPlacement(s.Layers, s.Experts, members, slots)
+	}
+	return tgexpert.Pack(t.group.estimator.Lasting(), members, slots)
+}
+
+// watch reads the states of the members, and looks for ranks that are lost or have restarted.
+func (t *term) watch(ctx context.Context) {
+	requests := map[int]Request{}
+	for i := range t.group.settings.Ranks {
+		if t.controller.Members()&(1<<uint(i)) != 0 {
+			requests[i] = Request{Kind: RequestState}
+		}
+	}
+	t.call(ctx, requests, func(rank int, r Response) {
+		if r.State != nil {
+			t.progress.Observe(rank, r.State.Next)
+			t.controller.Observe(rank, *r.State)
+		}
+	})
+	if t.controller.Phase() == tgstep.PhaseIdle {
+		t.judge(ctx)
+	}
+}
+
+// judge re-forms an idle group that has lost ranks or makes no steps.
+func (t *term) judge(ctx context.Context) {
+	verdict, lost := t.progress.Verdict(t.controller.Members())
+	t.group.setVerdict(verdict)
+	if verdict != tgstep.VerdictRunning {
+		t.reform(ctx, lost)
+	}
+}
+
+// reform starts a formation without the lost ranks, with spares in their place if there are any.
+func (t *term) reform(ctx context.Context, lost uint64) {
+	members := t.replace(ctx, t.controller.Members(), lost)
+	t.group.log.WithFields(logrus.Fields{"lost": lost, "members": members}).Warn("group is re-formed")
+	t.progress.Reset()
+	if members != 0 {
+		t.proposed = nil
+		t.controller.Reform(members)
+	}
+}
+
+// replace returns the members without the lost ones and with as many spares that answer.
+func (t *term) replace(ctx context.Context, members, lost uint64) uint64 {
+	kept := members &^ lost
+	missing := t.group.settings.Size - bits.OnesCount64(kept)
+	requests := map[int]Request{}
+	for i := range t.group.settings.Ranks {
+		if members&(1<<uint(i)) == 0 {
+			requests[i] = Request{Kind: RequestState}
+		}
+	}
+	t.call(ctx, requests, func(rank int, r Response) {
+		if r.State != nil && missing > 0 {
+			kept |= 1 << uint(rank)
+			missing--
+		}
+	})
+	return kept
+}
+
+// timeouts gives up a change that takes too long and the ranks that do not answer.
+func (t *term) timeouts(ctx context.Context) {
+	s := t.group.settings
+	age := time.Since(t.entered)
+	switch phase := t.controller.Phase(); {
+	case phase != t.phase:
+		return
+	case phase == tgstep.PhaseArming && age > s.ArmTimeout, phase == tgstep.PhaseStaging && age > s.StageTimeout:
+		t.controller.GiveUp()
+	}
+	// Ranks go on stepping while weights are staged, so a stall shows in that phase too.
+	if t.controller.Phase() == tgstep.PhaseStaging && !t.controller.Formation().IsZero() {
+		t.judge(ctx)
+	} else if lost := t.progress.Unreachable(t.controller.Members()); lost != 0 {
+		t.group.setVerdict(tgstep.VerdictLost)
+		t.reform(ctx, lost)
+	}
+}
+
+// decide reads the loads and proposes a change if the policy wants one.
+func (t *term) decide(ctx context.Context) {
+	g := t.group
+	if t.controller.Phase() != tgstep.PhaseIdle || time.Since(t.decided) < g.settings.Window {
+		return
+	}
+	t.decided = time.Now()
+	present := t.placement(ctx, t.controller.Map())
+	window, ok := t.window(ctx)
+	if present == nil || !ok {
+		return
+	}
+	g.estimator.Observe(window)
+	d := g.policy.Decide(present, g.estimator)
+	g.log.WithFields(logrus.Fields{
+		"cost": d.Cost, "moves": d.Moves, "reason": d.Reason, "saving": d.Saving, "skew": d.SkewNow, "skewAfter": d.SkewAfter,
+	}).Debug("placement decision")
+	g.setDecision(d)
+	if d.Placement != nil && t.allowed(ctx, d.Moves) {
+		t.propose(present, d.Placement)
+	}
+}
+
+// allowed waits at most one window for the weight store's budget; a decision that is older is taken anew.
+func (t *term) allowed(ctx context.Context, moves int) bool {
+	g := t.group
+	if g.budget == nil || moves == 0 {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, g.settings.Window)
+	defer cancel()
+	bytes := int64(float64(moves) * g.settings.Costs.BytesPerExpert)
+	return g.budget.Wait(ctx, g.settings.Name, bytes, false) == nil
+}
+
+func (t *term) propose(present, next *tgexpert.Placement) {
+	if !t.held() {
+		return
+	}
+	old := t.controller.Map()
+	if id, ok := t.controller.Propose(); ok {
+		t.proposed = next
+		t.maps = map[tgstep.ID]*tgexpert.Placement{id: next, old: present}
+	}
+}
+
+// window adds up the loads of the members; it is false if one is missing or no step was made.
+func (t *term) window(ctx context.Context) (tgexpert.Loads, bool) {
+	s := t.group.settings
+	requests := map[int]Request{}
+	for i := range s.Ranks {
+		if t.controller.Members()&(1<<uint(i)) != 0 {
+			requests[i] = Request{Kind: RequestLoads}
+		}
+	}
+	total, complete := tgexpert.NewLoads(s.Layers, s.Experts), 0
+	t.call(ctx, requests, func(_ int, r Response) {
+		if r.Loads == nil || r.Loads.Steps == 0 || len(r.Loads.Loads.Tokens) != len(total.Tokens) {
+			return
+		}
+		complete++
+		for i, v := range r.Loads.Loads.Tokens {
+			total.Tokens[i] += v
+		}
+	})
+	return total, complete == len(requests)
+}
+
+// track follows the phases.
+func (t *term) track() {
+	phase := t.controller.Phase()
+	if phase == t.phase {
+		return
+	}
+	now := time.Now()
+	switch {
+	case phase == tgstep.PhaseArming:
+		t.armed = now
+	case phase == tgstep.PhaseIdle && t.phase == tgstep.PhaseCommitting:
+		t.group.committed(now.Sub(t.armed))
+	}
+	if phase == tgstep.PhaseIdle {
+		t.proposed = nil
+		t.progress.Reset()
+	}
+	t.phase, t.entered = phase, now
+}
+
+// publish copies the state for the dump.
+func (t *term) publish() {
+	g, c := t.group, t.controller
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := &g.status
+	s.Change, s.Formation, s.Map, s.Members, s.Phase = c.Change(), c.Formation(), c.Map(), c.Members(), c.Phase()
+	s.Token, s.Waiting = t.token, c.Waiting()
+	s.Available = s.Verdict == tgstep.VerdictRunning && !c.Formation().IsZero()
+}
+
+func (g *Group) committed(took time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.status.Changes++
+	g.status.LastChange = took
+}
+
+func (g *Group) setVerdict(v tgstep.Verdict) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.status.Verdict = v
+}
+
+func (g *Group) setDecision(d tgexpert.Decision) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.status.LastDecision, g.status.Skew = d, d.SkewNow
+}
--- /dev/null
+++ b/io/tgstandin/rank_test.go
@@ -0,0 +1,35 @@
+package tgstandin
+
+import (
+	"testing"
+	"time"
+
+	"tanagergrade/core/tgexpert"
+	"tanagergrade/core/tgstep"
+)
+
+// TestMixedStepIsRecorded guards against a stand-in that would not notice two maps in one step.
+func TestMixedStepIsRecorded(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		maps [2]tgstep.ID
+		want int
+	}{
+		{"one map", [2]tgstep.ID{{Token: 1}, {Token: 1}}, 0},
+		{"two maps", [2]tgstep.ID{{Token: 1}, {Token: 2}}, 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			g := NewRankGroup(2, time.Millisecond, tgexpert.NewLoads(1, 2), NewWeightStore(1))
+			for i, r := range g.ranks {
+				r.machine.Loaded(tt.maps[i])
+				r.machine.Receive(tgstep.Message{
+					Formation: tgstep.ID{Token: 3}, Kind: tgstep.KindForm, Map: tt.maps[i], Members: 3, Token: 3,
+				})
+			}
+			g.round()
+			if s := g.Stats(); len(s.Mixed) != tt.want || s.Completed != 1 {
+				t.Errorf("%d mixed steps of %d, want %d of 1", len(s.Mixed), s.Completed, tt.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/io/tgstandin/rankengine.go
@@ -0,0 +1,193 @@
+package tgstandin
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"tanagergrade/core/tgexpert"
+	"tanagergrade/core/tgstep"
+)
+
+// RankEngine is a stand-in of the engine of one rank. Its HTTP interface, in JSON:
+//
+//	GET  /v1/rank/state      tgstep.State
+//	POST /v1/rank/orders     {"message": tgstep.Message, "placement": for stage} answers tgstep.Reply
+//	GET  /v1/rank/loads      {"loads": tokens per step of its replicas, "steps"} since the last read
+//	GET  /v1/rank/placements [{"id", "placement"}] of the maps whose weights it holds
+//
+// A stage order starts to load the weights; the state shows the map as staged when they are there. Orders carry a
+// fencing token, and the engine refuses one lower than the highest it has seen.
+type RankEngine struct {
+	group      *RankGroup
+	index      int
+	cut        bool          // under group.mu, like all that follows
+	delay      time.Duration // of each answer
+	loading    tgstep.ID
+	machine    *tgstep.Rank
+	placements map[tgstep.ID]*tgexpert.Placement
+	stalled    bool
+	steps      int // since the last read of the loads
+}
+
+type rankOrder struct {
+	Message   tgstep.Message      `json:"message"`
+	Placement *tgexpert.Placement `json:"placement"`
+}
+
+type rankLoads struct {
+	Loads tgexpert.Loads `json:"loads"`
+	Steps int            `json:"steps"`
+}
+
+type rankPlacement struct {
+	ID        tgstep.ID           `json:"id"`
+	Placement *tgexpert.Placement `json:"placement"`
+}
+
+func newRankEngine(g *RankGroup, index int) *RankEngine {
+	r := &RankEngine{group: g, index: index, placements: map[tgstep.ID]*tgexpert.Placement{}}
+	r.machine = tgstep.NewRank(index)
+	r.machine.Learn(0)
+	return r
+}
+
+// SetCut makes the engine close every connection without an answer; it keeps stepping.
+func (r *RankEngine) SetCut(cut bool) { r.set(func() { r.cut = cut }) }
+
+// SetDelay delays each answer after its order was carried out.
+func (r *RankEngine) SetDelay(d time.Duration) { r.set(func() { r.delay = d }) }
+
+// SetStalled makes the rank enter no step while it answers as before.
+func (r *RankEngine) SetStalled(stalled bool) { r.set(func() { r.stalled = stalled }) }
+
+// Restart loses all state but the fencing token, which the companion would tell it again.
+func (r *RankEngine) Restart() {
+	r.set(func() {
+		r.machine.RestartEngine()
+		r.loading = tgstep.ID{}
+		clear(r.placements)
+	})
+}
+
+func (r *RankEngine) set(f func()) {
+	r.group.mu.Lock()
+	defer r.group.mu.Unlock()
+	f()
+}
+
+// Handle serves the engine's HTTP interface.
+func (r *RankEngine) Handle(ctx *fasthttp.RequestCtx) {
+	r.group.mu.Lock()
+	cut, delay := r.cut, r.delay
+	r.group.mu.Unlock()
+	if cut {
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(closeConn)
+		return
+	}
+	switch string(ctx.Path()) {
+	case "/v1/rank/loads":
+		writeJSON(ctx, r.readLoads())
+	case "/v1/rank/orders":
+		r.order(ctx)
+	case "/v1/rank/placements":
+		writeJSON(ctx, r.readPlacements())
+	case "/v1/rank/state":
+		r.group.mu.Lock()
+		state := r.machine.State
+		r.group.mu.Unlock()
+		writeJSON(ctx, state)
+	default:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	}
+	time.Sleep(delay)
+}
+
+func (r *RankEngine) order(ctx *fasthttp.RequestCtx) {
+	var o rankOrder
+	if err := json.Unmarshal(ctx.PostBody(), &o); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	r.group.mu.Lock()
+	defer r.group.mu.Unlock()
+	reply := r.machine.Receive(o.Message)
+	if o.Message.Kind == tgstep.KindStage && reply.Refusal == "" {
+		r.stage(o)
+		reply.State = r.machine.State
+	}
+	writeJSON(ctx, reply)
+}
+
+// stage starts to load what the rank does not hold in the map it uses.
+func (r *RankEngine) stage(o rankOrder) {
+	id := o.Message.Map
+	if id == r.machine.Map || id == r.machine.Staged || id == r.loading || o.Placement == nil {
+		return
+	}
+	r.loading = id
+	for old := range r.placements {
+		if old != r.machine.Map && old != r.machine.Armed {
+			delete(r.placements, old)
+		}
+	}
+	r.placements[id] = o.Placement
+	present := r.placements[r.machine.Map]
+	moves := len(o.Placement.Experts) / max(o.Placement.Ranks, 1)
+	if present != nil && present.Ranks == o.Placement.Ranks {
+		moves = o.Placement.Moves(present) / o.Placement.Ranks // its part of the group's moves
+	}
+	bytes := float64(moves) * r.group.BytesPerExpert
+	go func() {
+		if r.group.store.Fetch(context.Background(), bytes) != nil {
+			return
+		}
+		r.set(func() {
+			if r.loading == id {
+				r.loading = tgstep.ID{}
+				r.machine.Loaded(id)
+			}
+		})
+	}()
+}
+
+func (r *RankEngine) readLoads() rankLoads {
+	r.group.mu.Lock()
+	defer r.group.mu.Unlock()
+	answer := rankLoads{Loads: tgexpert.NewLoads(r.group.loads.Layers, r.group.loads.Experts), Steps: r.steps}
+	r.steps = 0
+	p, position := r.placements[r.machine.Map], 0
+	if p == nil {
+		return answer
+	}
+	for i := range r.index {
+		if r.machine.Members&(1<<uint(i)) != 0 {
+			position++
+		}
+	}
+	for layer := range p.Layers {
+		tokens, expected := answer.Loads.Layer(layer), r.group.loads.Layer(layer)
+		base := (layer*p.Ranks + position) * p.Slots
+		for i, e := range p.Experts[base : base+p.Slots] {
+			if e != tgexpert.Empty {
+				tokens[e] += p.Weights[base+i] * expected[e]
+			}
+		}
+	}
+	return answer
+}
+
+func (r *RankEngine) readPlacements() []rankPlacement {
+	r.group.mu.Lock()
+	defer r.group.mu.Unlock()
+	list := []rankPlacement{}
+	for id, p := range r.placements {
+		if id == r.machine.Map || id == r.machine.Staged {
+			list = append(list, rankPlacement{ID: id, Placement: p})
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/io/tgstandin/weightstore.go
@@ -0,0 +1,44 @@
+package tgstandin
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// WeightStore is a stand-in of the weight store: transfers follow each other at its rate.
+type WeightStore struct {
+	mu    sync.Mutex
+	bytes float64
+	free  time.Time // end of the transfers accepted so far
+	rate  float64   // bytes/s
+}
+
+// NewWeightStore returns a store that delivers rate bytes/s.
+func NewWeightStore(rate float64) *WeightStore { return &WeightStore{rate: rate} }
+
+// Fetch returns when the bytes have been delivered or ctx has ended.
+func (w *WeightStore) Fetch(ctx context.Context, bytes float64) error {
+	w.mu.Lock()
+	if now := time.Now(); w.free.Before(now) {
+		w.free = now
+	}
+	w.free = w.free.Add(time.Duration(bytes / w.rate * float64(time.Second)))
+	w.bytes += bytes
+	wait := time.NewTimer(time.Until(w.free))
+	w.mu.Unlock()
+	defer wait.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-wait.C:
+		return nil
+	}
+}
+
+// Bytes returns the bytes requested so far.
+func (w *WeightStore) Bytes() float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.bytes
+}
