Tell waits in a queue from stalls, resume after a crash on debt

Change: Progress says whether the attempt runs, Done whether it had begun; the score counts the request only where there is no room; lost and begun attempts may run the budget into debt and wait as live. Target tests, plots and their generator.

--- a/core/tgmeasure/cluster.go
+++ b/core/tgmeasure/cluster.go
@@ -255,6 +255,9 @@
 		return
 	}
 	c.finish(r).Lost++
+	if r.idempotent {
+		c.LostIdempotent++
+	}
 	if r.delivered > 0 {
 		c.CutOff++
 	}
--- a/core/tgmeasure/companion.go
+++ b/core/tgmeasure/companion.go
@@ -76,8 +76,12 @@
 		return
 	}
 	r := a.request
+	priority := r.priority
+	if r.delivered > 0 { // a resumed answer, as in the daemon
+		priority = tgcall.Live
+	}
 	ticket, refusal := m.queue.Push(tgqueue.Request{
-		Account: r.account, Deadline: r.deadline, Priority: r.priority, Share: r.share, Work: r.tokens,
+		Account: r.account, Deadline: r.deadline, Priority: priority, Share: r.share, Work: r.tokens,
 	}, a)
 	if refusal != nil {
 		a.refuse(tgcall.NotRunFailure(tgcall.CodeOverloaded, "").WithRetryAfter(refusal.RetryAfter))
@@ -105,6 +109,7 @@
 
 func (m *companion) run(a *attempt) {
 	m.lastNew = m.sim.elapsed()
+	a.running = true
 	r := a.request
 	r.runs++
 	limiter, start, seen := m.limiter, m.sim.now(), 0
--- a/core/tgmeasure/entry.go
+++ b/core/tgmeasure/entry.go
@@ -20,7 +20,7 @@
 // chooser is what the entries use of tgroute.Chooser, for any policy.
 type chooser interface {
 	Choose(candidates []tgroute.Candidate) (tgroute.Candidate, bool)
-	Done(name string)
+	Done(name string, begun bool)
 	Observe(name string, l tgframe.Load)
 	Report(name string, e tgroute.Evidence)
 }
@@ -52,11 +52,13 @@
 
 // attempt is a request at one companion.
 type attempt struct {
+	begun     bool // has shown a token
 	companion *companion
 	entry     *entry
 	over      bool
 	request   *request
-	sent      time.Time
+	running   bool      // admitted
+	sent      time.Time // or the last heartbeat that said it still waits
 }
 
 func (e *entry) next(r *request) {
@@ -82,6 +84,9 @@
 		return
 	}
 	a.entry.router.Observe(a.companion.Name, a.companion.load())
+	if !a.running {
+		a.sent = a.entry.cluster.sim.now()
+	}
 	a.entry.cluster.sim.after(heartbeat, a.beat)
 }
 
@@ -91,6 +96,7 @@
 	}
 	now := a.entry.cluster.sim.now()
 	if first > 0 {
+		a.begun = true
 		a.entry.router.Report(a.companion.Name, tgroute.Evidence{FirstToken: now.Sub(a.sent)})
 	} else {
 		a.entry.router.Report(a.companion.Name, tgroute.Evidence{Gap: gap})
@@ -108,7 +114,7 @@
 	}
 	a.over = true
 	a.entry.router.Observe(a.companion.Name, a.companion.load())
-	a.entry.router.Done(a.companion.Name)
+	a.entry.router.Done(a.companion.Name, a.begun)
 	a.entry.cluster.answered(a.request)
 }
 
@@ -135,13 +141,13 @@
 	}
 	a.over = true
 	e, r := a.entry, a.request
-	e.router.Done(a.companion.Name)
+	e.router.Done(a.companion.Name, a.begun)
 	if f.Code == tgcall.CodeUpstreamLost || f.Code == tgcall.CodeUpstreamUnreachable {
 		e.router.Report(a.companion.Name, tgroute.Evidence{Failed: true})
 	}
 	verdict := tgretry.Stop
 	if len(r.tried) < maxAttempts && e.cluster.sim.now().Before(r.deadline) {
-		verdict = e.budget.AfterFailure(f, r.idempotent)
+		verdict = e.budget.AfterFailure(f, r.idempotent, r.delivered > 0)
 	}
 	switch {
 	case verdict == tgretry.Redirect:
--- a/core/tgmeasure/measure_test.go
+++ b/core/tgmeasure/measure_test.go
@@ -20,6 +20,7 @@
 	b.ReportMetric(float64(t.Answered), "answered")
 	b.ReportMetric(float64(t.Refused), "refused")
 	b.ReportMetric(float64(t.Lost), "lost")
+	b.ReportMetric(float64(c.LostIdempotent), "lostIdempotent")
 	b.ReportMetric(float64(c.Unfinished()), "unfinished")
 	b.ReportMetric(float64(c.RunTwice), "runTwice")
 	b.ReportMetric(float64(c.CutOff), "cutOff")
@@ -87,12 +88,12 @@
 // shareError returns the largest relative distance of an account's part of the work from its share.
 func shareError(c *Cluster) float64 {
 	total, shares := 0, 0
-	for _, a := range overloadAccounts {
+	for _, a := range OverloadAccounts {
 		total += c.Work[a.Name]
 		shares += a.Share
 	}
 	worst := 0.0
-	for _, a := range overloadAccounts {
+	for _, a := range OverloadAccounts {
 		got := float64(c.Work[a.Name]) / float64(max(total, 1))
 		want := float64(a.Share) / float64(shares)
 		worst = max(worst, max(got-want, want-got)/want)
@@ -100,13 +101,14 @@
 	return worst
 }
 
+var harms = []struct {
+	name string
+	harm func(*Cluster, string)
+}{
+	{"cold", HarmCold}, {"restart", HarmRestart}, {"silent", HarmSilent}, {"slow", HarmSlow}, {"stalled", HarmStalled},
+}
+
 func BenchmarkUnhealthyEngine(b *testing.B) {
-	harms := []struct {
-		name string
-		harm func(*Cluster, string)
-	}{
-		{"cold", HarmCold}, {"restart", HarmRestart}, {"silent", HarmSilent}, {"slow", HarmSlow}, {"stalled", HarmStalled},
-	}
 	for _, v := range Variants {
 		healthy := Unhealthy(v, *seed, HarmNone)
 		first, gap := Quantile(healthy.Others.First, 0.99), Quantile(healthy.Others.Gaps, 0.99)
--- a/core/tgmeasure/results.go
+++ b/core/tgmeasure/results.go
@@ -8,15 +8,16 @@
 
 // Results are the figures of the requests that count.
 type Results struct {
-	Arrived  int
-	Attempts int        // sent to companions
-	CutOff   int        // ended in the middle, or answered with too few or too many tokens
-	Others   ByPriority // requests that were never sent to Suspect; only First and Gaps
-	Priority map[tgcall.Priority]*ByPriority
-	RunTwice int    // not idempotent and begun twice
-	Suspect  string // name of an engine that is not healthy
-	Tokens   int
-	Work     map[string]int // tokens of answered requests by account
+	Arrived        int
+	Attempts       int        // sent to companions
+	CutOff         int        // ended in the middle, or answered with too few or too many tokens
+	LostIdempotent int        // lost although they could have run again
+	Others         ByPriority // requests that were never sent to Suspect; only First and Gaps
+	Priority       map[tgcall.Priority]*ByPriority
+	RunTwice       int    // not idempotent and begun twice
+	Suspect        string // name of an engine that is not healthy
+	Tokens         int
+	Work           map[string]int // tokens of answered requests by account
 }
 
 // ByPriority are the figures of one priority.
--- a/core/tgmeasure/scenario.go
+++ b/core/tgmeasure/scenario.go
@@ -13,14 +13,15 @@
 		{Name: "middle-1", Offer: 0.10, Share: 10}, {Name: "middle-2", Offer: 0.10, Share: 10},
 		{Name: "small-1", Offer: 0.05, Share: 5}, {Name: "small-2", Offer: 0.05, Share: 5},
 	}
-	// All offer more than their share at twice the capacity, but not in proportion to it.
-	overloadAccounts = []Account{
-		{Name: "large-1", Offer: 0.3750, Share: 50}, {Name: "large-2", Offer: 0.3000, Share: 20},
-		{Name: "middle-1", Offer: 0.1000, Share: 10}, {Name: "middle-2", Offer: 0.1000, Share: 10},
-		{Name: "small-1", Offer: 0.0625, Share: 5}, {Name: "small-2", Offer: 0.0625, Share: 5},
-	}
 )
 
+// OverloadAccounts offer more than their share at twice the capacity, but not in proportion to it.
+var OverloadAccounts = []Account{
+	{Name: "large-1", Offer: 0.3750, Share: 50}, {Name: "large-2", Offer: 0.3000, Share: 20},
+	{Name: "middle-1", Offer: 0.1000, Share: 10}, {Name: "middle-2", Offer: 0.1000, Share: 10},
+	{Name: "small-1", Offer: 0.0625, Share: 5}, {Name: "small-2", Offer: 0.0625, Share: 5},
+}
+
 // Variant is a way of admission and routing; all but the first of Variants are baselines.
 type Variant struct {
 	Name      string
@@ -95,7 +96,7 @@
 // Overload offers a multiple of what the engines bear, all in one priority, so that only the shares decide.
 func Overload(v Variant, factor float64, seed uint64) (c *Cluster, measured time.Duration) {
 	c = NewCluster(Options{
-		Accounts: overloadAccounts, Admission: v.Admission, Rate: factor * capacityOf(engines), Routing: v.Routing, Seed: seed,
+		Accounts: OverloadAccounts, Admission: v.Admission, Rate: factor * capacityOf(engines), Routing: v.Routing, Seed: seed,
 	})
 	c.Run(10 * time.Second)
 	c.Count()
@@ -109,10 +110,11 @@
 		Accounts: callAccounts, Admission: v.Admission, Mix: callMix, Rate: 0.7 * capacityOf(engines),
 		Routing: v.Routing, Seed: seed,
 	})
-	c.Run(20 * time.Second)
+	c.Run(15 * time.Second)
 	c.Suspect = c.names[0]
-	harm(c, c.Suspect)
 	c.Count()
+	c.Run(20 * time.Second)
+	harm(c, c.Suspect)
 	c.Finish(80 * time.Second)
 	return c
 }
@@ -133,8 +135,9 @@
 		Accounts: callAccounts, Admission: v.Admission, Mix: callMix, Rate: load * capacityOf(engines*2/3),
 		Routing: v.Routing, Seed: seed,
 	})
-	c.Run(20 * time.Second)
+	c.Run(15 * time.Second)
 	c.Count()
+	c.Run(20 * time.Second)
 	c.Crash("c")
 	c.Finish(80 * time.Second)
 	return c
--- a/core/tgretry/budget.go
+++ b/core/tgretry/budget.go
@@ -35,7 +35,7 @@
 	startBalance   = 5.0
 	maxBalance     = 10.0
 	reserve        = maxBalance / 4 // kept for failures; hedges and retries of overload may not use it
-	maxDebt        = 10.0           // for attempts that reached no upstream, such as all at once when a rack is lost
+	maxDebt        = 50.0           // about the calls of an entry that a lost data centre breaks off at the design's size
 	backoffBase    = 20 * time.Millisecond
 	backoffMax     = time.Second
 	backoffDoubles = 6 // beyond this the bound is reached anyway
@@ -71,23 +71,27 @@
 }
 
 // AfterFailure says what may follow f and pays for it. A request that may have run is only run again if it is
-// idempotent.
-func (b *Budget) AfterFailure(f *tgcall.Failure, idempotent bool) Verdict {
+// idempotent. A retry may run the balance into debt if the caller has a part of the answer (begun), if the
+// attempt was lost with its upstream, or if no upstream was reached: that load has left with the upstream.
+func (b *Budget) AfterFailure(f *tgcall.Failure, idempotent, begun bool) Verdict {
 	if f.Outcome != tgcall.NotRun && !idempotent {
 		return Stop
 	}
 	switch f.Code {
 	case tgcall.CodeDataCentreWithdrawn, tgcall.CodeDraining:
 		return Redirect
-	case tgcall.CodeOverloaded:
-		return b.pay(reserve)
 	case tgcall.CodeAccountUnknown, tgcall.CodeCancelled, tgcall.CodeDeadlineExceeded, tgcall.CodeIdempotencyKeyExpired,
 		tgcall.CodeIdempotencyKeyInvalid, tgcall.CodeIdempotencyKeyRequired, tgcall.CodeIdempotencyKeyReused,
 		tgcall.CodeLogUnavailable, tgcall.CodeModelUnknown, tgcall.CodeRequestInvalid, tgcall.CodeRequestTooLarge,
 		tgcall.CodeRequestUnresolved, tgcall.CodeRouteUnknown:
 		return Stop // another upstream would answer the same
-	case tgcall.CodeUpstreamUnreachable:
+	default:
+	}
+	switch {
+	case begun, f.Outcome == tgcall.Unknown, f.Code == tgcall.CodeUpstreamUnreachable:
 		return b.pay(-maxDebt)
+	case f.Code == tgcall.CodeOverloaded:
+		return b.pay(reserve)
 	default:
 		return b.pay(0)
 	}
--- a/core/tgretry/budget_test.go
+++ b/core/tgretry/budget_test.go
@@ -25,11 +25,12 @@
 		{"lost, not idempotent", unknown(tgcall.CodeUpstreamLost, ""), false, Stop},
 		{"overloaded", notRun(tgcall.CodeOverloaded, ""), false, Retry},
 		{"unreachable", notRun(tgcall.CodeUpstreamUnreachable, ""), false, Retry},
+		{"unreachable, not idempotent", notRun(tgcall.CodeUpstreamUnreachable, ""), false, Retry},
 		{"withdrawn, may have run", unknown(tgcall.CodeDataCentreWithdrawn, ""), false, Stop},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
-			assert.Equal(t, NewBudget(0.1).AfterFailure(row.failure, row.idempotent), row.want)
+			assert.Equal(t, NewBudget(0.1).AfterFailure(row.failure, row.idempotent, false), row.want)
 		})
 	}
 	assert.Assert(t, !NewBudget(0.1).AllowHedge(false))
@@ -42,15 +43,16 @@
 		retries := 0
 		for range n {
 			b.Deposit()
-			for b.AfterFailure(tgcall.NotRunFailure(tgcall.CodeOverloaded, ""), true) == Retry || b.AllowHedge(true) {
+			for b.AfterFailure(tgcall.NotRunFailure(tgcall.CodeOverloaded, ""), true, false) == Retry || b.AllowHedge(true) {
 				retries++
 			}
 		}
 		assert.Assert(t, float64(retries) <= 0.1*float64(n), retries)
-		for b.AfterFailure(tgcall.NotRunFailure(tgcall.CodeUpstreamUnreachable, ""), true) == Retry {
+		overload := retries
+		for b.AfterFailure(tgcall.NotRunFailure(tgcall.CodeUpstreamUnreachable, ""), true, false) == Retry {
 			retries++
 		}
-		assert.Assert(t, retries >= maxDebt && float64(retries) <= 0.1*float64(n)+reserve, retries)
+		assert.Assert(t, float64(retries-overload) >= maxDebt && float64(retries-overload) <= maxDebt+reserve, retries)
 	}
 }
 
--- a/core/tgroute/chooser.go
+++ b/core/tgroute/chooser.go
@@ -116,13 +116,15 @@
 	return c.send(usable[c.policy.Pick(c.views, c.rand)], now), true
 }
 
-// Done ends an attempt that Choose started.
-func (c *Chooser[P]) Done(name string) {
+// Done ends an attempt that Choose started; begun says whether its first token was reported.
+func (c *Chooser[P]) Done(name string, begun bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	u := c.upstream(name)
 	u.sent--
-	u.running = min(u.running, u.sent)
+	if begun {
+		u.running = max(0, u.running-1)
+	}
 	if u.probing && u.sent == 0 { // a probe that ended without a good first token
 		u.exclude(u.excluded, c.now(), c.rand)
 	}
--- a/core/tgroute/chooser_test.go
+++ b/core/tgroute/chooser_test.go
@@ -34,12 +34,10 @@
 	for range n {
 		c, _ := f.Choose(f.candidates)
 		counts[c.Name]++
-		if d := first(c.Name); d > 0 {
-			f.Report(c.Name, Evidence{FirstToken: d})
-		}
+		f.Report(c.Name, Evidence{FirstToken: first(c.Name)})
 		f.clock = f.clock.Add(20 * time.Millisecond)
 		f.Observe(c.Name, tgframe.Load{Limit: 16})
-		f.Done(c.Name)
+		f.Done(c.Name, true)
 	}
 	return counts
 }
@@ -105,9 +103,9 @@
 				row.during(f, c.Name)
 			}
 			others, _ := f.Choose(f.candidates)
-			f.Done(others.Name)
+			f.Done(others.Name, false)
 			assert.Equal(t, f.Excluded(c.Name), row.want)
-			f.Done(c.Name)
+			f.Done(c.Name, true)
 			f.clock = f.clock.Add(time.Minute)
 			f.answer(600, usual)
 			assert.Equal(t, f.Excluded(c.Name), Reason(""))
@@ -115,6 +113,23 @@
 	}
 }
 
+// Guards against a queue that is taken for a stall: attempts wait there after others have ended.
+func TestQueuedAttemptsAreNoStall(t *testing.T) {
+	f := newFixture(3)
+	load := tgframe.Load{InFlight: 16, Limit: 16, Queued: 1}
+	first, _ := f.Choose(f.candidates)
+	f.candidates = []Candidate{first}
+	_, _ = f.Choose(f.candidates)
+	f.Report(first.Name, Evidence{FirstToken: usual("")})
+	f.Done(first.Name, true)
+	for range 15 {
+		f.clock = f.clock.Add(time.Second)
+		f.Observe(first.Name, load)
+		_, _ = f.Choose(f.candidates)
+		assert.Equal(t, f.Excluded(first.Name), Reason(""))
+	}
+}
+
 // Guards against a choice that fails, or sends to nowhere, while all upstreams are excluded.
 func TestAllExcluded(t *testing.T) {
 	f := newFixture(3)
--- a/core/tgroute/health.go
+++ b/core/tgroute/health.go
@@ -56,7 +56,7 @@
 	lastToken time.Time
 	pool      *pool
 	probing   bool // one attempt tests the excluded upstream
-	running   int  // attempts of this process that have begun to answer, at most
+	running   int  // attempts of this process that have begun to answer
 	until     time.Time
 	weight    float64 // part of the limit that is used; 1 if not lately returned
 }
@@ -70,7 +70,7 @@
 // readmit lets an upstream back, or raises the weight of one that was let back.
 func (h *health) readmit() {
 	if h.excluded != "" {
-		h.excluded, h.probing, h.running = "", false, 0
+		h.excluded, h.probing = "", false
 		h.first, h.gap = latency{}, latency{}
 		return
 	}
--- a/core/tgroute/policy.go
+++ b/core/tgroute/policy.go
@@ -63,7 +63,7 @@
 			best = remote
 		}
 	}
-	full := score(views[best]) > 1
+	full := views[best].Load+1 > views[best].Limit
 	for i, v := range views {
 		if (full || v.Gain > 0) && score(v) < score(views[best]) {
 			best = i
@@ -72,9 +72,16 @@
 	return best
 }
 
-// score is the utilisation with the request. A cached prefix lowers it, so affinity holds only while its gain exceeds
-// the skew that it adds.
-func score(v View) float64 { return (v.Load + 1 - affinityWeight*v.Gain) / v.Limit }
+// score is the utilisation, with the request if there is no room for it: counting it always would starve an upstream
+// with a low limit at low load, and it would not warm up. A cached prefix lowers the score, so affinity holds only
+// while its gain exceeds the skew that it adds.
+func score(v View) float64 {
+	load := v.Load - affinityWeight*v.Gain
+	if v.Load+1 > v.Limit {
+		load++
+	}
+	return load / v.Limit
+}
 
 // sample returns the best of some members, each taken with a probability in proportion to its limit; -1 if there is
 // none.
--- /dev/null
+++ b/docs/measurements/requests/main.go
@@ -0,0 +1,159 @@
+// Command requests draws the plots of the request policies into a directory.
+package main
+
+import (
+	"flag"
+	"path/filepath"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"tanagergrade/core/tgmeasure"
+)
+
+const (
+	width    = vg.Length(450)
+	height   = vg.Length(260)
+	barWidth = vg.Length(11)
+	bound    = 120 * time.Second
+)
+
+func main() {
+	dir := flag.String("dir", "docs/measurements", "directory of the plots")
+	seed := flag.Uint64("seed", 1, "seed of the runs")
+	flag.Parse()
+	for name, draw := range map[string]func(uint64) (*plot.Plot, error){
+		"requests-cold-start.svg": coldStart, "requests-data-centre.svg": dataCentre,
+		"requests-overload.svg": overload, "requests-unhealthy.svg": unhealthy,
+	} {
+		p, err := draw(*seed)
+		if err == nil {
+			err = p.Save(width, height, filepath.Join(*dir, name))
+		}
+		if err != nil {
+			logrus.WithError(err).WithField("plot", name).Fatal("plot was not drawn")
+		}
+	}
+}
+
+func newPlot(title, x, y string) *plot.Plot {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, x, y
+	p.Y.Min = 0
+	p.Legend.Top = true
+	return p
+}
+
+// rate returns a callback that records the tokens of each second.
+func rate(points *plotter.XYs) func(*tgmeasure.Cluster) {
+	last := 0
+	return func(c *tgmeasure.Cluster) {
+		*points = append(*points, plotter.XY{X: float64(len(*points)), Y: float64(c.Tokens - last)})
+		last = c.Tokens
+	}
+}
+
+func addLine(p *plot.Plot, i int, name string, points plotter.XYs) error {
+	line, err := plotter.NewLine(points)
+	if err != nil {
+		return err
+	}
+	line.Color, line.Dashes = plotutil.Color(i), plotutil.Dashes(i)
+	p.Add(line)
+	p.Legend.Add(name, line)
+	return nil
+}
+
+func dataCentre(seed uint64) (*plot.Plot, error) {
+	p := newPlot("A data centre of three leaves at 15 s and returns cold at 45 s, 95% load", "seconds", "tokens/s")
+	for i, v := range tgmeasure.Variants {
+		var points plotter.XYs
+		tgmeasure.Leave(v, 0.95, seed, rate(&points))
+		if err := addLine(p, i, v.Name, points[:int(tgmeasure.LeaveEnds.Seconds())-15]); err != nil {
+			return nil, err
+		}
+	}
+	return p, nil
+}
+
+func coldStart(seed uint64) (*plot.Plot, error) {
+	p := newPlot("All 12 engines start cold under full load", "seconds", "tokens/s")
+	for i, v := range tgmeasure.Variants {
+		var points plotter.XYs
+		tgmeasure.ColdStart(v, 12, bound, seed, rate(&points))
+		if err := addLine(p, i, v.Name, points); err != nil {
+			return nil, err
+		}
+	}
+	return p, nil
+}
+
+// addBars adds one group of bars for each label.
+func addBars(p *plot.Plot, i, n int, name string, values plotter.Values) error {
+	bars, err := plotter.NewBarChart(values, barWidth)
+	if err != nil {
+		return err
+	}
+	bars.Color, bars.Offset = plotutil.Color(i), barWidth*vg.Length(2*i-n+1)/2
+	p.Add(bars)
+	p.Legend.Add(name, bars)
+	return nil
+}
+
+func overload(seed uint64) (*plot.Plot, error) {
+	p := newPlot("Part of the work by account at twice the capacity", "", "part of the work")
+	accounts := tgmeasure.OverloadAccounts
+	configured := make(plotter.Values, len(accounts))
+	labels := make([]string, len(accounts))
+	for i, a := range accounts {
+		configured[i], labels[i] = float64(a.Share)/100, a.Name
+	}
+	variants := tgmeasure.Variants[:3] // the others answer nothing, or do not differ in shares
+	if err := addBars(p, 0, len(variants)+1, "configured", configured); err != nil {
+		return nil, err
+	}
+	for i, v := range variants {
+		c, _ := tgmeasure.Overload(v, 2, seed)
+		total := 0
+		for _, n := range c.Work {
+			total += n
+		}
+		values := make(plotter.Values, len(accounts))
+		for j, a := range accounts {
+			values[j] = float64(c.Work[a.Name]) / float64(total)
+		}
+		if err := addBars(p, i+1, len(variants)+1, v.Name, values); err != nil {
+			return nil, err
+		}
+	}
+	p.NominalX(labels...)
+	return p, nil
+}
+
+func unhealthy(seed uint64) (*plot.Plot, error) {
+	p := newPlot("p99 first token at the other engines over the healthy figure", "", "ratio, target 1.1")
+	harms := []struct {
+		name string
+		harm func(*tgmeasure.Cluster, string)
+	}{{"slow", tgmeasure.HarmSlow}, {"stalled", tgmeasure.HarmStalled}, {"silent", tgmeasure.HarmSilent}}
+	labels := make([]string, len(harms))
+	for i, v := range tgmeasure.Variants {
+		healthy := tgmeasure.Quantile(tgmeasure.Unhealthy(v, seed, tgmeasure.HarmNone).Others.First, 0.99)
+		values := make(plotter.Values, len(harms))
+		for j, h := range harms {
+			labels[j] = h.name
+			others := tgmeasure.Unhealthy(v, seed, h.harm).Others.First
+			values[j] = float64(tgmeasure.Quantile(others, 0.99)) / float64(healthy)
+		}
+		if err := addBars(p, i, len(tgmeasure.Variants), v.Name, values); err != nil {
+			return nil, err
+		}
+	}
+	p.NominalX(labels...)
+	p.Y.Max = 2
+	return p, nil
+}
--- a/io/tgcompanion/admission.go
+++ b/io/tgcompanion/admission.go
@@ -97,8 +97,12 @@
 	ctx context.Context, e *tgframe.Execute,
 ) (release func(tgadmit.Sample), failure *tgcall.Failure) {
 	c.configureAdmission()
+	priority := e.Priority
+	if e.Delivered > 0 { // a caller has the beginning of the answer
+		priority = tgcall.Live
+	}
 	refusal, err := c.admission.wait(ctx, tgqueue.Request{
-		Account: e.Account, Deadline: e.Deadline, Priority: e.Priority,
+		Account: e.Account, Deadline: e.Deadline, Priority: priority,
 		Share: c.node.Config().Accounts[e.Account].Share, Work: e.Work,
 	})
 	switch {
--- a/io/tgcompanion/attempt.go
+++ b/io/tgcompanion/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -27,10 +28,11 @@
 
 // attempt is one run of a request at this upstream.
 type attempt struct {
-	buffer  *tganswer.Buffer
-	cancel  context.CancelCauseFunc
-	execute *tgframe.Execute
-	started time.Time
+	admitted atomic.Bool // it no longer waits in the queue
+	buffer   *tganswer.Buffer
+	cancel   context.CancelCauseFunc
+	execute  *tgframe.Execute
+	started  time.Time
 
 	// The rest is guarded by the registry's lock.
 	delivered bool        // a reader has confirmed the end
@@ -71,6 +73,7 @@
 		a.fail(f)
 		return
 	}
+	a.admitted.Store(true)
 	var sample tgadmit.Sample
 	defer func() { release(sample) }()
 	// The wait may have passed the withdrawal of this upstream.
--- a/io/tgcompanion/follow.go
+++ b/io/tgcompanion/follow.go
@@ -91,7 +91,7 @@
 		case <-sendCtx.Done():
 			return
 		case <-heartbeat.C:
-			p := &tgframe.Progress{Load: c.load(), Next: a.buffer.Next(), Running: true}
+			p := &tgframe.Progress{Load: c.load(), Next: a.buffer.Next(), Running: a.admitted.Load()}
 			if x.Send(sendCtx, tgframe.Frame{Attempt: id, Kind: tgframe.KindProgress, Progress: p}) != nil {
 				return
 			}
--- a/io/tgentry/call.go
+++ b/io/tgentry/call.go
@@ -174,7 +174,7 @@
 		a.abandon()
 	}
 	if l.execute.Idempotent {
-		l.entry.router.Done(a.target.Name)
+		l.entry.router.Done(a.target.Name, l.timing.shown)
 	}
 }
 
--- a/io/tgentry/routing.go
+++ b/io/tgentry/routing.go
@@ -132,6 +132,9 @@
 		router.Observe(target.Name, f.End.Load)
 	case tgframe.KindProgress:
 		router.Observe(target.Name, f.Progress.Load)
+		if !f.Progress.Running { // the wait in the queue is no evidence of a slow upstream
+			l.timing.start = time.Now()
+		}
 	default:
 	}
 }
@@ -149,7 +152,7 @@
 	if l.ctx.Err() != nil {
 		return false
 	}
-	switch e.routing.budget.AfterFailure(failure, l.execute.Idempotent) {
+	switch e.routing.budget.AfterFailure(failure, l.execute.Idempotent, l.nextChunk > 0) {
 	case tgretry.Redirect:
 		return true
 	case tgretry.Retry:
