Run a rank group in the companions and in the demo

Cause: controller and agents of rank groups ran in tests only. Change: a companion whose upstream is in a group runs an agent and a controller, with leases through the log and requests between companions over the link. The demo has a group of four ranks whose hot experts change under load.

--- a/core/tgconfig/config.go
+++ b/core/tgconfig/config.go
@@ -51,11 +51,15 @@
 
 // Group is a rank group; its upstreams run in lock-step on one expert map.
 type Group struct {
-	Experts int      `cbor:"experts" toml:"experts"` // experts in each layer
-	Layers  int      `cbor:"layers" toml:"layers"`
-	Pool    string   `cbor:"pool" toml:"pool"`
-	Ranks   []string `cbor:"ranks" toml:"ranks"` // upstreams in rank order
-	Slots   int      `cbor:"slots" toml:"slots"` // expert slots of each rank in each layer
+	BytesPerExpert int           `cbor:"bytesPerExpert" toml:"bytesPerExpert"` // weights of one expert in one layer; 0 for 50 MB
+	Experts        int           `cbor:"experts" toml:"experts"`               // in each layer
+	Layers         int           `cbor:"layers" toml:"layers"`
+	Pool           string        `cbor:"pool" toml:"pool"`
+	Ranks          []string      `cbor:"ranks" toml:"ranks"`         // upstreams in rank order, spares last
+	Slots          int           `cbor:"slots" toml:"slots"`         // expert slots of each rank in each layer
+	Spares         int           `cbor:"spares" toml:"spares"`       // ranks that stand in for lost ones
+	StoreRate      int           `cbor:"storeRate" toml:"storeRate"` // bytes/s of the weight store that this group may use; 0 for 1 GB/s
+	TokenTime      time.Duration `cbor:"tokenTime" toml:"tokenTime"` // of one token on its expert in one layer; 0 for 2 µs
 }
 
 // Operation declares requests of a plain pool.
--- a/core/tgconfig/entities.go
+++ b/core/tgconfig/entities.go
@@ -53,8 +53,14 @@
 	v.checkAtLeast(path.child("experts"), g.Experts, 1)
 	v.checkAtLeast(path.child("layers"), g.Layers, 1)
 	v.checkAtLeast(path.child("slots"), g.Slots, 1)
-	if g.Experts > g.Slots*len(g.Ranks) {
-		v.addf(path.child("slots"), "%d ranks with %d slots each cannot hold %d experts", len(g.Ranks), g.Slots, g.Experts)
+	v.checkAtLeast(path.child("bytesPerExpert"), g.BytesPerExpert, 0)
+	v.checkAtLeast(path.child("spares"), g.Spares, 0)
+	v.checkAtLeast(path.child("storeRate"), g.StoreRate, 0)
+	if g.TokenTime < 0 {
+		v.addf(path.child("tokenTime"), "must not be negative, not %s", g.TokenTime)
+	}
+	if members := len(g.Ranks) - g.Spares; g.Experts > g.Slots*members {
+		v.addf(path.child("slots"), "%d ranks with %d slots each cannot hold %d experts", members, g.Slots, g.Experts)
 	}
 	if p, ok := v.cfg.Pools[g.Pool]; !ok {
 		v.addf(path.child("pool"), "pool %q does not exist", g.Pool)
--- a/core/tgframe/frame.go
+++ b/core/tgframe/frame.go
@@ -27,6 +27,7 @@
 	KindHead     Kind = "head"
 	KindProbe    Kind = "probe"
 	KindProgress Kind = "progress"
+	KindRank     Kind = "rank"
 )
 
 // Frame is one message of an exchange; the field named by Kind is set. A frame of an answer also carries what
@@ -45,7 +46,8 @@
 	Kind     Kind      `cbor:"kind"`
 	Probe    *Probe    `cbor:"probe,omitempty"`
 	Progress *Progress `cbor:"progress,omitempty"` // also set if Kind is accepted
-	Sender   *Sender   `cbor:"sender,omitempty"`   // set on the first frame of each direction
+	Rank     *Rank     `cbor:"rank,omitempty"`
+	Sender   *Sender   `cbor:"sender,omitempty"` // set on the first frame of each direction
 }
 
 // Sender identifies the process that sent a frame.
--- a/io/tgcompanion/claim.go
+++ b/io/tgcompanion/claim.go
@@ -49,6 +49,15 @@
 	}
 }
 
+func (c *claims) dump() any {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.claimer == nil {
+		return nil
+	}
+	return c.claimer.Dump()
+}
+
 func (c *claims) set(pool string, claimer *tgclaimer.Claimer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/io/tgcompanion/companion.go
+++ b/io/tgcompanion/companion.go
@@ -17,17 +17,18 @@
 
 // Companion admits and runs the attempts of one upstream.
 type Companion struct {
-	admission *admission
-	attempts  *registry
-	claiming  atomic.Int64 // attempts that wait for a claim
-	claims    claims
-	client    *tgupstream.Client
-	decisions tgcall.Decisions
-	draining  atomic.Bool
-	node      *tgnode.Node
-	running   conc.WaitGroup
-	started   time.Time
-	upstream  string // name in the configuration
+	admission  *admission
+	attempts   *registry
+	claiming   atomic.Int64 // attempts that wait for a claim
+	claims     claims
+	client     *tgupstream.Client
+	decisions  tgcall.Decisions
+	draining   atomic.Bool
+	membership membership
+	node       *tgnode.Node
+	running    conc.WaitGroup
+	started    time.Time
+	upstream   string // name in the configuration
 }
 
 // New returns a companion of the upstream with the given name.
@@ -51,6 +52,7 @@
 	defer wg.Wait()
 	wg.Go(func() { c.node.Run(lastCtx) })
 	wg.Go(func() { c.followClaims(lastCtx) })
+	wg.Go(func() { c.followGroup(lastCtx) })
 	done := make(chan error, 1)
 	wg.Go(func() { done <- c.node.Transport.Serve(lastCtx, c.Handle) })
 	var err error
@@ -88,6 +90,8 @@
 			return
 		}
 		c.follow(ctx, x, a, uint64(f.Execute.Delivered))
+	case f.Kind == tgframe.KindRank && f.Rank != nil:
+		c.serveRank(ctx, x, f.Rank)
 	default:
 		if !c.node.HandleControl(ctx, x, f) {
 			c.node.Log.WithField("kind", f.Kind).Warn("unexpected first frame")
--- a/io/tgcompanion/dump.go
+++ b/io/tgcompanion/dump.go
@@ -13,7 +13,9 @@
 type State struct {
 	Attempts  []AttemptState    `json:"attempts"`
 	Decisions []tgcall.Decision `json:"decisions"` // oldest first
+	Claims    any               `json:"claims,omitempty"`
 	Draining  bool              `json:"draining"`
+	Group     *GroupState       `json:"group,omitempty"`
 	Load      tgframe.Load      `json:"load"`
 	Upstream  string            `json:"upstream"`
 }
@@ -34,7 +36,8 @@
 // Dump returns the companion's full state.
 func (c *Companion) Dump() any {
 	s := State{
-		Attempts: []AttemptState{}, Decisions: c.decisions.Recent(), Draining: c.draining.Load(), Load: c.load(),
+		Attempts: []AttemptState{}, Claims: c.claims.dump(), Decisions: c.decisions.Recent(), Draining: c.draining.Load(),
+		Group: c.membership.dump(), Load: c.load(),
 		Upstream: c.upstream,
 	}
 	c.attempts.each(func(a *attempt) {
--- a/io/tgdemo/caller.go
+++ b/io/tgdemo/caller.go
@@ -23,11 +23,12 @@
 const (
 	kindBalance kind = "balance" // reads the ledger
 	kindDraft   kind = "draft"   // streams a model's answer
+	kindGrouped kind = "grouped" // streams an answer of the rank group
 	kindPromise kind = "promise" // adds to the ledger, not idempotent
 	kindSummary kind = "summary" // a model's whole answer
 )
 
-var kinds = []kind{kindBalance, kindDraft, kindPromise, kindSummary}
+var kinds = []kind{kindBalance, kindDraft, kindGrouped, kindPromise, kindSummary}
 
 const requestTimeout = 70 * time.Second // above the system's own
 
@@ -60,6 +61,13 @@
 
 func (q request) prompt() string { return fmt.Sprintf("prompt-%d", q.number) }
 
+func (q request) model() string {
+	if q.kind == kindGrouped {
+		return groupModel
+	}
+	return model
+}
+
 // send sends q to the entry at address.
 func (c *caller) send(address netip.AddrPort, q request) outcome {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
@@ -69,11 +77,11 @@
 	path := plainRoute
 	switch q.kind {
 	case kindBalance:
-	case kindDraft, kindSummary:
+	case kindDraft, kindGrouped, kindSummary:
 		path = "/v1/chat/completions"
 		req.Header.SetMethod(fasthttp.MethodPost)
 		req.SetBodyString(fmt.Sprintf(`{"model":%q,"stream":%t,"messages":[{"role":"user","content":%q}]}`,
-			model, q.kind == kindDraft, q.prompt()))
+			q.model(), q.kind != kindSummary, q.prompt()))
 	case kindPromise:
 		req.Header.SetMethod(fasthttp.MethodPost)
 		req.Header.Set("Idempotency-Key", q.key)
@@ -88,7 +96,7 @@
 	if resp.StatusCode() >= fasthttp.StatusBadRequest {
 		return outcome{state: tgcall.Outcome(resp.Header.Peek("Tanagergrade-Outcome"))}
 	}
-	if q.kind == kindDraft {
+	if q.kind == kindDraft || q.kind == kindGrouped {
 		return readDraft(resp.BodyStream(), q.prompt(), started)
 	}
 	body, err := io.ReadAll(resp.BodyStream())
--- a/io/tgdemo/config.go
+++ b/io/tgdemo/config.go
@@ -14,6 +14,14 @@
 	engines     = 12
 	ledgers     = 3
 
+	groupExperts = 8
+	groupLayers  = 2
+	groupRanks   = 4
+	groupSlots   = 3
+
+	groupModel = "thai-moe"
+	groupName  = "moe-1"
+	groupPool  = "moe"
 	model      = "thai-draft"
 	modelPool  = "drafting"
 	plainPool  = "ledger"
@@ -42,6 +50,7 @@
 		Accounts:    map[string]tgconfig.Account{},
 		DataCentres: map[string]tgconfig.DataCentre{},
 		Pools: map[string]tgconfig.Pool{
+			groupPool: {Kind: tgconfig.ModelPool, Models: []string{groupModel}},
 			modelPool: {Kind: tgconfig.ModelPool, Models: []string{model}},
 			plainPool: {
 				Kind: tgconfig.PlainPool, PathPrefix: "/ledger/",
--- a/io/tgdemo/demo.go
+++ b/io/tgdemo/demo.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -46,19 +47,21 @@
 
 // Demo is a running demo.
 type Demo struct {
-	book    *tgstandin.Book
-	cfg     *tgconfig.Config
-	engines []*tgstandin.Engine // engine i is in data centre i modulo dataCentres
-	entries []netip.AddrPort
-	log     *tgstandin.Log
-	logAddr netip.AddrPort
-	options Options
-	relay   *tgstandin.Relay // before the companion of the second engine
-	seeds   []netip.AddrPort
-	tls     *tls.Config
-	vms     *tgstandin.VMList
-	vmsAddr netip.AddrPort
-	wg      conc.WaitGroup
+	book       *tgstandin.Book
+	companions []*tgcompanion.Companion
+	cfg        *tgconfig.Config
+	engines    []*tgstandin.Engine // engine i is in data centre i modulo dataCentres
+	group      *tgstandin.RankGroup
+	entries    []netip.AddrPort
+	log        *tgstandin.Log
+	logAddr    netip.AddrPort
+	options    Options
+	relay      *tgstandin.Relay // before the companion of the second engine
+	seeds      []netip.AddrPort
+	tls        *tls.Config
+	vms        *tgstandin.VMList
+	vmsAddr    netip.AddrPort
+	wg         conc.WaitGroup
 }
 
 // Start starts the platform's stand-ins and the daemons; they run until ctx ends.
@@ -119,7 +122,10 @@
 			return err
 		}
 	}
-	return d.startRelay(d.engines[1].Name)
+	if err := d.startRelay(d.engines[1].Name); err != nil {
+		return err
+	}
+	return d.startGroup(ctx)
 }
 
 // startRelay puts a relay between the entries and one companion.
@@ -159,6 +165,7 @@
 	}
 	d.cfg.Upstreams[upstream] = newUpstream(pool, dataCentre, address, node.Settings.LinkAddress)
 	c := tgcompanion.New(node, upstream, tgupstream.New(address))
+	d.companions = append(d.companions, c)
 	d.wg.Go(func() {
 		if err := c.Run(ctx); err != nil {
 			node.Log.WithError(err).Error("companion stopped")
@@ -237,10 +244,13 @@
 	}
 	fmt.Fprintf(w, "upstreams    %d engines of model %s and %d ledgers in %s, %s, %s, each with a companion\n",
 		engines, model, ledgers, dataCentreName(0), dataCentreName(1), dataCentreName(2))
+	fmt.Fprintf(w, "rank group   %s, %d ranks of model %s in %s\n", groupName, groupRanks, groupModel, dataCentreName(0))
 	base := "http://" + d.entries[0].String()
 	auth := "-H 'Authorization: Bearer " + bearerKey(accounts[0].name) + "'"
 	chat := `{"model":"` + model + `","stream":%t,"messages":[{"role":"user","content":"hello"}]}`
 	fmt.Fprintf(w, "\ndraft    curl -N %s %s/v1/chat/completions -d '%s'\n", auth, base, fmt.Sprintf(chat, true))
+	fmt.Fprintf(w, "grouped  curl -N %s %s/v1/chat/completions -d '%s'\n", auth, base,
+		strings.ReplaceAll(fmt.Sprintf(chat, true), model, groupModel))
 	fmt.Fprintf(w, "summary  curl %s %s/v1/chat/completions -d '%s'\n", auth, base, fmt.Sprintf(chat, false))
 	fmt.Fprintf(w, "promise  curl %s -H 'Idempotency-Key: %s' %s%s -d '{\"amount\":100}'\n", auth, newKey(), base, plainRoute)
 	fmt.Fprintf(w, "balance  curl %s %s%s\n\n", auth, base, plainRoute)
--- a/io/tgdemo/fault.go
+++ b/io/tgdemo/fault.go
@@ -14,9 +14,17 @@
 // loadDuration is the time over which the requests are spread; the faults lie within it.
 const loadDuration = 20 * time.Second
 
+const flowPoll = 20 * time.Millisecond
+
 // withdrawalBound is the time after which a withdrawn data centre gets no new work.
 const withdrawalBound = 5 * time.Second
 
+// Times of the withdrawal and the return of a data centre.
+const (
+	restoredAt  = 11 * time.Second
+	withdrawnAt = 3 * time.Second
+)
+
 // withdrawnIndex is the data centre that is withdrawn and restored.
 const withdrawnIndex = 1
 
@@ -30,10 +38,14 @@
 func (d *Demo) faults() []fault {
 	return []fault{
 		{at: time.Second, name: "a connection goes silent", inject: d.loseFlows},
-		{at: 3 * time.Second, name: "data centre " + dataCentreName(withdrawnIndex) + " is withdrawn", inject: func(ctx context.Context) error {
+		{at: withdrawnAt, name: "data centre " + dataCentreName(withdrawnIndex) + " is withdrawn", inject: func(ctx context.Context) error {
 			return d.setDataCentre(ctx, tgconfig.Withdrawn)
 		}},
-		{at: 11 * time.Second, name: "data centre " + dataCentreName(withdrawnIndex) + " is restored", inject: func(ctx context.Context) error {
+		{at: 6 * time.Second, name: "other experts become hot", inject: func(context.Context) error {
+			d.group.SetLoads(hotExperts(groupExperts / 2))
+			return nil
+		}},
+		{at: restoredAt, name: "data centre " + dataCentreName(withdrawnIndex) + " is restored", inject: func(ctx context.Context) error {
 			return d.setDataCentre(ctx, tgconfig.Active)
 		}},
 		{at: 12 * time.Second, name: "engine draft-1 dies", inject: func(context.Context) error {
@@ -52,10 +64,12 @@
 	}
 }
 
-func (d *Demo) loseFlows(context.Context) error {
-	if d.relay.LoseFlows() == 0 {
-		return errors.New("no connection goes through the relay")
-	}
+// loseFlows silences the connections that go through the relay, as soon as there is one.
+func (d *Demo) loseFlows(ctx context.Context) error {
+	d.wg.Go(func() {
+		for d.relay.LoseFlows() == 0 && sleepUntil(ctx, time.Now().Add(flowPoll)) {
+		}
+	})
 	return nil
 }
 
@@ -99,12 +113,11 @@
 // watch counts what runs in the withdrawn data centre between the bound and its return.
 func (j *injector) watch(ctx context.Context) {
 	started := time.Now()
-	faults := j.demo.faults()
-	if !sleepUntil(ctx, started.Add(faults[1].at+withdrawalBound)) {
+	if !sleepUntil(ctx, started.Add(withdrawnAt+withdrawalBound)) {
 		return
 	}
 	before := j.demo.executionsIn(withdrawnIndex)
-	if sleepUntil(ctx, started.Add(faults[2].at-100*time.Millisecond)) {
+	if sleepUntil(ctx, started.Add(restoredAt-100*time.Millisecond)) {
 		j.forbidden.Store(j.demo.executionsIn(withdrawnIndex) - before)
 	}
 }
--- a/io/tgdemo/load.go
+++ b/io/tgdemo/load.go
@@ -39,6 +39,7 @@
 	time.Sleep(time.Second) // lets a second run of a request show
 	r.compare(d.book.Entries())
 	r.forbidden = j.forbidden.Load()
+	r.control, r.group = d.controllerStatus(), d.group.Stats()
 	return r.print(w)
 }
 
--- a/io/tgdemo/report.go
+++ b/io/tgdemo/report.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"tanagergrade/core/tgcall"
+	"tanagergrade/io/tggroup"
 	"tanagergrade/io/tgstandin"
 )
 
@@ -26,8 +27,10 @@
 // report is the result of a load.
 type report struct {
 	mu        sync.Mutex
-	falseNot  int                         // promises that ran although every call with their key was told that it was not run
-	forbidden int64                       // executions in a withdrawn data centre after the bound
+	falseNot  int   // promises that ran although every call with their key was told that it was not run
+	forbidden int64 // executions in a withdrawn data centre after the bound
+	control   tggroup.Status
+	group     tgstandin.RankGroupStats
 	lost      int                         // promises answered but not in the ledger
 	states    map[string][]tgcall.Outcome // of the calls with each promise's key
 	tallies   map[kind]*tally
@@ -96,7 +99,7 @@
 func (r *report) print(w io.Writer) error {
 	fmt.Fprintf(w, "%-8s %5s %8s %6s %7s %8s %6s %22s %22s\n", "kind", "sent", "answered", "notRun", "unknown",
 		"runTwice", "cutOff", "first token p50/95/99", "between p50/95/99")
-	broken := r.lost > 0 || r.falseNot > 0 || r.forbidden > 0
+	broken := len(r.group.Mixed) > 0 || r.lost > 0 || r.falseNot > 0 || r.forbidden > 0
 	for _, k := range kinds {
 		t := r.tallies[k]
 		fmt.Fprintf(w, "%-8s %5d %8d %6d %7d %8d %6d %22s %22s\n", k, t.sent, t.answered, t.notRun, t.unknown,
@@ -105,6 +108,11 @@
 	}
 	fmt.Fprintf(w, "answered but lost: %d, said not run but ran: %d, run in a withdrawn data centre after %s: %d\n",
 		r.lost, r.falseNot, withdrawalBound, r.forbidden)
+	fmt.Fprintf(w, "rank group: %d map changes, %d steps, %d with mixed maps, mean skew %.2f, longest pause %s\n",
+		r.control.Changes, r.group.Completed, len(r.group.Mixed), r.group.MeanSkew, r.group.Longest.Round(time.Millisecond))
+	fmt.Fprintf(w, "last decision: %s, %d moves, skew %.2f to %.2f, saving %s, cost %s\n", r.control.LastDecision.Reason,
+		r.control.LastDecision.Moves, r.control.LastDecision.SkewNow, r.control.LastDecision.SkewAfter,
+		r.control.LastDecision.Saving.Round(time.Millisecond), r.control.LastDecision.Cost.Round(time.Millisecond))
 	if broken {
 		return ErrBroken
 	}
--- /dev/null
+++ b/io/tggroup/remote.go
@@ -0,0 +1,84 @@
+package tggroup
+
+import (
+	"context"
+	"net/netip"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"tanagergrade/core/tgframe"
+	"tanagergrade/io/tglink"
+)
+
+const remoteTimeout = 2 * callTimeout // of one call to an agent and by it to its engine
+
+// Remote reaches the agents of a group in their companions.
+type Remote struct {
+	Address func(rank int) (netip.AddrPort, bool) // of the companion beside a rank
+	Dialer  tglink.Dialer
+	Group   string
+	Sender  func() *tgframe.Sender
+}
+
+// Call implements Ranks.
+func (r *Remote) Call(ctx context.Context, rank int, q Request) (Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, remoteTimeout)
+	defer cancel()
+	address, ok := r.Address(rank)
+	if !ok {
+		return Response{}, errors.Newf("rank %d of group %q has no companion", rank, r.Group)
+	}
+	data, err := cbor.Marshal(q)
+	if err != nil {
+		return Response{}, errors.Wrap(err, "encode request to a rank")
+	}
+	x, err := r.Dialer.Open(ctx, address)
+	if err != nil {
+		return Response{}, err
+	}
+	defer x.Close()
+	frame := tgframe.Frame{
+		Kind: tgframe.KindRank, Rank: &tgframe.Rank{Data: data, Group: r.Group, Index: rank}, Sender: r.Sender(),
+	}
+	if err := x.Send(ctx, frame); err != nil {
+		r.Dialer.Forget(address)
+		return Response{}, err
+	}
+	answer, err := x.Receive(ctx)
+	if err != nil {
+		r.Dialer.Forget(address)
+		return Response{}, err
+	}
+	return decodeAnswer(answer.Rank)
+}
+
+func decodeAnswer(a *tgframe.Rank) (Response, error) {
+	if a == nil {
+		return Response{}, errors.New("answer is not from a rank")
+	}
+	if a.Failure != "" {
+		return Response{}, errors.Newf("agent failed: %s", a.Failure)
+	}
+	var response Response
+	return response, errors.Wrap(cbor.Unmarshal(a.Data, &response), "decode answer of a rank")
+}
+
+// Serve carries out one request that came over an exchange.
+func (a *Agent) Serve(ctx context.Context, x tglink.Exchange, q *tgframe.Rank, sender *tgframe.Sender) error {
+	ctx, cancel := context.WithTimeout(ctx, remoteTimeout)
+	defer cancel()
+	answer := &tgframe.Rank{}
+	var request Request
+	err := cbor.Unmarshal(q.Data, &request)
+	if err == nil {
+		var response Response
+		if response, err = a.Call(ctx, request); err == nil {
+			answer.Data, err = cbor.Marshal(response)
+		}
+	}
+	if err != nil {
+		answer.Failure = err.Error()
+	}
+	return x.Send(ctx, tgframe.Frame{Kind: tgframe.KindRank, Rank: answer, Sender: sender})
+}
--- /dev/null
+++ b/io/tgholder/leases.go
@@ -0,0 +1,48 @@
+package tgholder
+
+import (
+	"context"
+	"time"
+
+	"tanagergrade/core/tglease"
+)
+
+const leasePoll = 50 * time.Millisecond
+
+// Leases gives the holder of a control role its leases, all of one duration.
+type Leases struct {
+	Duration time.Duration
+	Manager  *Manager
+}
+
+// Acquire campaigns for the lease and waits until this process holds it.
+func (l Leases) Acquire(ctx context.Context, name string) (uint64, error) {
+	l.Manager.Campaign(name, l.Duration)
+	ticker := time.NewTicker(leasePoll)
+	defer ticker.Stop()
+	for {
+		if token, ok := l.Manager.Held(name); ok {
+			return uint64(token), nil
+		}
+		select {
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// Held reports whether this process holds the lease with this token without doubt.
+func (l Leases) Held(name string, token uint64) bool {
+	held, ok := l.Manager.Held(name)
+	return ok && held == tglease.Token(token)
+}
+
+// Token returns the highest token of the lease in the log, or false while the log has not been read to its end.
+func (l Leases) Token(name string) (uint64, bool) {
+	if l.Manager.follower.Status().Confirmed.IsZero() {
+		return 0, false
+	}
+	lease, _ := l.Manager.Lease(name)
+	return uint64(lease.Token), true
+}
