Test a request through daemons with keys from files

Cause: no test had sent a request over QUIC with key material from files. Change: the script of the daemons sends a chat request through entry, companion and an engine stand-in. Conclusion: daemons started from files serve callers.

--- a/io/tgcommand/script_test.go
+++ b/io/tgcommand/script_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -35,7 +36,7 @@
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"exits": scriptExits, "hold": scriptHold, "log": scriptLog, "retry": scriptRetry, "subst": scriptSubst,
+			"chat": scriptChat, "exits": scriptExits, "hold": scriptHold, "log": scriptLog, "retry": scriptRetry, "subst": scriptSubst,
 			"terminate": scriptTerminate,
 		},
 		Dir: "testdata/script",
@@ -48,6 +49,12 @@
 			env.Defer(func() { _ = server.Close() })
 			env.Values[logKey{}] = log
 			env.Setenv("LOG", server.Address().String())
+			engine, err := tgstandin.Serve(tgstandin.NewEngine("draft-1", time.Millisecond).Handle)
+			if err != nil {
+				return err
+			}
+			env.Defer(func() { _ = engine.Close() })
+			env.Setenv("ENGINE", engine.Address().String())
 			for i := range 5 {
 				port, err := freePort()
 				if err != nil {
@@ -69,6 +76,26 @@
 	return port, errors.Join(err, listener.Close())
 }
 
+// scriptChat runs "chat ADDRESS KEY MODEL": it sends a chat request to an entry until the answer is complete.
+func scriptChat(ts *testscript.TestScript, _ bool, args []string) {
+	body := []byte(`{"model":"` + args[2] + `","messages":[{"role":"user","content":"hello"}]}`)
+	last := "no answer"
+	for range 50 {
+		req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+		req.Header.SetMethod(fasthttp.MethodPost)
+		req.Header.Set("Authorization", "Bearer "+args[1])
+		req.SetRequestURI("http://" + args[0] + "/v1/chat/completions")
+		req.SetBody(body)
+		err := fasthttp.DoTimeout(req, resp, 10*time.Second)
+		last = fmt.Sprintf("%v, status %d: %s", err, resp.StatusCode(), resp.Body())
+		if err == nil && resp.StatusCode() == fasthttp.StatusOK && bytes.Contains(resp.Body(), []byte(`"choices"`)) {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	ts.Fatalf("chat failed: %s", last)
+}
+
 // scriptExits runs "exits CODE COMMAND ARGUMENTS..." and checks the exit code.
 func scriptExits(ts *testscript.TestScript, _ bool, args []string) {
 	err := ts.Exec(args[1], args[2:]...)
