--- a/core/tgmeasure/cluster.go
+++ b/core/tgmeasure/cluster.go
@@ -18,7 +18,7 @@
 const (
 	RouteLeast      Routing = "leastConnections"
 	RouteRoundRobin Routing = "roundRobin"
-	RouteTwoChoices Routing = "twoChoices"
+	RouteSampled    Routing = "sampled"
 )
 
 const (
