Place experts for both of two alternating patterns

Cause: the long average of alternating patterns fits neither of them, and the benchmark gave baselines their weights without loading time.

Change: the estimator keeps the pattern before the last swap; the balancer searches placements that serve both, only the split follows. In the benchmark a change takes effect after its bytes at 20 GB/s, in windows of 200 steps.

--- a/core/tgexpert/decision.go
+++ b/core/tgexpert/decision.go
@@ -85,7 +85,7 @@
 
 	moved := resplit.Clone()
 	perStep := float64(b.costs.TokenTime) * float64(b.costs.Horizon)
-	moves := b.improve(moved, lasting, float64(b.costs.moveTime())/perStep)
+	moves := b.improve(moved, loads, float64(b.costs.moveTime())/perStep)
 	lastingSaving := b.saving(lasting, resplitSkew(present, lasting), moved.Skew(lasting))
 	cost := time.Duration(moves) * b.costs.moveTime()
 	if moves > 0 && lastingSaving > cost+b.costs.Pause {
@@ -118,11 +118,16 @@
 }
 
 // improve moves experts of the layers with most skew, each for at least gain tokens less on the slowest rank.
-func (b *Balancer) improve(p *Placement, loads Loads, gain float64) int {
+func (b *Balancer) improve(p *Placement, estimator *Estimator, gain float64) int {
+	loads := estimator.Lasting()
 	skews, order := make([]float64, p.Layers), make([]int, 0, p.Layers)
 	for layer := range p.Layers {
 		tokens := loads.Layer(layer)
 		skews[layer] = p.slowest(layer, tokens) * float64(p.Ranks) / max(sum(tokens), 1)
+		if other := estimator.Other(layer); other != nil {
+			second := p.slowest(layer, other) * float64(p.Ranks) / max(sum(other), 1)
+			skews[layer] = max(skews[layer], second)
+		}
 		r := b.rest[layer]
 		if r.decisions > 0 && skews[layer] < r.skew+restGrowth {
 			r.decisions--
@@ -132,19 +137,26 @@
 		order = append(order, layer)
 	}
 	slices.SortFunc(order, func(i, j int) int { return cmp.Compare(skews[j], skews[i]) })
-	s := newSolver(p, loads.Experts)
+	s, second := newSolver(p, loads.Experts), newSolver(p, loads.Experts)
 	moves, tries := 0, 0
 	for _, layer := range order {
 		if tries >= maxTries {
 			break
 		}
+		limit := min(maxLayerTries, maxTries-tries)
 		m, tried := 0, repackTries
-		if skews[layer] > repackSkew {
+		if other := estimator.Other(layer); other != nil {
+			s.reset(p, layer, loads.Layer(layer))
+			second.reset(p, layer, other)
+			second.detach()
+			m, tried = s.improvePair(second, gain, limit/2)
+			tried *= 2
+		} else if skews[layer] > repackSkew {
 			m = p.repack(layer, loads.Layer(layer), gain)
 		}
-		if m == 0 {
+		if m == 0 && estimator.Other(layer) == nil {
 			s.reset(p, layer, loads.Layer(layer))
-			m, tried = s.improve(gain, min(maxLayerTries, maxTries-tries))
+			m, tried = s.improve(gain, limit)
 		}
 		if m == 0 {
 			b.rest[layer] = rest{decisions: restDecisions, skew: skews[layer]}
--- a/core/tgexpert/estimator.go
+++ b/core/tgexpert/estimator.go
@@ -4,7 +4,6 @@
 
 const (
 	fastWeight     = 0.6  // of the newest window in the short average
-	slowWeight     = 0.03 // of the newest window in the long average
 	swapDistance   = 0.08 // share of tokens that changed experts; noise of a window stays under 0.01
 	flapWindows    = 40   // swaps that follow each other faster are alternating patterns
 	initialPersist = 1e6  // windows; before the first swap a pattern is taken to persist
@@ -16,8 +15,8 @@
 	age     []int // windows since the last swap, by layer
 	fast    Loads
 	last    Loads
+	other   Loads     // pattern before the last swap
 	persist []float64 // windows that a pattern lasts on average, by layer
-	slow    Loads
 	windows int
 }
 
@@ -25,7 +24,7 @@
 func NewEstimator(layers, experts int) *Estimator {
 	e := &Estimator{
 		age: make([]int, layers), fast: NewLoads(layers, experts), last: NewLoads(layers, experts),
-		persist: make([]float64, layers), slow: NewLoads(layers, experts),
+		other: NewLoads(layers, experts), persist: make([]float64, layers),
 	}
 	for i := range e.persist {
 		e.persist[i] = initialPersist
@@ -43,10 +42,9 @@
 }
 
 func (e *Estimator) observe(layer int, w []float64) {
-	fast, last, slow := e.fast.Layer(layer), e.last.Layer(layer), e.slow.Layer(layer)
+	fast, last := e.fast.Layer(layer), e.last.Layer(layer)
 	if e.windows == 0 {
 		copy(fast, w)
-		copy(slow, w)
 		return
 	}
 	e.age[layer]++
@@ -58,12 +56,10 @@
 			e.persist[layer] += (age - e.persist[layer]) / 2
 		}
 		e.age[layer] = 0
+		copy(e.other.Layer(layer), fast)
 		for i := range fast {
 			fast[i] = (w[i] + last[i]) / 2
 		}
-		if !e.alternates(layer) {
-			copy(slow, fast)
-		}
 		return
 	}
 	odd := distance(w, fast) > swapDistance && distance(last, fast) < swapDistance
@@ -71,7 +67,6 @@
 		if !odd {
 			fast[i] += fastWeight * (w[i] - fast[i])
 		}
-		slow[i] += slowWeight * (w[i] - slow[i])
 	}
 }
 
@@ -93,17 +88,15 @@
 	return l
 }
 
-// Lasting returns the loads that a placement has to serve: the current ones, or the long average of a layer whose
-// patterns alternate.
-func (e *Estimator) Lasting() Loads {
-	l := NewLoads(e.fast.Layers, e.fast.Experts)
-	copy(l.Tokens, e.fast.Tokens)
-	for layer := range l.Layers {
-		if e.alternates(layer) {
-			copy(l.Layer(layer), e.slow.Layer(layer))
-		}
+// Lasting returns the loads that a placement has to serve.
+func (e *Estimator) Lasting() Loads { return e.fast }
+
+// Other returns the second pattern of a layer whose loads alternate between two, or nil.
+func (e *Estimator) Other(layer int) []float64 {
+	if !e.alternates(layer) {
+		return nil
 	}
-	return l
+	return e.other.Layer(layer)
 }
 
 // Windows returns the number of windows observed.
--- a/core/tgexpert/improve.go
+++ b/core/tgexpert/improve.go
@@ -50,6 +50,50 @@
 	return bestMoves, tried
 }
 
+// improvePair is improve for a layer whose loads alternate between the tokens of s and those of other, another solver
+// of the same placement. The expert of each slot serves both patterns; only the split follows them.
+func (s *solver) improvePair(other *solver, gain float64, limit int) (bestMoves, tried int) {
+	pair := []*solver{s, other}
+	slowest := func() (total float64, worst *solver) {
+		worst, highest := s, 0.0
+		for _, p := range pair {
+			load := p.load[p.heaviest()]
+			if skew := load / sum(p.load); skew > highest {
+				worst, highest = p, skew
+			}
+			total += load / 2
+		}
+		return total, worst
+	}
+	s.split(splitRounds)
+	other.split(splitRounds)
+	before, worst := slowest()
+	s.bestExperts = append(s.bestExperts[:0], s.experts...)
+	s.bestWeights = append(s.bestWeights[:0], s.weights...)
+	moves, bestScore := 0, 0.0
+	for ; tried < limit && moves-bestMoves < patience; tried++ {
+		heaviest := worst.heaviest()
+		c, ok := worst.bestChange(heaviest, worst.load[heaviest])
+		if !ok {
+			break
+		}
+		for _, p := range pair {
+			p.apply(c)
+			p.split(resplitRounds)
+		}
+		moves += c.moves
+		var after float64
+		if after, worst = slowest(); before-after-gain*float64(moves) > bestScore {
+			bestMoves, bestScore = moves, before-after-gain*float64(moves)
+			copy(s.bestExperts, s.experts)
+			copy(s.bestWeights, s.weights)
+		}
+	}
+	copy(s.experts, s.bestExperts)
+	copy(s.weights, s.bestWeights)
+	return bestMoves, tried
+}
+
 func (s *solver) heaviest() int {
 	h := 0
 	for r, l := range s.load {
--- a/core/tgexpert/policy_test.go
+++ b/core/tgexpert/policy_test.go
@@ -17,7 +17,8 @@
 	benchLayers   = 60
 	tokensPerRank = 2048 // in a step; each goes to 8 experts
 	topK          = 8
-	windowSteps   = 50
+	windowSteps   = 200                 // 5.2 s
+	windowTime    = 0.026 * windowSteps // seconds
 	windows       = 200
 	stepsSampled  = 5 // steps of each window whose loads are drawn
 )
@@ -27,7 +28,7 @@
 func benchCosts() Costs {
 	return Costs{
 		BytesPerExpert: 44e6, CachePerMove: 5 * time.Millisecond, Horizon: 150_000, Pause: 26 * time.Millisecond,
-		StoreRate: 2e9, TokenTime: 26 * time.Nanosecond,
+		StoreRate: 20e9, TokenTime: 26 * time.Nanosecond,
 	}
 }
 
@@ -65,6 +66,7 @@
 	step, window := NewLoads(benchLayers, benchExperts), NewLoads(benchLayers, benchExperts)
 	results := make([]*result, len(policies))
 	placements := make([]*Placement, len(policies))
+	next, ready := make([]*Placement, len(policies)), make([]int, len(policies)) // change whose weights are loading
 	decide := make([]Policy, len(policies))
 	estimator := NewEstimator(benchLayers, benchExperts)
 	for w := range windows {
@@ -85,9 +87,20 @@
 		}
 		estimator.Observe(window)
 		for i, p := range decide {
+			if next[i] != nil && w < ready[i] {
+				continue
+			}
+			if next[i] != nil {
+				placements[i], next[i] = next[i], nil
+			}
 			if d := p.Decide(placements[i], estimator); d.Placement != nil {
-				placements[i] = d.Placement
-				results[i].bytes += float64(d.Moves) * benchCosts().BytesPerExpert
+				bytes := float64(d.Moves) * benchCosts().BytesPerExpert
+				loading := bytes / benchCosts().StoreRate / windowTime
+				next[i], ready[i] = d.Placement, w+int(loading)
+				if loading < 1 {
+					placements[i], next[i] = d.Placement, nil
+				}
+				results[i].bytes += bytes
 				results[i].changes++
 			}
 		}
--- a/core/tgexpert/solver.go
+++ b/core/tgexpert/solver.go
@@ -50,6 +50,11 @@
 	}
 }
 
+// detach makes changes of the solver leave the placement alone.
+func (s *solver) detach() {
+	s.experts, s.weights = slices.Clone(s.experts), slices.Clone(s.weights)
+}
+
 func (s *solver) rank(slot int) int { return s.ranks[slot] }
 
 // split divides the load of replicated experts so that the ranks are loaded as evenly as the replicas allow: each
--- /dev/null
+++ b/core/tgstep/progress.go
@@ -0,0 +1,88 @@
+package tgstep
+
+import "time"
+
+// Verdict is what the progress of a group says about its ranks.
+type Verdict string
+
+// Verdicts.
+const (
+	VerdictLost    Verdict = "lost"    // some ranks cannot be reached or hold the others back
+	VerdictRunning Verdict = "running" // steps are made, or not enough time has passed to tell
+	VerdictStalled Verdict = "stalled" // no step is made and no single rank is behind
+)
+
+// Progress detects stalled and lost ranks from their steps.
+type Progress struct {
+	limit time.Duration
+	ranks []rankProgress
+}
+
+type rankProgress struct {
+	heard    time.Time // last state read
+	moved    time.Time // last change of next
+	next     uint64
+	observed bool
+}
+
+// NewProgress returns the detector for n ranks; limit is the time without a step that counts as a stall.
+func NewProgress(n int, limit time.Duration) *Progress {
+	p := &Progress{limit: limit, ranks: make([]rankProgress, n)}
+	p.Reset()
+	return p
+}
+
+// Reset starts the time anew for all ranks, as after a formation.
+func (p *Progress) Reset() {
+	now := time.Now()
+	for i := range p.ranks {
+		p.ranks[i] = rankProgress{heard: now, moved: now}
+	}
+}
+
+// Observe takes the next step of rank i.
+func (p *Progress) Observe(i int, next uint64) {
+	r := &p.ranks[i]
+	r.heard = time.Now()
+	if !r.observed || next != r.next {
+		r.moved, r.next, r.observed = r.heard, next, true
+	}
+}
+
+// Unreachable returns the members that have not been heard of for the limit.
+func (p *Progress) Unreachable(members uint64) uint64 {
+	lost := uint64(0)
+	for i, r := range p.ranks {
+		if members&(1<<uint(i)) != 0 && time.Since(r.heard) > p.limit {
+			lost |= 1 << uint(i)
+		}
+	}
+	return lost
+}
+
+// Verdict judges the members and returns those that are lost. In lock-step one stalled rank stops all others one step
+// later, so among stopped ranks those with the lowest step are the cause.
+func (p *Progress) Verdict(members uint64) (verdict Verdict, lost uint64) {
+	if lost = p.Unreachable(members); lost != 0 {
+		return VerdictLost, lost
+	}
+	lowest, highest := ^uint64(0), uint64(0)
+	for i, r := range p.ranks {
+		if members&(1<<uint(i)) == 0 {
+			continue
+		}
+		if time.Since(r.moved) <= p.limit {
+			return VerdictRunning, 0
+		}
+		lowest, highest = min(lowest, r.next), max(highest, r.next)
+	}
+	if lowest == highest {
+		return VerdictStalled, 0
+	}
+	for i, r := range p.ranks {
+		if members&(1<<uint(i)) != 0 && r.next == lowest {
+			lost |= 1 << uint(i)
+		}
+	}
+	return VerdictLost, lost
+}
