--- a/core/tgframe/frame.go
+++ b/core/tgframe/frame.go
@@ -2,6 +2,7 @@
 package tgframe
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/google/uuid"
@@ -20,28 +21,39 @@
 	KindChunk    Kind = "chunk"
 	KindEnd      Kind = "end"
 	KindExecute  Kind = "execute"
+	KindFetch    Kind = "fetch"
+	KindFetched  Kind = "fetched"
+	KindGossip   Kind = "gossip"
 	KindHead     Kind = "head"
+	KindProbe    Kind = "probe"
 	KindProgress Kind = "progress"
 )
 
-// Frame is one message of an exchange; the field named by Kind is set.
+// Frame is one message of an exchange; the field named by Kind is set. A frame of an answer also carries what
+// precedes it, if that is ready at the same time: an end its last chunks, a chunk the head.
 type Frame struct {
 	Attach   *Attach   `cbor:"attach,omitempty"`
+	Attempt  [16]byte  `cbor:"attempt"` // UUID, set on reply frames; as an array it is encoded without an allocation
 	Cancel   *Cancel   `cbor:"cancel,omitempty"`
 	Chunk    *Chunk    `cbor:"chunk,omitempty"`
 	End      *End      `cbor:"end,omitempty"`
 	Execute  *Execute  `cbor:"execute,omitempty"`
+	Fetch    *Fetch    `cbor:"fetch,omitempty"`
+	Fetched  *Fetched  `cbor:"fetched,omitempty"`
+	Gossip   *Gossip   `cbor:"gossip,omitempty"`
 	Head     *Head     `cbor:"head,omitempty"`
 	Kind     Kind      `cbor:"kind"`
-	Progress *Progress `cbor:"progress,omitempty"`
-	Sender   *Sender   `cbor:"sender,omitempty"` // set on the first frame of each direction
+	Probe    *Probe    `cbor:"probe,omitempty"`
+	Progress *Progress `cbor:"progress,omitempty"` // also set if Kind is accepted
+	Sender   *Sender   `cbor:"sender,omitempty"`   // set on the first frame of each direction
 }
 
 // Sender identifies the process that sent a frame.
 type Sender struct {
-	Applied     uint64    `cbor:"applied"` // highest configuration offset applied
-	Incarnation uuid.UUID `cbor:"incarnation"`
-	Name        string    `cbor:"name"`
+	Address     netip.AddrPort `cbor:"address"` // where the sender serves exchanges; a receiver that is behind fetches from it
+	Applied     uint64         `cbor:"applied"` // highest configuration offset applied
+	Incarnation uuid.UUID      `cbor:"incarnation"`
+	Name        string         `cbor:"name"`
 }
 
 // Header is one HTTP header field.
@@ -72,13 +84,15 @@
 
 // Attach asks a companion to go on with an attempt over a new connection.
 type Attach struct {
-	Attempt uuid.UUID `cbor:"attempt"`
-	Next    uint64    `cbor:"next"` // sequence number of the next chunk wanted
+	Attempt  uuid.UUID `cbor:"attempt"`
+	Deadline time.Time `cbor:"deadline"` // of the attempt; an execute frame that arrives after it is refused
+	Next     uint64    `cbor:"next"`     // sequence number of the next chunk wanted
 }
 
 // Cancel asks a companion to stop an attempt.
 type Cancel struct {
-	Attempt uuid.UUID `cbor:"attempt"`
+	Attempt  uuid.UUID `cbor:"attempt"`
+	Deadline time.Time `cbor:"deadline"` // of the attempt; an execute frame that arrives after it is refused
 }
 
 // Load is a companion's report of its upstream.
@@ -102,10 +116,11 @@
 	Status  int      `cbor:"status"`
 }
 
-// Chunk is one part of an answer's body.
+// Chunk is one or more consecutive parts of an answer's body.
 type Chunk struct {
 	Data     []byte `cbor:"data"`
-	Sequence uint64 `cbor:"sequence"` // from 0, without gaps
+	Sequence uint64 `cbor:"sequence"`        // of the first part; from 0, without gaps
+	Sizes    []int  `cbor:"sizes,omitempty"` // of the parts in Data, if there is more than one
 }
 
 // End is the terminal marker of an attempt.
@@ -115,4 +130,11 @@
 	Outcome  tgcall.Outcome  `cbor:"outcome"`
 	Replayed bool            `cbor:"replayed,omitempty"` // the recorded answer of an earlier call
 	Total    uint64          `cbor:"total"`              // number of chunks of the whole answer
+	Unseen   *Unseen         `cbor:"unseen,omitempty"`   // set if this process has never seen the attempt
+}
+
+// Unseen says that a companion has not seen an attempt since it started and will refuse it from now on.
+// If the companion started before the attempt was sent, the attempt was not run and will not be.
+type Unseen struct {
+	Uptime time.Duration `cbor:"uptime"` // since the companion started
 }
--- a/io/tgentry/answer.go
+++ b/io/tgentry/answer.go
@@ -1,19 +1,19 @@
 package tgentry
 
 import (
-	"bufio"
-	"context"
 	"encoding/json"
-	"fmt"
 	"math"
+	"math/rand/v2"
+	"slices"
 	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/gofiber/fiber/v3"
-	"github.com/sirupsen/logrus"
+	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
 
 	"tanagergrade/core/tgcall"
-	"tanagergrade/core/tgframe"
 )
 
 // errorBody is OpenAI's error object.
@@ -25,6 +25,7 @@
 	Code    tgcall.Code    `json:"code"`
 	Message string         `json:"message"`
 	Outcome tgcall.Outcome `json:"outcome"`
+	Param   *string        `json:"param"` // always null; OpenAI's clients expect the field
 	Type    string         `json:"type"`
 }
 
@@ -47,100 +48,92 @@
 		return fiber.StatusUnprocessableEntity
 	case tgcall.CodeModelUnknown, tgcall.CodeRouteUnknown:
 		return fiber.StatusNotFound
+	case tgcall.CodeMethodNotAllowed:
+		return fiber.StatusMethodNotAllowed
 	case tgcall.CodeOverloaded:
 		return fiber.StatusTooManyRequests
 	case tgcall.CodeRequestTooLarge:
 		return fiber.StatusRequestEntityTooLarge
 	case tgcall.CodeDeadlineExceeded:
 		return fiber.StatusGatewayTimeout
-	case tgcall.CodeRequestUnresolved:
+	case tgcall.CodeIdempotencyKeyExpired, tgcall.CodeRequestUnresolved:
 		return fiber.StatusConflict
-	case tgcall.CodeAnswerIncomplete, tgcall.CodeUpstreamLost:
+	case tgcall.CodeAnswerIncomplete, tgcall.CodeUpstreamFailed, tgcall.CodeUpstreamLost:
 		return fiber.StatusBadGateway
+	case tgcall.CodeInternal:
+		return fiber.StatusInternalServerError
 	default:
 		return fiber.StatusServiceUnavailable
 	}
 }
 
-// fail answers the caller with a failure.
-func (e *Entry) fail(c fiber.Ctx, f *tgcall.Failure) error {
-	e.node.Log.WithFields(logrus.Fields{
-		"code": f.Code, "outcome": f.Outcome, "reason": f.Message, "request": requestID(c),
-	}).Info("request failed")
-	c.Set(headerOutcome, string(f.Outcome))
-	if f.RetryAfter > 0 {
-		c.Set(fiber.HeaderRetryAfter, strconv.Itoa(int(math.Ceil(f.RetryAfter.Seconds()))))
+const defaultRetryAfter = time.Second
+
+// retryAfter returns the seconds after which a retry makes sense, spread over twice the failure's time so that
+// callers that were refused together do not return together; 0 if a retry makes no sense.
+func retryAfter(f *tgcall.Failure) int {
+	d := f.RetryAfter
+	if s := status(f); d == 0 && (s == fiber.StatusServiceUnavailable || s == fiber.StatusTooManyRequests) {
+		d = defaultRetryAfter
 	}
-	return c.Status(status(f)).JSON(newErrorBody(f))
+	if d == 0 {
+		return 0
+	}
+	seconds := d.Seconds() * (1 + rand.Float64()) //nolint:gosec // spreads retries, no secret
+	return max(1, int(math.Floor(seconds+rand.Float64())))
 }
 
-func (e *Entry) handleError(c fiber.Ctx, err error) error {
-	var fe *fiber.Error
-	if errors.As(err, &fe) && fe.Code == fiber.StatusRequestEntityTooLarge {
-		return e.fail(c, tgcall.NotRunFailure(tgcall.CodeRequestTooLarge, "request body is too large"))
-	}
-	return e.fail(c, tgcall.UnknownFailure(tgcall.CodeInternal, "%v", err))
+// fail answers the caller with a failure.
+func (e *Entry) fail(c fiber.Ctx, f *tgcall.Failure) error {
+	id := requestID(c)
+	e.finished(record{failure: f, request: id})
+	writeFailure(c.Response(), f)
+	return nil
 }
 
-// serve runs the request and answers the caller.
-func (e *Entry) serve(c fiber.Ctx, x *tgframe.Execute) error {
-	ctx, cancel := context.WithDeadline(context.Background(), x.Deadline)
-	call := e.newCall(ctx, cancel, x)
-	first, failure := call.head()
-	if failure != nil {
-		cancel()
-		return e.fail(c, failure)
-	}
-	c.Status(first.Status)
-	for _, h := range first.Headers {
-		c.Set(h.Name, h.Value)
-	}
-	if x.Stream && first.Status == fiber.StatusOK {
-		return c.SendStreamWriter(func(w *bufio.Writer) {
-			defer cancel()
-			call.stream(w)
-		})
+func writeFailure(resp *fasthttp.Response, f *tgcall.Failure) {
+	resp.Header.Set(headerOutcome, string(f.Outcome))
+	if s := retryAfter(f); s > 0 {
+		resp.Header.Set(fiber.HeaderRetryAfter, strconv.Itoa(s))
 	}
-	defer cancel()
-	body, failure := call.body()
-	if failure != nil {
-		return e.fail(c, failure)
+	resp.SetStatusCode(status(f))
+	resp.Header.SetContentType(fiber.MIMEApplicationJSON)
+	data, err := json.Marshal(newErrorBody(f))
+	if err != nil {
+		panic(err) // strings and a null always encode
 	}
-	return c.Send(body)
+	resp.SetBody(data)
 }
 
-// stream passes the answer on event by event; a failure ends it with an error event and no end marker.
-func (l *call) stream(w *bufio.Writer) {
-	for {
-		chunk, failure := l.next()
-		switch {
-		case failure != nil:
-			data, err := json.Marshal(newErrorBody(failure))
-			if err == nil {
-				fmt.Fprintf(w, "data: %s\n\n", data)
-			}
-			_ = w.Flush()
-			return
-		case chunk == nil:
-			return
-		}
-		if _, err := w.Write(chunk); err != nil {
-			return
-		}
-		if err := w.Flush(); err != nil {
+// refuseMethods answers requests with methods that fiber does not know, which never reach a handler.
+func (e *Entry) refuseMethods(next fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		if slices.Contains(fiber.DefaultMethods, string(ctx.Method())) {
+			next(ctx)
 			return
 		}
+		f := tgcall.NotRunFailure(tgcall.CodeMethodNotAllowed, "%s is not allowed", ctx.Method())
+		id := uuid.NewString()
+		ctx.Response.Header.Set(headerRequestID, id)
+		e.finished(record{failure: f, request: id})
+		writeFailure(&ctx.Response, f)
 	}
 }
 
-// body returns the whole answer.
-func (l *call) body() ([]byte, *tgcall.Failure) {
-	var body []byte
-	for {
-		chunk, failure := l.next()
-		if failure != nil || chunk == nil {
-			return body, failure
-		}
-		body = append(body, chunk...)
+// handleError answers requests that failed before a handler took them, and errors of handlers.
+func (e *Entry) handleError(c fiber.Ctx, err error) error {
+	var fe *fiber.Error
+	switch {
+	case !errors.As(err, &fe):
+		return e.fail(c, tgcall.UnknownFailure(tgcall.CodeInternal, "%v", err))
+	case fe.Code == fiber.StatusRequestEntityTooLarge:
+		return e.fail(c, tgcall.NotRunFailure(tgcall.CodeRequestTooLarge, "request body is too large"))
+	default:
+		return e.fail(c, tgcall.NotRunFailure(tgcall.CodeRequestInvalid, "%s", fe.Message))
 	}
 }
+
+// handleMethod answers requests whose path exists with another method.
+func (e *Entry) handleMethod(c fiber.Ctx) error {
+	return e.fail(c, tgcall.NotRunFailure(tgcall.CodeMethodNotAllowed, "%s is not allowed on %s", c.Method(), c.Path()))
+}
--- a/io/tglogclient/client.go
+++ b/io/tglogclient/client.go
@@ -19,13 +19,14 @@
 	replyMargin    = 500 * time.Millisecond // added to a long poll's wait before it counts as lost
 )
 
-// ErrTruncated says that the wanted offset has left the log's retention.
+// ErrTruncated says that the wanted offset has left the log's retention; the page has the first offset kept.
 var ErrTruncated = errors.New("offset is before the first record kept by the log")
 
 // Entry is one append of a stream.
 type Entry struct {
 	Offset  uint64
 	Records []tgrecord.Record
+	Time    time.Time // when the log service took the append, by its clock
 }
 
 // Page is the reply to a read.
@@ -89,7 +90,8 @@
 	case fasthttp.StatusOK:
 		return decodePage(body)
 	case fasthttp.StatusGone:
-		return Page{}, ErrTruncated
+		page, err := decodePage(body)
+		return page, errors.CombineErrors(ErrTruncated, err)
 	default:
 		return Page{}, errors.Newf("log service answered a read with status %d", status)
 	}
@@ -100,8 +102,9 @@
 		First   uint64 `json:"first"`
 		Next    uint64 `json:"next"`
 		Records []struct {
-			Data   []byte `json:"data"`
-			Offset uint64 `json:"offset"`
+			Data   []byte    `json:"data"`
+			Offset uint64    `json:"offset"`
+			Time   time.Time `json:"time"`
 		} `json:"records"`
 	}
 	if err := json.Unmarshal(body, &reply); err != nil {
@@ -114,7 +117,7 @@
 			// A foreign record holds nothing for this system; its offset still counts.
 			records = nil
 		}
-		page.Entries = append(page.Entries, Entry{Offset: r.Offset, Records: records})
+		page.Entries = append(page.Entries, Entry{Offset: r.Offset, Records: records, Time: r.Time})
 	}
 	return page, nil
 }
--- /dev/null
+++ b/io/tgnode/snapshot.go
@@ -0,0 +1,94 @@
+package tgnode
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+
+	"tanagergrade/core/tgconfig"
+	"tanagergrade/core/tgframe"
+	"tanagergrade/core/tgrecord"
+)
+
+const (
+	snapshotCheck = 5 * time.Second
+	snapshotWait  = 10 * time.Second // mean time for which a reader gives way to others that are due too
+	storeTimeout  = 30 * time.Second // bound for appending all parts
+)
+
+// writeSnapshots writes the folded configuration to the log again, well before the records that it comes from
+// leave the log. Only readers write; two that write at once do no harm. Each reader reads 8.6 MB for each snapshot at
+// the two-year size, which is 0.4 KB/s at the default interval.
+func (n *Node) writeSnapshots(ctx context.Context) {
+	schedule := tgconfig.NewSnapshotSchedule(time.Now())
+	for {
+		sleep(ctx, jitter(snapshotCheck))
+		if ctx.Err() != nil {
+			return
+		}
+		if !n.snapshotDue(schedule) {
+			continue
+		}
+		sleep(ctx, jitter(snapshotWait))
+		if ctx.Err() != nil || !n.snapshotDue(schedule) {
+			continue
+		}
+		if err := n.writeSnapshot(ctx); err != nil {
+			n.Log.WithError(err).Warn("snapshot was not written")
+		}
+	}
+}
+
+func (n *Node) snapshotDue(schedule tgconfig.SnapshotSchedule) bool {
+	if !n.peers.Reader() || n.Ready() != nil {
+		return false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	interval := n.state.Config().Settings.SnapshotInterval
+	recent := !n.snapshotSeen.IsZero() && time.Since(n.snapshotSeen) < interval/2
+	return !recent && schedule.Due(n.state, time.Now())
+}
+
+func (n *Node) writeSnapshot(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	n.mu.Lock()
+	snapshot, err := n.state.Snapshot()
+	n.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	parts, err := snapshot.Parts(uuid.New())
+	if err != nil {
+		return err
+	}
+	for _, part := range parts {
+		r, err := tgrecord.New(tgrecord.KindSnapshot, n.Settings.Name, snapshot.Covered, part)
+		if err != nil {
+			return err
+		}
+		if _, err := n.source.Append(ctx, ConfigStream, []tgrecord.Record{r}); err != nil {
+			return err
+		}
+	}
+	n.Log.WithField("covered", snapshot.Covered).WithField("parts", len(parts)).Info("snapshot written")
+	return nil
+}
+
+// noteSnapshots notes that e has part of a snapshot and returns e without it: peers that are behind get the folded
+// state itself. The caller holds mu.
+func (n *Node) noteSnapshots(e tgframe.LogEntry) tgframe.LogEntry {
+	for i, r := range e.Records {
+		if r.Kind != tgrecord.KindSnapshot {
+			continue
+		}
+		n.snapshotSeen = time.Now()
+		r.Body = nil
+		records := append([]tgrecord.Record(nil), e.Records...)
+		records[i] = r
+		e.Records = records
+	}
+	return e
+}
