Read evidence from the fields of a frame and resume after a drain

Cause: routing looked at the kind of a frame, but an end frame now also carries chunks, so that a whole answer gave no first-token evidence. An attempt that a companion ended at its drain timeout, or for want of a reader, was reported as cancelled, after which an entry does not retry.

Change: evidence follows the fields that are set; 5xx answers count as failures of their upstream. Only a cancellation by the entry is reported as cancelled.

Conclusion: idempotent streams go on elsewhere when a companion stops before they end.

--- a/io/tgcompanion/attempt.go
+++ b/io/tgcompanion/attempt.go
@@ -110,7 +110,7 @@
 	case ctx.Err() != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		return tgcall.UnknownFailure(tgcall.CodeDeadlineExceeded, "no whole answer before the deadline")
 	case ctx.Err() != nil:
-		return tgcall.UnknownFailure(tgcall.CodeCancelled, "%v", context.Cause(ctx))
+		return interrupted(context.Cause(ctx))
 	case errors.Is(err, tgupstream.ErrUnframed), errors.Is(err, tganswer.ErrTooLarge):
 		return tgcall.UnknownFailure(tgcall.CodeAnswerIncomplete, "upstream %q: %v", c.upstream, err)
 	case err != nil:
@@ -121,3 +121,16 @@
 		return nil
 	}
 }
+
+// interrupted returns the failure of an attempt that ended before its upstream did. Only a cancellation by the entry
+// says that nobody wants the answer any more; the others let it go on elsewhere.
+func interrupted(cause error) *tgcall.Failure {
+	code := tgcall.CodeUpstreamLost
+	switch {
+	case errors.Is(cause, errCancelled):
+		code = tgcall.CodeCancelled
+	case errors.Is(cause, errDrained):
+		code = tgcall.CodeDraining
+	}
+	return tgcall.UnknownFailure(code, "%v", cause)
+}
--- a/io/tgcompanion/companion_test.go
+++ b/io/tgcompanion/companion_test.go
@@ -70,7 +70,8 @@
 	}
 }
 
-// Guards against a planned stop that cuts an attempt, that takes new ones, or that waits beyond the drain timeout.
+// Guards against a planned stop that cuts an attempt, that takes new ones, or that waits beyond the drain timeout, and
+// against an attempt ended by the stop that its entry does not resume elsewhere, as after a cancellation.
 func TestDrain(t *testing.T) {
 	for name, row := range map[string]struct {
 		tokens  int // one every 2 s
@@ -79,7 +80,7 @@
 		drained time.Duration
 	}{
 		"finishes in time": {tokens: 10, outcome: tgcall.Answered, drained: 19 * time.Second},
-		"takes too long":   {tokens: 30, outcome: tgcall.Unknown, code: tgcall.CodeCancelled, drained: 50 * time.Second},
+		"takes too long":   {tokens: 30, outcome: tgcall.Unknown, code: tgcall.CodeDraining, drained: 50 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/io/tgentry/path_test.go
+++ b/io/tgentry/path_test.go
@@ -160,6 +160,19 @@
 	}
 }
 
+// Guards against evidence for routing that is lost when a whole answer comes in one frame.
+func TestWholeAnswerInOneFrameIsEvidence(t *testing.T) {
+	s := newSystem(t, 1, tgstandin.NewLink(), engine())
+	l := s.entry.newCall(newRequest(true, false), nil)
+	defer l.close(nil)
+	f := tgframe.Frame{
+		Chunk: &tgframe.Chunk{Data: []byte("x")}, End: &tgframe.End{Outcome: tgcall.Answered, Total: 1},
+		Head: &tgframe.Head{Status: statusOK}, Kind: tgframe.KindEnd,
+	}
+	l.observe(tgroute.Candidate{Name: upstreamNames[0]}, &f, 0)
+	assert.Assert(t, l.timing.shown)
+}
+
 // Guards against a claim that a request was not run by a companion that has restarted since.
 func TestRestartedCompanionDoesNotProveNotRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/io/tgentry/routing.go
+++ b/io/tgentry/routing.go
@@ -117,22 +117,19 @@
 // observe takes the evidence of a frame for which this call waited the given time.
 func (l *call) observe(target tgroute.Candidate, f *tgframe.Frame, waited time.Duration) {
 	router := l.entry.router
-	switch f.Kind {
-	case tgframe.KindChunk:
-		if !l.execute.Idempotent { // these are not counted as sent by the router
-			return
-		}
+	if f.Chunk != nil && l.execute.Idempotent { // others are not counted as sent by the router
 		if !l.timing.shown {
 			l.timing.shown = true
 			router.Report(target.Name, tgroute.Evidence{FirstToken: time.Since(l.timing.start)})
 		} else if l.execute.Stream { // only the time waited here: the caller may be slow to take the parts
 			router.Report(target.Name, tgroute.Evidence{Gap: waited})
 		}
-	case tgframe.KindEnd:
+	}
+	if f.End != nil {
 		router.Observe(target.Name, f.End.Load)
-	case tgframe.KindProgress:
+	}
+	if f.Progress != nil {
 		router.Observe(target.Name, f.Progress.Load)
-	default:
 	}
 }
 
@@ -141,7 +138,7 @@
 func (l *call) mayRetry(failure *tgcall.Failure) bool {
 	e := l.entry
 	switch failure.Code {
-	case tgcall.CodeAnswerIncomplete, tgcall.CodeUpstreamLost, tgcall.CodeUpstreamUnreachable:
+	case tgcall.CodeAnswerIncomplete, tgcall.CodeUpstreamFailed, tgcall.CodeUpstreamLost, tgcall.CodeUpstreamUnreachable:
 		e.router.Report(l.timing.target.Name, tgroute.Evidence{Failed: true})
 		e.routing.prefixes.Forget(l.timing.target.Name) // it may have restarted
 	default:
