Move idempotent calls from a stalled upstream

Cause: heartbeats go on while an engine stands still, so calls waited there until their deadline. Change: a call that has seen nothing for five seconds from an upstream that the router has excluded as stalled ends its attempt and resumes elsewhere. Attempts that wait in the queue and those that are not idempotent stay. Conclusion: TestStalledCallMoves guards the rule in the entry.

--- a/core/tgmeasure/entry.go
+++ b/core/tgmeasure/entry.go
@@ -13,6 +13,7 @@
 	heartbeat   = time.Second     // load reports of running attempts
 	lostAfter   = 7 * time.Second // 3 s of silence, then two openings that fail after 2 s each
 	maxAttempts = 4
+	moveAfter   = 5 * time.Second // as in the daemon
 	oneWay      = 500 * time.Microsecond
 	retryRatio  = 0.1
 )
@@ -21,6 +22,7 @@
 type chooser interface {
 	Choose(candidates []tgroute.Candidate) (tgroute.Candidate, bool)
 	Done(name string, begun bool)
+	Excluded(name string) tgroute.Reason
 	Observe(name string, l tgframe.Load)
 	Report(name string, e tgroute.Evidence)
 }
@@ -54,6 +56,7 @@
 type attempt struct {
 	begun     bool // has shown a token
 	companion *companion
+	last      time.Time // of the last token, or as sent
 	entry     *entry
 	over      bool
 	request   *request
@@ -69,7 +72,8 @@
 	}
 	r.tried[c.Name] = true
 	r.upstreams = append(r.upstreams, c.Name)
-	a := &attempt{companion: e.cluster.companions[c.Name], entry: e, request: r, sent: e.cluster.sim.now()}
+	a := &attempt{companion: e.cluster.companions[c.Name], entry: e, request: r, sent: e.cluster.sim.now(),
+		last: e.cluster.sim.now()}
 	e.cluster.Attempts++
 	e.cluster.sim.after(oneWay, func() { a.companion.execute(a) })
 	e.cluster.sim.after(heartbeat, a.beat)
@@ -84,8 +88,14 @@
 		return
 	}
 	a.entry.router.Observe(a.companion.Name, a.companion.load())
+	now := a.entry.cluster.sim.now()
 	if !a.running {
-		a.sent = a.entry.cluster.sim.now()
+		a.sent, a.last = now, now
+	}
+	if a.request.idempotent && now.Sub(a.last) > moveAfter &&
+		a.entry.router.Excluded(a.companion.Name) == tgroute.Stalled {
+		a.lost() // the job stays in the stalled engine, as if the cancellation were lost
+		return
 	}
 	a.entry.cluster.sim.after(heartbeat, a.beat)
 }
@@ -95,6 +105,7 @@
 		return
 	}
 	now := a.entry.cluster.sim.now()
+	a.last = now
 	if first > 0 {
 		a.begun = true
 		a.entry.router.Report(a.companion.Name, tgroute.Evidence{FirstToken: now.Sub(a.sent)})
--- a/io/tgentry/attempt.go
+++ b/io/tgentry/attempt.go
@@ -63,6 +63,9 @@
 		if a.assembler.Impossible() {
 			return tganswer.Part{}, tgcall.UnknownFailure(tgcall.CodeAnswerIncomplete, "the end of the answer does not match its parts")
 		}
+		if a.call.stalled() {
+			return tganswer.Part{}, tgcall.UnknownFailure(tgcall.CodeUpstreamLost, "upstream %q has stalled", a.target.Name)
+		}
 		if a.exchange == nil {
 			if failure := a.connect(); failure != nil {
 				return tganswer.Part{}, failure
--- a/io/tgentry/routing.go
+++ b/io/tgentry/routing.go
@@ -15,10 +15,11 @@
 )
 
 const (
-	blockBytes     = 512  // of a prompt, the unit of the prefix index
-	blocksPerIndex = 4096 // of an upstream, about 200 KB
-	prefillPart    = 0.2  // of a request's work, saved if its whole prompt is cached
-	subsetSize     = 64   // upstreams of a pool that one entry uses
+	blockBytes     = 512             // of a prompt, the unit of the prefix index
+	blocksPerIndex = 4096            // of an upstream, about 200 KB
+	moveAfter      = 5 * time.Second // without a part from a stalled upstream; shorter pauses are cheaper to wait for
+	prefillPart    = 0.2             // of a request's work, saved if its whole prompt is cached
+	subsetSize     = 64              // upstreams of a pool that one entry uses
 )
 
 // routing is what all calls of an entry share to choose upstreams and to retry.
@@ -40,8 +41,9 @@
 	}
 }
 
-// timing is when the present attempt of a call began and whether it has shown a chunk.
+// timing is when the present attempt of a call began and what it has shown.
 type timing struct {
+	last   time.Time // of the last chunk, or when it was last known to wait in a queue
 	shown  bool
 	start  time.Time
 	target tgroute.Candidate
@@ -84,7 +86,8 @@
 // choose returns the upstream of the next attempt.
 func (l *call) choose() (tgroute.Candidate, bool) {
 	target, ok := l.nextTarget()
-	l.timing = timing{start: time.Now(), target: target}
+	now := time.Now()
+	l.timing = timing{last: now, start: now, target: target}
 	return target, ok
 }
 
@@ -122,6 +125,7 @@
 		if !l.execute.Idempotent { // these are not counted as sent by the router
 			return
 		}
+		l.timing.last = time.Now()
 		if !l.timing.shown {
 			l.timing.shown = true
 			router.Report(target.Name, tgroute.Evidence{FirstToken: time.Since(l.timing.start)})
@@ -134,11 +138,19 @@
 		router.Observe(target.Name, f.Progress.Load)
 		if !f.Progress.Running { // the wait in the queue is no evidence of a slow upstream
 			l.timing.start = time.Now()
+			l.timing.last = l.timing.start
 		}
 	default:
 	}
 }
 
+// stalled reports whether the call is better resumed at another upstream. Heartbeats go on while an engine stands still,
+// so silence does not show it.
+func (l *call) stalled() bool {
+	return l.execute.Idempotent && time.Since(l.timing.last) > moveAfter &&
+		l.entry.router.Excluded(l.timing.target.Name) == tgroute.Stalled
+}
+
 // mayRetry takes the evidence of a failed attempt and reports whether another one is allowed; it waits before it
 // allows one that is paid from the budget.
 func (l *call) mayRetry(failure *tgcall.Failure) bool {
--- /dev/null
+++ b/io/tgentry/routing_test.go
@@ -0,0 +1,47 @@
+package tgentry
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tanagergrade/core/tgframe"
+	"tanagergrade/core/tgroute"
+)
+
+// Guards against calls that wait for a stalled upstream until their deadline, against a second run of those that are not
+// idempotent, and against waits in a queue that are taken for a stall.
+func TestStalledCallMoves(t *testing.T) {
+	rows := []struct {
+		name       string
+		idempotent bool
+		running    bool
+		want       bool
+	}{
+		{"idempotent", true, true, true},
+		{"not idempotent", false, true, false},
+		{"queued", true, false, false},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				router := tgroute.NewRouter("a")
+				candidates := []tgroute.Candidate{{DataCentre: "a", Name: "u"}}
+				target, _ := router.Choose(candidates)
+				l := &call{entry: &Entry{router: router}, execute: &tgframe.Execute{Idempotent: row.idempotent, Stream: true}}
+				l.timing = timing{last: time.Now(), start: time.Now(), target: target}
+				router.Report("u", tgroute.Evidence{FirstToken: time.Second})
+				for range 8 {
+					time.Sleep(time.Second)
+					p := &tgframe.Progress{Load: tgframe.Load{Limit: 1}, Running: row.running}
+					l.observe(target, &tgframe.Frame{Kind: tgframe.KindProgress, Progress: p}, time.Second)
+					_, _ = router.Choose(candidates)
+				}
+				assert.Equal(t, router.Excluded("u"), tgroute.Stalled)
+				assert.Equal(t, l.stalled(), row.want)
+			})
+		})
+	}
+}
