Suppress the spelling check of library names where they are used

Cause: a global exception made another file's suppression unused. Change: the plot generator suppresses it on its two lines.

--- a/docs/measurements/requests/main.go
+++ b/docs/measurements/requests/main.go
@@ -62,7 +62,7 @@
 	if err != nil {
 		return err
 	}
-	line.Color, line.Dashes = plotutil.Color(i), plotutil.Dashes(i)
+	line.Color, line.Dashes = plotutil.Color(i), plotutil.Dashes(i) //nolint:misspell // names of the library
 	p.Add(line)
 	p.Legend.Add(name, line)
 	return nil
@@ -98,7 +98,7 @@
 	if err != nil {
 		return err
 	}
-	bars.Color, bars.Offset = plotutil.Color(i), barWidth*vg.Length(2*i-n+1)/2
+	bars.Color, bars.Offset = plotutil.Color(i), barWidth*vg.Length(2*i-n+1)/2 //nolint:misspell // names of the library
 	p.Add(bars)
 	p.Legend.Add(name, bars)
 	return nil
