--- /dev/null
+++ b/core/tgmeasure/cost_test.go
@@ -0,0 +1,49 @@
+package tgmeasure
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"tanagergrade/core/tgadmit"
+	"tanagergrade/core/tgqueue"
+	"tanagergrade/core/tgroute"
+)
+
+// BenchmarkCost measures what the policies cost for each request and token, in real time.
+func BenchmarkCost(b *testing.B) {
+	candidates := make([]tgroute.Candidate, 64)
+	for i := range candidates {
+		candidates[i] = tgroute.Candidate{DataCentre: dataCentre(i), Name: strconv.Itoa(i)}
+	}
+	router := tgroute.NewRouter("a")
+	b.Run("choose64", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			c, _ := router.Choose(candidates)
+			router.Done(c.Name, false)
+		}
+	})
+	b.Run("tokenAtEntry", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			router.Report("1", tgroute.Evidence{Gap: stepTime})
+		}
+	})
+	limiter := tgadmit.NewLimiter(2, slots)
+	b.Run("tokenAtCompanion", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			limiter.Observe(tgadmit.Progress{Gap: stepTime, Tokens: 1})
+		}
+	})
+	queue := tgqueue.NewQueue(queueCapacity, func(int, tgqueue.Refusal) {})
+	b.Run("queue", func(b *testing.B) {
+		b.ReportAllocs()
+		for i := 0; b.Loop(); i++ {
+			r := tgqueue.Request{Account: strconv.Itoa(i % 1000), Deadline: time.Now().Add(time.Minute), Work: 1}
+			_, _ = queue.Push(r, i)
+			queue.Pop()
+		}
+	})
+}
