Follow the trend of the load in the estimate

Change: the newest window weighs 0.8 instead of 0.6, and the estimate adds the trend of the last windows.

--- a/core/tgexpert/estimator.go
+++ b/core/tgexpert/estimator.go
@@ -3,7 +3,8 @@
 import "math"
 
 const (
-	fastWeight     = 0.6  // of the newest window in the short average
+	fastWeight     = 0.8  // of the newest window in the short average
+	trendWeight    = 0.3  // of the newest change of the average
 	swapDistance   = 0.08 // share of tokens that changed experts; noise of a window stays under 0.01
 	flapWindows    = 40   // swaps that follow each other faster are alternating patterns
 	initialPersist = 1e6  // windows; before the first swap a pattern is taken to persist
@@ -16,6 +17,7 @@
 	fast    Loads
 	last    Loads
 	other   Loads     // pattern before the last swap
+	trend   Loads     // change of the loads from window to window
 	persist []float64 // windows that a pattern lasts on average, by layer
 	windows int
 }
@@ -24,7 +26,7 @@
 func NewEstimator(layers, experts int) *Estimator {
 	e := &Estimator{
 		age: make([]int, layers), fast: NewLoads(layers, experts), last: NewLoads(layers, experts),
-		other: NewLoads(layers, experts), persist: make([]float64, layers),
+		other: NewLoads(layers, experts), persist: make([]float64, layers), trend: NewLoads(layers, experts),
 	}
 	for i := range e.persist {
 		e.persist[i] = initialPersist
@@ -60,12 +62,20 @@
 		for i := range fast {
 			fast[i] = (w[i] + last[i]) / 2
 		}
+		clear(e.trend.Layer(layer))
 		return
 	}
 	odd := distance(w, fast) > swapDistance && distance(last, fast) < swapDistance
+	if odd {
+		return
+	}
+	trend := e.trend.Layer(layer)
+	steady := distance(w, last) < swapDistance
 	for i := range fast {
-		if !odd {
-			fast[i] += fastWeight * (w[i] - fast[i])
+		before := fast[i]
+		fast[i] += fastWeight * (w[i] - fast[i])
+		if steady {
+			trend[i] += trendWeight * (fast[i] - before - trend[i])
 		}
 	}
 }
@@ -77,19 +87,23 @@
 // Current returns the loads expected in the next steps. The split over replicas follows them; it costs nothing, so a
 // layer that looks swapped takes its last window at once.
 func (e *Estimator) Current() Loads {
-	l := NewLoads(e.fast.Layers, e.fast.Experts)
+	l := e.Lasting()
 	for layer := range l.Layers {
-		from := e.fast.Layer(layer)
-		if last := e.last.Layer(layer); distance(last, from) > swapDistance {
-			from = last
+		if last := e.last.Layer(layer); distance(last, e.fast.Layer(layer)) > swapDistance {
+			copy(l.Layer(layer), last)
 		}
-		copy(l.Layer(layer), from)
 	}
 	return l
 }
 
-// Lasting returns the loads that a placement has to serve.
-func (e *Estimator) Lasting() Loads { return e.fast }
+// Lasting returns the loads that a placement has to serve: the average and its trend for one window.
+func (e *Estimator) Lasting() Loads {
+	l := NewLoads(e.fast.Layers, e.fast.Experts)
+	for i, v := range e.fast.Tokens {
+		l.Tokens[i] = max(0, v+e.trend.Tokens[i])
+	}
+	return l
+}
 
 // Other returns the second pattern of a layer whose loads alternate between two, or nil.
 func (e *Estimator) Other(layer int) []float64 {
