Measure member views and restarts of a data centre

Cause: docs/CAPACITY.md needs the slope of the member view and recovery times at a larger size. Change: BenchmarkMembers; BenchmarkRestart with 280 daemons; entries note the offset that companions show.

--- a/io/tgentry/routing.go
+++ b/io/tgentry/routing.go
@@ -117,6 +117,7 @@
 // observe takes the evidence of a frame for which this call waited the given time.
 func (l *call) observe(target tgroute.Candidate, f *tgframe.Frame, waited time.Duration) {
 	router := l.entry.router
+	l.entry.node.Observe(f.Sender)
 	switch f.Kind {
 	case tgframe.KindChunk:
 		if !l.execute.Idempotent { // these are not counted as sent by the router
--- a/io/tgnode/control_bench_test.go
+++ b/io/tgnode/control_bench_test.go
@@ -157,21 +157,22 @@
 	return delays[len(delays)-1]
 }
 
-// BenchmarkRestart measures the time until daemons that restart at once work again, of 140 in seven data centres.
+// BenchmarkRestart measures the time until daemons that restart at once work again, of 280 in seven data centres.
 func BenchmarkRestart(b *testing.B) {
 	for _, row := range []struct {
 		name    string
 		count   int
 		logDown bool
 	}{
-		{"process", 1, false}, {"rack", 20, false}, {"all", 140, false}, {"process", 1, true}, {"rack", 20, true},
+		{"process", 1, false}, {"rack", 20, false}, {"dataCentre", 40, false}, {"all", 280, false},
+		{"process", 1, true}, {"rack", 20, true}, {"dataCentre", 40, true},
 	} {
 		b.Run(fmt.Sprintf("%s/logDown=%t", row.name, row.logDown), func(b *testing.B) {
 			var took time.Duration
 			for range b.N {
 				paused(b, func(t *testing.T) {
 					t.Helper()
-					c := newCluster(t, 1, 20, "a1", "a2", "a3", "b1", "b2", "c1", "c2")
+					c := newCluster(t, 1, 40, "a1", "a2", "a3", "b1", "b2", "c1", "c2")
 					defer c.stop(c.names...)
 					time.Sleep(settle)
 					c.log.SetDown(row.logDown)
--- a/io/tgnode/state_bench_test.go
+++ b/io/tgnode/state_bench_test.go
@@ -12,6 +12,9 @@
 	"gotest.tools/v3/assert"
 
 	"tanagergrade/core/tgconfig"
+	"tanagergrade/core/tgframe"
+	"tanagergrade/core/tggossip"
+	"tanagergrade/core/tgmember"
 	"tanagergrade/core/tgrecord"
 )
 
@@ -148,3 +151,26 @@
 		})
 	}
 }
+
+// BenchmarkMembers measures the memory of a member view.
+func BenchmarkMembers(b *testing.B) {
+	for _, size := range []int{100, 300, 1057, 3000, 10000} {
+		b.Run(fmt.Sprintf("members=%d", size), func(b *testing.B) {
+			for b.Loop() {
+				before := heapBytes()
+				members := tgmember.NewTable(tgframe.Member{DataCentre: "dc-0", Name: "self"})
+				peers := tggossip.NewPeers(members.Self())
+				for i := range size {
+					ip := netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)})
+					name := fmt.Sprintf("companion-upstream-%05d", i)
+					members.Observe(tgframe.Member{Address: netip.AddrPortFrom(ip, 8001), DataCentre: "dc-0", Name: name})
+				}
+				peers.Update(members.Peers())
+				b.ReportMetric(heapBytes()-before, "heap-B")
+				runtime.KeepAlive(members)
+				runtime.KeepAlive(peers)
+			}
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
--- a/io/tgnode/wire_bench_test.go
+++ b/io/tgnode/wire_bench_test.go
@@ -86,7 +86,7 @@
 	r := newRelay(b, transport.Address())
 	peer := tgframe.Member{Address: r.addressOfFront(), DataCentre: "data-centre-a", Name: server.Settings.Name}
 	assert.NilError(b, client.exchangeGossip(ctx, peer))
-	time.Sleep(200 * time.Millisecond)
+	time.Sleep(3 * time.Second) // includes the search for the path's packet size
 	handshake := r.count.Load()
 	const idle = 20 * time.Second
 	time.Sleep(idle)
