--- a/io/tgnode/node.go
+++ b/io/tgnode/node.go
@@ -48,7 +48,7 @@
 type Node struct {
 	Incarnation uuid.UUID
 	Log         *logrus.Entry
-	LogClient   *tglogclient.Client
+	LogClient   tglogclient.Log
 	Settings    Settings
 	Transport   tglink.Link
 
--- a/io/tgpublisher/publisher_test.go
+++ b/io/tgpublisher/publisher_test.go
@@ -39,6 +39,7 @@
 		region  string
 		code    int
 		changes int // records of the change in the log
+		message string
 	}{
 		{
 			name: "append is refused twice", region: "r", code: tgexit.OK, changes: 1,
@@ -49,6 +50,10 @@
 				return 0
 			},
 		},
+		{
+			name: "append is always refused", region: "r", code: tgexit.Log, changes: 0, message: "status 413",
+			fault: func(*tgstandin.Log, int32) int { return fasthttp.StatusRequestEntityTooLarge },
+		},
 		{name: "change is invalid", region: "", code: tgexit.Failed, changes: 0},
 		{
 			name: "log goes down before the append", region: "r", code: tgexit.Log, changes: 0,
@@ -109,8 +114,11 @@
 			client := tglogclient.New(server.Address())
 			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 			defer cancel()
-			result, err := New(client, "test").Publish(ctx, addDataCentre(tt.region))
+			results, err := New(client, "test").Publish(ctx, addDataCentre(tt.region))
 			assert.Equal(t, tgexit.Code(err), tt.code, "%v", err)
+			if tt.message != "" {
+				assert.ErrorContains(t, err, tt.message)
+			}
 			var unresolved *UnresolvedError
 			assert.Equal(t, errors.As(err, &unresolved), tt.code == tgexit.Log, "%v", err)
 			log.SetDelay(0)
@@ -121,7 +129,7 @@
 			_, exists := r.State().Config().DataCentres["a"]
 			assert.Equal(t, exists, tt.changes > 0)
 			if err == nil {
-				assert.Equal(t, len(result.Entities), 1)
+				assert.Equal(t, len(results), 1)
 			}
 		})
 	}
