--- a/io/tgnode/fault_test.go
+++ b/io/tgnode/fault_test.go
@@ -1,16 +1,19 @@
 package tgnode
 
 import (
+	"encoding/json"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
 	"tanagergrade/core/tgconfig"
 	"tanagergrade/core/tgframe"
+	"tanagergrade/core/tgfreshness"
 	"tanagergrade/core/tgrecord"
 	"tanagergrade/io/tgstandin"
 )
@@ -188,22 +191,27 @@
 func TestRestartDuringLogOutage(t *testing.T) {
 	for _, row := range []struct {
 		name    string
+		changes int // before the outage
 		loss    float64
 		restart string // prefix
 		returns bool   // without the log
 	}{
-		{"one process", 0, "a1-1", true},
-		{"one process, messages lost", 0.3, "a1-1", true},
-		{"a data centre", 0, "a1", true},
-		{"a region", 0, "a", true},
-		{"all processes", 0, "", false},
+		{"one process", 1, 0, "a1-1", true},
+		{"one process, messages lost", 1, 0.3, "a1-1", true},
+		{"a data centre", 1, 0, "a1", true},
+		{"a data centre, more changes than peers keep", maxHistory + 10, 0, "a1", true},
+		{"a region", 1, 0, "a", true},
+		{"all processes", 1, 0, "", false},
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := newCluster(t, 3, 4, "a1", "a2", "a3", "b1", "b2")
 				defer c.stop(c.names...)
 				time.Sleep(settle)
-				offset := c.publish(1, withdraw(t, "a2"))
+				var offset uint64
+				for i := range row.changes {
+					offset = c.publish(uint64(i+1), withdraw(t, "a2"))
+				}
 				time.Sleep(inForceBound)
 				c.log.SetDown(true)
 				time.Sleep(time.Minute)
@@ -251,3 +259,58 @@
 		}
 	})
 }
+
+// Guards against a dump that cannot be encoded, which would hide a daemon's state when it is needed.
+func TestDump(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 6, 2, "a1", "a2")
+		defer c.stop(c.names...)
+		time.Sleep(settle)
+		assert.NilError(t, c.nodes["a1-0"].Mark(tgframe.Mark{Kind: tgframe.MarkDrain, Name: "a2-2"}))
+		time.Sleep(settle)
+		data, err := json.Marshal(c.nodes["a1-1"].Dump())
+		assert.NilError(t, err)
+		var d Dump
+		assert.NilError(t, json.Unmarshal(data, &d))
+		assert.Equal(t, d.Applied, uint64(2), "the mark is not in the log")
+		assert.Equal(t, len(d.Members), 4)
+		assert.Equal(t, d.Decisions[1].Verdict, tgconfig.Accepted)
+		assert.Equal(t, d.FreshnessStatus, tgfreshness.Fresh)
+	})
+}
+
+// TestFreshDaemonComparesWithPeers guards against a fresh daemon that works in a log outage on the configuration of the
+// first peer that answers, although that peer is behind.
+func TestFreshDaemonComparesWithPeers(t *testing.T) {
+	for _, row := range []struct {
+		name    string
+		answers []string
+		shown   uint64
+		ready   bool
+	}{
+		{"one of four peers", []string{"p1", "p1", "p1"}, 1, false},
+		{"three of four peers", []string{"p1", "p2", "p3"}, 1, true},
+		{"one of three shows more", []string{"p1", "p2", "p3"}, 2, false},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 7, 1, "a1")
+				c.stop(c.names...)
+				n := newNode(Settings{DataCentre: "a1", Name: "fresh"}, memLink{c, "fresh"}, memLog{c, "fresh"}, logrus.New())
+				n.following.Store(true)
+				for _, name := range []string{"p1", "p2", "p3", "p4"} {
+					n.members.Observe(tgframe.Member{DataCentre: "a1", Name: name})
+				}
+				page, err := n.source.Read(t.Context(), ConfigStream, 0, 0)
+				assert.NilError(t, err)
+				assert.NilError(t, n.Fold(page.Entries[0]))
+				n.Observe(&tgframe.Sender{Applied: row.shown, Name: "p1"})
+				for _, name := range row.answers {
+					n.tracker.Answered(time.Now(), n.Applied(), &tgframe.Gossip{DataCentre: "a1"})
+					n.noteAnswer(name)
+				}
+				assert.Equal(t, n.Ready() == nil, row.ready, "%v", n.Ready())
+			})
+		})
+	}
+}
