--- a/io/tgnode/snapshot.go
+++ b/io/tgnode/snapshot.go
@@ -7,7 +7,6 @@
 	"github.com/google/uuid"
 
 	"tanagergrade/core/tgconfig"
-	"tanagergrade/core/tgframe"
 	"tanagergrade/core/tgrecord"
 )
 
@@ -46,9 +45,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	interval := n.state.Config().Settings.SnapshotInterval
-	recent := !n.snapshotSeen.IsZero() && time.Since(n.snapshotSeen) < interval/2
-	return !recent && schedule.Due(n.state, time.Now())
+	return schedule.Due(n.state, time.Now())
 }
 
 func (n *Node) writeSnapshot(ctx context.Context) error {
@@ -76,19 +73,3 @@
 	n.Log.WithField("covered", snapshot.Covered).WithField("parts", len(parts)).Info("snapshot written")
 	return nil
 }
-
-// noteSnapshots notes that e has part of a snapshot and returns e without it: peers that are behind get the folded
-// state itself. The caller holds mu.
-func (n *Node) noteSnapshots(e tgframe.LogEntry) tgframe.LogEntry {
-	for i, r := range e.Records {
-		if r.Kind != tgrecord.KindSnapshot {
-			continue
-		}
-		n.snapshotSeen = time.Now()
-		r.Body = nil
-		records := append([]tgrecord.Record(nil), e.Records...)
-		records[i] = r
-		e.Records = records
-	}
-	return e
-}
