--- a/io/tgcompanion/group.go
+++ b/io/tgcompanion/group.go
@@ -23,7 +23,9 @@
 const (
 	groupCacheCost = time.Millisecond // of a rank's prefix cache, for one expert moved
 	groupHorizon   = 10 * time.Minute // over which a better map has to pay for its change
-	groupLease     = 5 * time.Second
+	// groupLease is renewed every third of it: 209 controllers make 42 appends/s at the two-year size. A group
+	// without a controller keeps its map, so a slow takeover costs only a late rebalancing.
+	groupLease = 15 * time.Second
 	groupPause     = 50 * time.Millisecond // about two steps, if a decision comes late
 	groupPoll      = 200 * time.Millisecond
 	groupStep      = 26 * time.Millisecond // a step takes as long as the time allowed between tokens
--- a/io/tgentry/routing.go
+++ b/io/tgentry/routing.go
@@ -159,7 +159,8 @@
 		e.routing.prefixes.Forget(l.timing.target.Name) // it may have restarted
 	default:
 	}
-	if l.ctx.Err() != nil {
+	// Other upstreams of the pool need the same log, and only the home upstream can tell whether an earlier call ran.
+	if l.ctx.Err() != nil || failure.Code == tgcall.CodeLogUnavailable {
 		return false
 	}
 	switch e.routing.budget.AfterFailure(failure, l.execute.Idempotent, l.nextChunk > 0) {
