Count only waiting as silence and cut callers that take nothing

Cause: a caller that paused for three seconds made its entry replace a healthy connection. A caller that took nothing of its answer held its call beyond the deadline, since the write had no bound. An answer that is not streamed was held whole without a limit.

Change: the silence timer runs while the entry waits for a frame. The watch of callers' connections ends writes 2 s after the end of a call. Whole answers are bounded at 64 MiB; reading a request and idle connections are bounded.

Figures: go test -race ./io/tgentry passes. Without the changes TestSlowCallerIsNotSilence counts 1 re-attach instead of 0 and TestStuckCallerIsCut does not end within 20 s (now 3.3 s).

Conclusion: a slow caller costs nothing but its own connection.

--- a/io/tgentry/attempt.go
+++ b/io/tgentry/attempt.go
@@ -148,7 +148,7 @@
 		a.disconnect()
 		return false
 	}
-	silence.Reset(a.call.silence)
+	silence.Stop()
 	return true
 }
 
@@ -156,13 +156,15 @@
 func (a *attempt) receive() error {
 	for range maxCoalesced {
 		started := time.Now()
+		// Only the waiting counts as silence: a slow caller takes the parts later than they arrive.
+		a.silence.Reset(a.call.silence)
 		f, err := a.exchange.Receive(a.ctx)
+		a.silence.Stop()
 		if err != nil {
 			return err
 		}
 		if f.Attempt == a.execute.Attempt {
 			a.failures = 0
-			a.silence.Reset(a.call.silence)
 			a.call.observe(a.target, &f, time.Since(started))
 			a.assembler.Add(&f)
 		}
--- a/io/tgentry/call.go
+++ b/io/tgentry/call.go
@@ -4,7 +4,6 @@
 	"context"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -27,9 +26,10 @@
 
 // call is one request on its way, over all its attempts. One goroutine at a time uses it.
 type call struct {
-	caller    syscall.RawConn // nil if the connection has no socket
+	caller    *caller // nil in tests without a connection
 	cancel    context.CancelCauseFunc
 	ctx       context.Context //nolint:containedctx // the call's own lifetime
+	endSeen   time.Time       // when watchCallers found ctx ended; used by that goroutine only
 	entry     *Entry
 	execute   *tgframe.Execute
 	nextChunk uint64        // sequence number of the next part for the caller
@@ -51,7 +51,7 @@
 	upstream  atomic.Pointer[string]
 }
 
-func (e *Entry) newCall(x *tgframe.Execute, caller syscall.RawConn) *call {
+func (e *Entry) newCall(x *tgframe.Execute, caller *caller) *call {
 	deadlineCtx, stop := context.WithDeadline(e.callsCtx, x.Deadline)
 	ctx, cancel := context.WithCancelCause(deadlineCtx)
 	l := &call{
--- a/io/tgentry/caller.go
+++ b/io/tgentry/caller.go
@@ -9,10 +9,33 @@
 	"github.com/cockroachdb/errors"
 )
 
-const callerPoll = 250 * time.Millisecond
+const (
+	callerPoll = 250 * time.Millisecond
+	// writeGrace is the time that the rest of an answer may take after its call has ended.
+	writeGrace = 2 * time.Second
+)
+
+// caller is the connection that a call came from.
+type caller struct {
+	conn net.Conn
+	raw  syscall.RawConn // nil if the connection has no socket
+}
+
+func newCaller(c net.Conn) *caller {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return &caller{conn: c}
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return &caller{conn: c}
+	}
+	return &caller{conn: c, raw: raw}
+}
 
-// watchCallers cancels the calls whose callers have closed their connections, until ctx ends. fasthttp reports that
-// only at a failed write, which a call that waits for its answer does not make.
+// watchCallers looks after the connections of all calls until ctx ends. It cancels the calls whose callers have closed
+// their connections: fasthttp reports that only at a failed write, which a call that waits for its answer does not
+// make. It ends writes to callers that take nothing after the end of their call.
 func (e *Entry) watchCallers(ctx context.Context) {
 	ticker := time.NewTicker(callerPoll)
 	defer ticker.Stop()
@@ -20,35 +43,37 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case now := <-ticker.C:
+			e.calls.Range(func(_ string, l *call) bool {
+				l.watchCaller(now)
+				return true
+			})
 		}
-		e.calls.Range(func(_ string, l *call) bool {
-			if l.caller != nil && callerLeft(l.caller) {
-				l.cancel(errCallerLeft)
-			}
-			return true
-		})
 	}
 }
 
-// rawConn returns the socket of c, or nil if it has none.
-func rawConn(c net.Conn) syscall.RawConn {
-	s, ok := c.(syscall.Conn)
-	if !ok {
-		return nil
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return nil
+func (l *call) watchCaller(now time.Time) {
+	switch {
+	case l.caller == nil:
+	case l.ctx.Err() == nil:
+		if l.caller.left() {
+			l.cancel(errCallerLeft)
+		}
+	case l.endSeen.IsZero():
+		l.endSeen = now
+	case now.Sub(l.endSeen) > writeGrace:
+		_ = l.caller.conn.SetWriteDeadline(time.Unix(1, 0))
 	}
-	return raw
 }
 
-// callerLeft looks for the end of the connection without taking bytes of a next request.
-func callerLeft(raw syscall.RawConn) bool {
+// left looks for the end of the connection without taking bytes of a next request.
+func (c *caller) left() bool {
+	if c.raw == nil {
+		return false
+	}
 	left := false
 	var b [1]byte
-	err := raw.Control(func(fd uintptr) {
+	err := c.raw.Control(func(fd uintptr) {
 		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		left = err == nil && n == 0 || err != nil && !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
 	})
--- a/io/tgentry/entry.go
+++ b/io/tgentry/entry.go
@@ -38,8 +38,10 @@
 const (
 	cancelMargin   = 2 * time.Second // bound for sending the last cancel frames
 	drainPoll      = 20 * time.Millisecond
-	lameDuck       = time.Second // requests are taken for this time after /readyz turned negative
-	maxBodyBytes   = 64 << 20    // the configured limit is lower and checked in the handler
+	idleTimeout    = 75 * time.Second // of a caller's connection between requests
+	lameDuck       = time.Second      // requests are taken for this time after /readyz turned negative
+	maxBodyBytes   = 64 << 20         // the configured limit is lower and checked in the handler
+	readTimeout    = 30 * time.Second // for a whole request
 	shutdownMargin = 5 * time.Second
 )
 
@@ -50,7 +52,9 @@
 		routing: newRouting(),
 	}
 	e.callsCtx, e.stopCalls = context.WithCancelCause(context.Background())
-	e.app = fiber.New(fiber.Config{BodyLimit: maxBodyBytes, ErrorHandler: e.handleError})
+	e.app = fiber.New(fiber.Config{
+		BodyLimit: maxBodyBytes, ErrorHandler: e.handleError, IdleTimeout: idleTimeout, ReadTimeout: readTimeout,
+	})
 	reads := []string{fiber.MethodGet, fiber.MethodHead}
 	e.app.Add(reads, "/healthz", func(c fiber.Ctx) error { return c.SendString("ok\n") })
 	e.app.Add(reads, "/readyz", e.handleReady)
--- a/io/tgentry/http_test.go
+++ b/io/tgentry/http_test.go
@@ -27,11 +27,22 @@
 	var lc net.ListenConfig
 	listener, err := lc.Listen(t.Context(), "tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
-	go s.entry.app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true}) //nolint:errcheck // it ends with the listener
+	go s.entry.app.Listener(smallListener{listener}, fiber.ListenConfig{DisableStartupMessage: true}) //nolint:errcheck // it ends with the listener
 	t.Cleanup(func() { _ = listener.Close() })
 	return listener.Addr().String()
 }
 
+// smallListener makes connections block a writer whose reader takes nothing after a few kilobytes.
+type smallListener struct{ net.Listener }
+
+func (l smallListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if tcp, ok := c.(*net.TCPConn); ok {
+		err = tcp.SetWriteBuffer(4 << 10)
+	}
+	return c, err
+}
+
 // exchangeHTTP sends raw bytes and returns the answer.
 func exchangeHTTP(t *testing.T, address, request string, skipBody bool) *fasthttp.Response {
 	t.Helper()
@@ -169,6 +180,28 @@
 	assert.Equal(t, s.entry.counters.requests.Get("unknown.cancelled").String(), "1")
 }
 
+// Guards against a caller that takes nothing of its answer and so holds its call beyond the deadline.
+func TestStuckCallerIsCut(t *testing.T) {
+	engine := &tgstandin.PipeEngine{Tokens: 1 << 20}
+	s := newSystem(t, 1, tgstandin.NewLink(), engine)
+	s.cfg.Settings.RequestTimeout = time.Second
+	s.entry.node = s.newNode(t)
+	address := s.serveHTTP(t)
+	go s.entry.watchCallers(t.Context())
+	var d net.Dialer
+	c, err := d.DialContext(t.Context(), "tcp4", address)
+	assert.NilError(t, err)
+	defer c.Close() //nolint:errcheck // end of the test
+	tcp, ok := c.(*net.TCPConn)
+	assert.Assert(t, ok)
+	assert.NilError(t, tcp.SetReadBuffer(4<<10))
+	_, err = c.Write([]byte(rawRequest("POST", "/v1/chat/completions", `{"model":"m","stream":true,"messages":[{"role":"user"}]}`)))
+	assert.NilError(t, err)
+	await(t, func() bool { return s.entry.counters.inFlight.Value() == 1 })
+	await(t, func() bool { return s.entry.counters.inFlight.Value() == 0 })
+	await(t, func() bool { return engine.Aborted.Load() == 1 })
+}
+
 func await(t *testing.T, condition func() bool) {
 	t.Helper()
 	for deadline := time.Now().Add(20 * time.Second); !condition(); time.Sleep(5 * time.Millisecond) {
--- a/io/tgentry/path_test.go
+++ b/io/tgentry/path_test.go
@@ -160,6 +160,29 @@
 	}
 }
 
+// Guards against a slow caller whose pauses count as silence of its companion.
+func TestSlowCallerIsNotSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t, 1, tgstandin.NewLink(), engine())
+		l := s.entry.newCall(newRequest(true, true), nil)
+		_, failure := l.begin()
+		assert.Assert(t, failure == nil)
+		stream := &streamBody{call: l}
+		var body []byte
+		buf := make([]byte, 64)
+		for err := error(nil); err == nil; {
+			time.Sleep(5 * time.Second)
+			var n int
+			n, err = stream.Read(buf)
+			body = append(body, buf[:n]...)
+		}
+		assert.Equal(t, string(body), events(tokens))
+		assert.Equal(t, s.entry.counters.reattaches.Value(), int64(0))
+		assert.Equal(t, s.executions(), 1)
+		time.Sleep(time.Minute)
+	})
+}
+
 // Guards against evidence for routing that is lost when a whole answer comes in one frame.
 func TestWholeAnswerInOneFrameIsEvidence(t *testing.T) {
 	s := newSystem(t, 1, tgstandin.NewLink(), engine())
--- a/io/tgentry/serve.go
+++ b/io/tgentry/serve.go
@@ -11,10 +11,12 @@
 	"tanagergrade/core/tgframe"
 )
 
+const maxAnswerBytes = 64 << 20 // of an answer that is not streamed and therefore held whole
+
 // serve runs the request and answers the caller: event by event if the answer is a stream that was asked for,
 // else as a whole, so that a failure is a proper error object.
 func (e *Entry) serve(c fiber.Ctx, x *tgframe.Execute) error {
-	l := e.newCall(x, rawConn(c.RequestCtx().Conn()))
+	l := e.newCall(x, newCaller(c.RequestCtx().Conn()))
 	body, failure := l.begin()
 	if failure != nil {
 		l.close(failure)
@@ -50,7 +52,9 @@
 				return nil, nil
 			}
 		case p.Kind == tganswer.PartChunk:
-			body = append(body, p.Chunk...)
+			if body = append(body, p.Chunk...); len(body) > maxAnswerBytes {
+				return nil, tgcall.UnknownFailure(tgcall.CodeAnswerIncomplete, "answer exceeds %d bytes", maxAnswerBytes)
+			}
 		case p.Kind == tganswer.PartEnd:
 			return body, nil
 		}
--- a/io/tgstandin/link.go
+++ b/io/tgstandin/link.go
@@ -214,6 +214,9 @@
 
 func (q *frameQueue) pop(ctx context.Context) ([]byte, error) {
 	for {
+		if err := ctx.Err(); err != nil {
+			return nil, err
+		}
 		q.mu.Lock()
 		if len(q.frames) > 0 {
 			data := q.frames[0]
