--- a/docs/measurements/requests/main.go
+++ b/docs/measurements/requests/main.go
@@ -63,7 +63,7 @@
 	if err != nil {
 		return err
 	}
-	line.Color, line.Dashes = plotutil.Color(i), plotutil.Dashes(i) //nolint:misspell // names of the library
+	line.Color, line.Dashes = plotutil.Color(i), plotutil.Dashes(i)
 	p.Add(line)
 	p.Legend.Add(name, line)
 	return nil
@@ -101,7 +101,7 @@
 	if err != nil {
 		return err
 	}
-	bars.Color, bars.Offset = plotutil.Color(i), barWidth*vg.Length(2*i-n+1)/2 //nolint:misspell // names of the library
+	bars.Color, bars.Offset = plotutil.Color(i), barWidth*vg.Length(2*i-n+1)/2
 	p.Add(bars)
 	p.Legend.Add(name, bars)
 	return nil
