--- a/docs/measurements/groups/main.go
+++ b/docs/measurements/groups/main.go
@@ -36,7 +36,6 @@
 var figures = []figure{
 	{"Policies", 3, "groups-skew.svg", true, "skew/bound", "Step-time skew over its bound, mean over steps and seeds"},
 	{"Policies", 3, "groups-skew-p99.svg", true, "p99/bound", "Step-time skew over its bound, p99 over steps, mean over seeds"},
-	{"Policies", 3, "", true, "skew", "Step-time skew, mean over steps and seeds"},
 	{"Policies", 0, "groups-bytes.svg", true, "GB", "GB moved in 200 windows, mean over seeds"},
 	{"Policies", 0, "", true, "changes", "Changes in 200 windows, mean over seeds"},
 	{"Batch", 3, "groups-batch.svg", true, "skew/bound", "Skew over its bound by tokens per rank and step, 32 ranks, slow drift"},
@@ -181,7 +180,7 @@
 		if err != nil {
 			return err
 		}
-		bars.Color, bars.LineStyle.Width = plotutil.Color(i), 0
+		bars.Color, bars.LineStyle.Width = plotutil.Color(i), 0 //nolint:misspell // names of the library
 		bars.Offset = bar * (vg.Length(i) - vg.Length(len(t.columns)-1)/2)
 		p.Add(bars)
 		p.Legend.Add(column, bars)
