Send small changes with the push

Cause: with 30% of messages lost, half of the fetches fail, and the last of 1,000 daemons had a change after 4.1 s of the 5 s that a withdrawal may take. Change: a push carries the appends that the receiver has not shown, up to 4 and 1 KB; more are fetched as before. Conclusion: a fetch is left for what is large or far behind.

--- a/core/tgframe/control.go
+++ b/core/tgframe/control.go
@@ -58,6 +58,8 @@
 type Gossip struct {
 	Confirmed  *Confirmation            `cbor:"c,omitempty"`
 	DataCentre string                   `cbor:"d"`
+	Entries    []LogEntry               `cbor:"e,omitempty"` // all that the log has from From on to the sender's offset
+	From       uint64                   `cbor:"f,omitempty"`
 	Generation uint64                   `cbor:"g"`
 	MarkDigest uint64                   `cbor:"h,omitempty"` // digest of all marks in force
 	Marks      []Mark                   `cbor:"k,omitempty"` // all marks in force, if the receiver may lack some
--- a/core/tggossip/peers.go
+++ b/core/tggossip/peers.go
@@ -195,6 +195,13 @@
 	p.shown[name] = max(p.shown[name], offset)
 }
 
+// ShownBy returns the highest offset that a peer has shown; 0 if it has shown none.
+func (p *Peers) ShownBy(name string) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.shown[name]
+}
+
 // Lagging returns those of peers that have not shown offset yet.
 func (p *Peers) Lagging(peers []tgframe.Member, offset uint64) []tgframe.Member {
 	p.mu.Lock()
--- a/io/tgnode/gossip.go
+++ b/io/tgnode/gossip.go
@@ -121,8 +121,11 @@
 
 // exchangeGossip compares state with one peer; the name of the peer may be unknown.
 func (n *Node) exchangeGossip(ctx context.Context, m tgframe.Member) error {
+	return n.sendGossip(ctx, m, n.newGossip(m.Name, m.DataCentre))
+}
+
+func (n *Node) sendGossip(ctx context.Context, m tgframe.Member, g *tgframe.Gossip) error {
 	sent := time.Now()
-	g := n.newGossip(m.Name, m.DataCentre)
 	if digest := n.marks.Digest(); digest != 0 && n.shownDigest(m.Name) != digest {
 		g.Marks = n.marks.Marks()
 	}
@@ -167,6 +170,9 @@
 
 // takeGossip takes what does not depend on how old the message is.
 func (n *Node) takeGossip(sender *tgframe.Sender, g *tgframe.Gossip) {
+	if len(g.Entries) > 0 {
+		n.applyEntries(g.From, g.Entries)
+	}
 	n.mu.Lock()
 	n.digests[sender.Name] = g.MarkDigest
 	added := n.marks.Merge(g.Marks, n.state)
--- a/io/tgnode/push.go
+++ b/io/tgnode/push.go
@@ -13,6 +13,9 @@
 const (
 	pushPause = 100 * time.Millisecond // collects changes that arrive together into one push
 	pushTries = 3
+
+	maxPushed      = 4 // appends that go with a push; more are fetched
+	maxPushedBytes = 1024
 )
 
 // push tells the neighbours and one daemon of another data centre about news at once.
@@ -48,8 +51,34 @@
 
 func (n *Node) pushTo(ctx context.Context, m tgframe.Member) {
 	for range pushTries {
-		if n.exchangeGossip(ctx, m) == nil || ctx.Err() != nil {
+		g := n.newGossip(m.Name, m.DataCentre)
+		g.From, g.Entries = n.smallEntries(n.peers.ShownBy(m.Name))
+		if n.sendGossip(ctx, m, g) == nil || ctx.Err() != nil {
 			return
 		}
 	}
 }
+
+// smallEntries returns the appends from offset from on if they are small enough to go with a push. They spare the
+// receiver a fetch, half of which fail with 30% of messages lost: of 1,000 daemons the last one then needed 4.1 s.
+func (n *Node) smallEntries(from uint64) (uint64, []tgframe.LogEntry) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if from == 0 {
+		return 0, nil
+	}
+	entries, ok := n.history.since(from, maxPushed+1)
+	if !ok || len(entries) > maxPushed {
+		return 0, nil
+	}
+	size := 0
+	for _, e := range entries {
+		for _, r := range e.Records {
+			size += len(r.Body)
+		}
+	}
+	if size > maxPushedBytes {
+		return 0, nil
+	}
+	return from, entries
+}
