--- a/io/tgnode/control_bench_test.go
+++ b/io/tgnode/control_bench_test.go
@@ -80,7 +80,7 @@
 		if len(points) > 0 {
 			line, dots, err := plotter.NewLinePoints(points)
 			assert.NilError(b, err)
-			line.Color, dots.Color, dots.Shape = plotutil.Color(i), plotutil.Color(i), plotutil.Shape(i) //nolint:misspell // names of the library
+			line.Color, dots.Color, dots.Shape = plotutil.Color(i), plotutil.Color(i), plotutil.Shape(i)
 			p.Add(line, dots)
 			p.Legend.Add(fmt.Sprintf("%.0f%% of messages lost", loss*100), line, dots)
 		}
