--- a/core/tgexpert/estimator.go
+++ b/core/tgexpert/estimator.go
@@ -3,8 +3,8 @@
 import "math"
 
 const (
-	fastWeight     = 0.6  // of the newest window in the short average
-	slowWeight     = 0.03 // of the newest window in the long average
+	fastWeight     = 0.8  // of the newest window in the short average
+	trendWeight    = 0.3  // of the newest change of the average
 	swapDistance   = 0.08 // share of tokens that changed experts; noise of a window stays under 0.01
 	flapWindows    = 40   // swaps that follow each other faster are alternating patterns
 	initialPersist = 1e6  // windows; before the first swap a pattern is taken to persist
@@ -16,8 +16,9 @@
 	age     []int // windows since the last swap, by layer
 	fast    Loads
 	last    Loads
+	other   Loads     // pattern before the last swap
+	trend   Loads     // change of the loads from window to window
 	persist []float64 // windows that a pattern lasts on average, by layer
-	slow    Loads
 	windows int
 }
 
@@ -25,7 +26,7 @@
 func NewEstimator(layers, experts int) *Estimator {
 	e := &Estimator{
 		age: make([]int, layers), fast: NewLoads(layers, experts), last: NewLoads(layers, experts),
-		persist: make([]float64, layers), slow: NewLoads(layers, experts),
+		other: NewLoads(layers, experts), persist: make([]float64, layers), trend: NewLoads(layers, experts),
 	}
 	for i := range e.persist {
 		e.persist[i] = initialPersist
@@ -43,10 +44,9 @@
 }
 
 func (e *Estimator) observe(layer int, w []float64) {
-	fast, last, slow := e.fast.Layer(layer), e.last.Layer(layer), e.slow.Layer(layer)
+	fast, last := e.fast.Layer(layer), e.last.Layer(layer)
 	if e.windows == 0 {
 		copy(fast, w)
-		copy(slow, w)
 		return
 	}
 	e.age[layer]++
@@ -58,20 +58,25 @@
 			e.persist[layer] += (age - e.persist[layer]) / 2
 		}
 		e.age[layer] = 0
+		copy(e.other.Layer(layer), fast)
 		for i := range fast {
 			fast[i] = (w[i] + last[i]) / 2
 		}
-		if !e.alternates(layer) {
-			copy(slow, fast)
-		}
+		clear(e.trend.Layer(layer))
 		return
 	}
 	odd := distance(w, fast) > swapDistance && distance(last, fast) < swapDistance
+	if odd {
+		return
+	}
+	trend := e.trend.Layer(layer)
+	steady := distance(w, last) < swapDistance
 	for i := range fast {
-		if !odd {
-			fast[i] += fastWeight * (w[i] - fast[i])
+		before := fast[i]
+		fast[i] += fastWeight * (w[i] - fast[i])
+		if steady {
+			trend[i] += trendWeight * (fast[i] - before - trend[i])
 		}
-		slow[i] += slowWeight * (w[i] - slow[i])
 	}
 }
 
@@ -82,30 +87,32 @@
 // Current returns the loads expected in the next steps. The split over replicas follows them; it costs nothing, so a
 // layer that looks swapped takes its last window at once.
 func (e *Estimator) Current() Loads {
-	l := NewLoads(e.fast.Layers, e.fast.Experts)
+	l := e.Lasting()
 	for layer := range l.Layers {
-		from := e.fast.Layer(layer)
-		if last := e.last.Layer(layer); distance(last, from) > swapDistance {
-			from = last
+		if last := e.last.Layer(layer); distance(last, e.fast.Layer(layer)) > swapDistance {
+			copy(l.Layer(layer), last)
 		}
-		copy(l.Layer(layer), from)
 	}
 	return l
 }
 
-// Lasting returns the loads that a placement has to serve: the current ones, or the long average of a layer whose
-// patterns alternate.
+// Lasting returns the loads that a placement has to serve: the average and its trend for one window.
 func (e *Estimator) Lasting() Loads {
 	l := NewLoads(e.fast.Layers, e.fast.Experts)
-	copy(l.Tokens, e.fast.Tokens)
-	for layer := range l.Layers {
-		if e.alternates(layer) {
-			copy(l.Layer(layer), e.slow.Layer(layer))
-		}
+	for i, v := range e.fast.Tokens {
+		l.Tokens[i] = max(0, v+e.trend.Tokens[i])
 	}
 	return l
 }
 
+// Other returns the second pattern of a layer whose loads alternate between two, or nil.
+func (e *Estimator) Other(layer int) []float64 {
+	if !e.alternates(layer) {
+		return nil
+	}
+	return e.other.Layer(layer)
+}
+
 // Windows returns the number of windows observed.
 func (e *Estimator) Windows() int { return e.windows }
 
--- a/io/tgdemo/load.go
+++ b/io/tgdemo/load.go
@@ -28,6 +28,7 @@
 	wg.Go(func() { injected <- j.run(ctx) })
 	wg.Go(func() { j.watch(ctx) })
 	r := newReport()
+	_ = d.group.Stats() // what was recorded while the group was formed does not count
 	d.send(ctx, r)
 	wg.Wait()
 	if err := <-injected; err != nil {
@@ -39,6 +40,7 @@
 	time.Sleep(time.Second) // lets a second run of a request show
 	r.compare(d.book.Entries())
 	r.forbidden = j.forbidden.Load()
+	r.control, r.group = d.controllerStatus(), d.group.Stats()
 	return r.print(w)
 }
 
--- a/io/tgentry/attempt.go
+++ b/io/tgentry/attempt.go
@@ -63,6 +63,9 @@
 		if a.assembler.Impossible() {
 			return tganswer.Part{}, tgcall.UnknownFailure(tgcall.CodeAnswerIncomplete, "the end of the answer does not match its parts")
 		}
+		if a.call.stalled() {
+			return tganswer.Part{}, tgcall.UnknownFailure(tgcall.CodeUpstreamLost, "upstream %q has stalled", a.target.Name)
+		}
 		if a.exchange == nil {
 			if failure := a.connect(); failure != nil {
 				return tganswer.Part{}, failure
@@ -148,7 +151,7 @@
 		a.disconnect()
 		return false
 	}
-	silence.Reset(a.call.silence)
+	silence.Stop()
 	return true
 }
 
@@ -156,13 +159,15 @@
 func (a *attempt) receive() error {
 	for range maxCoalesced {
 		started := time.Now()
+		// Only the waiting counts as silence: a slow caller takes the parts later than they arrive.
+		a.silence.Reset(a.call.silence)
 		f, err := a.exchange.Receive(a.ctx)
+		a.silence.Stop()
 		if err != nil {
 			return err
 		}
 		if f.Attempt == a.execute.Attempt {
 			a.failures = 0
-			a.silence.Reset(a.call.silence)
 			a.call.observe(a.target, &f, time.Since(started))
 			a.assembler.Add(&f)
 		}
