--- a/docs/measurements/groups/main.go
+++ b/docs/measurements/groups/main.go
@@ -180,7 +180,7 @@
 		if err != nil {
 			return err
 		}
-		bars.Color, bars.LineStyle.Width = plotutil.Color(i), 0 //nolint:misspell // names of the library
+		bars.Color, bars.LineStyle.Width = plotutil.Color(i), 0
 		bars.Offset = bar * (vg.Length(i) - vg.Length(len(t.columns)-1)/2)
 		p.Add(bars)
 		p.Legend.Add(column, bars)
--- a/io/tgcompanion/group.go
+++ b/io/tgcompanion/group.go
@@ -26,9 +26,9 @@
 	// groupLease is renewed every third of it: 209 controllers make 42 appends/s at the two-year size. A group
 	// without a controller keeps its map, so a slow takeover costs only a late rebalancing.
 	groupLease = 15 * time.Second
-	groupPause     = 50 * time.Millisecond // about two steps, if a decision comes late
-	groupPoll      = 200 * time.Millisecond
-	groupStep      = 26 * time.Millisecond // a step takes as long as the time allowed between tokens
+	groupPause = 50 * time.Millisecond // about two steps, if a decision comes late
+	groupPoll  = 200 * time.Millisecond
+	groupStep  = 26 * time.Millisecond // a step takes as long as the time allowed between tokens
 )
 
 // membership is the part of a rank group that runs beside this upstream.
