--- a/io/tgcompanion/companion.go
+++ b/io/tgcompanion/companion.go
@@ -51,8 +51,7 @@
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	wg.Go(func() { c.node.Run(lastCtx) })
-	wg.Go(func() { c.followClaims(lastCtx) })
-	wg.Go(func() { c.followGroup(lastCtx) })
+	wg.Go(func() { c.Follow(lastCtx) })
 	done := make(chan error, 1)
 	wg.Go(func() { done <- c.node.Transport.Serve(lastCtx, c.Handle) })
 	var err error
@@ -68,6 +67,14 @@
 	return err
 }
 
+// Follow reads the claims of the upstream's pool and takes part in its rank group until ctx ends.
+func (c *Companion) Follow(ctx context.Context) {
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { c.followClaims(ctx) })
+	wg.Go(func() { c.followGroup(ctx) })
+}
+
 // Handle serves one exchange that an entry opened.
 func (c *Companion) Handle(ctx context.Context, x tglink.Exchange) {
 	f, err := x.Receive(ctx)
