Count only waiting as evidence of a stalled upstream

Cause: a caller that paused for five seconds while the router held its upstream for stalled would have had its answer run again elsewhere. Change: a call adds up the time that it waited for frames since the last chunk, instead of the time that passed. Conclusion: `go test -race ./io/tgentry` passes.

--- a/io/tgentry/routing.go
+++ b/io/tgentry/routing.go
@@ -43,7 +43,7 @@
 
 // timing is when the present attempt of a call began and what it has shown.
 type timing struct {
-	last   time.Time // of the last chunk, or when it was last known to wait in a queue
+	idle   time.Duration // waited for frames since the last chunk, or since it was last known to wait in a queue
 	shown  bool
 	start  time.Time
 	target tgroute.Candidate
@@ -86,8 +86,7 @@
 // choose returns the upstream of the next attempt.
 func (l *call) choose() (tgroute.Candidate, bool) {
 	target, ok := l.nextTarget()
-	now := time.Now()
-	l.timing = timing{last: now, start: now, target: target}
+	l.timing = timing{start: time.Now(), target: target}
 	return target, ok
 }
 
@@ -121,8 +120,9 @@
 func (l *call) observe(target tgroute.Candidate, f *tgframe.Frame, waited time.Duration) {
 	router := l.entry.router
 	l.entry.node.Observe(f.Sender)
+	l.timing.idle += waited                     // a caller that is slow to take the parts is no idle upstream
 	if f.Chunk != nil && l.execute.Idempotent { // others are not counted as sent by the router
-		l.timing.last = time.Now()
+		l.timing.idle = 0
 		if !l.timing.shown {
 			l.timing.shown = true
 			router.Report(target.Name, tgroute.Evidence{FirstToken: time.Since(l.timing.start)})
@@ -137,7 +137,7 @@
 		router.Observe(target.Name, f.Progress.Load)
 		if !f.Progress.Running { // the wait in the queue is no evidence of a slow upstream
 			l.timing.start = time.Now()
-			l.timing.last = l.timing.start
+			l.timing.idle = 0
 		}
 	}
 }
@@ -145,7 +145,7 @@
 // stalled reports whether the call is better resumed at another upstream. Heartbeats go on while an engine stands still,
 // so silence does not show it.
 func (l *call) stalled() bool {
-	return l.execute.Idempotent && time.Since(l.timing.last) > moveAfter &&
+	return l.execute.Idempotent && l.timing.idle > moveAfter &&
 		l.entry.router.Excluded(l.timing.target.Name) == tgroute.Stalled
 }
 
--- a/io/tgentry/routing_test.go
+++ b/io/tgentry/routing_test.go
@@ -12,17 +12,19 @@
 )
 
 // Guards against calls that wait for a stalled upstream until their deadline, against a second run of those that are not
-// idempotent, and against waits in a queue that are taken for a stall.
+// idempotent, and against waits in a queue or for a slow caller that are taken for a stall.
 func TestStalledCallMoves(t *testing.T) {
 	rows := []struct {
 		name       string
 		idempotent bool
 		running    bool
+		waited     time.Duration
 		want       bool
 	}{
-		{"idempotent", true, true, true},
-		{"not idempotent", false, true, false},
-		{"queued", true, false, false},
+		{"idempotent", true, true, time.Second, true},
+		{"not idempotent", false, true, time.Second, false},
+		{"queued", true, false, time.Second, false},
+		{"slow caller", true, true, 0, false},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
@@ -31,12 +33,12 @@
 				candidates := []tgroute.Candidate{{DataCentre: "a", Name: "u"}}
 				target, _ := router.Choose(candidates)
 				l := &call{entry: &Entry{router: router}, execute: &tgframe.Execute{Idempotent: row.idempotent, Stream: true}}
-				l.timing = timing{last: time.Now(), start: time.Now(), target: target}
+				l.timing = timing{start: time.Now(), target: target}
 				router.Report("u", tgroute.Evidence{FirstToken: time.Second})
 				for range 8 {
 					time.Sleep(time.Second)
 					p := &tgframe.Progress{Load: tgframe.Load{Limit: 1}, Running: row.running}
-					l.observe(target, &tgframe.Frame{Kind: tgframe.KindProgress, Progress: p}, time.Second)
+					l.observe(target, &tgframe.Frame{Kind: tgframe.KindProgress, Progress: p}, row.waited)
 					_, _ = router.Choose(candidates)
 				}
 				assert.Equal(t, router.Excluded("u"), tgroute.Stalled)
