--- a/io/tgcompanion/group.go
+++ b/io/tgcompanion/group.go
@@ -27,6 +27,7 @@
 	// without a controller keeps its map, so a slow takeover costs only a late rebalancing.
 	groupLease = 15 * time.Second
 	groupPause = 50 * time.Millisecond // about two steps, if a decision comes late
+	groupStall = 3 * time.Second       // without a step
 	groupPoll  = 200 * time.Millisecond
 	groupStep  = 26 * time.Millisecond // a step takes as long as the time allowed between tokens
 )
@@ -159,6 +160,13 @@
 	return m.name == name && (name == "" || reflect.DeepEqual(m.group, group))
 }
 
+// stalled reports whether the upstream's group makes no steps; it then takes no new work.
+func (m *membership) stalled() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.agent != nil && m.agent.Stalled(groupStall, time.Now())
+}
+
 func (m *membership) leave() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/io/tgcompanion/permission.go
+++ b/io/tgcompanion/permission.go
@@ -23,6 +23,10 @@
 	if f := c.node.Removal(c.upstream); f != nil {
 		return f
 	}
+	if c.membership.stalled() {
+		return tgcall.NotRunFailure(tgcall.CodeNoUpstream, "the rank group of upstream %q makes no steps", c.upstream).
+			WithRetryAfter(time.Second)
+	}
 	if !time.Now().Before(e.Deadline) {
 		return tgcall.NotRunFailure(tgcall.CodeDeadlineExceeded, "deadline passed before the request was run")
 	}
--- a/io/tggroup/agent.go
+++ b/io/tggroup/agent.go
@@ -28,6 +28,33 @@
 	learnt  bool
 	mu      sync.Mutex // held during an order, so that the engine gets one at a time
 	rank    int
+	steps   stepWatch
+}
+
+// stepWatch follows the steps of a rank through the states that the controller reads.
+type stepWatch struct {
+	mu       sync.Mutex
+	advanced time.Time // when the state was first seen
+	read     time.Time // when a state was last read
+	state    tgstep.State
+}
+
+func (w *stepWatch) observe(s tgstep.State, now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.read.IsZero() || s.Formation != w.state.Formation || s.Next != w.state.Next {
+		w.advanced = now
+	}
+	w.read, w.state = now, s
+}
+
+// Stalled reports whether the rank, and so its group, has made no step for the given time although its state was read
+// meanwhile. Without a controller nothing is read and nothing is known.
+func (a *Agent) Stalled(after time.Duration, now time.Time) bool {
+	w := &a.steps
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.read.IsZero() && now.Sub(w.read) < after && now.Sub(w.advanced) >= after
 }
 
 // NewAgent returns the agent of the rank whose engine is at address; lease is the name of the group's lease.
@@ -60,7 +87,11 @@
 		return Response{Placements: list}, err
 	case RequestState:
 		state := &tgstep.State{}
-		return Response{State: state}, a.call(ctx, "/v1/rank/state", nil, state)
+		err := a.call(ctx, "/v1/rank/state", nil, state)
+		if err == nil {
+			a.steps.observe(*state, time.Now())
+		}
+		return Response{State: state}, err
 	default:
 		return Response{}, errors.Newf("request kind %q does not exist", r.Kind)
 	}
