Gather the claims of a data centre for the log

Cause: each companion appended its claims itself, up to 10 times a second, so 30 busy companions would have used up the log for everybody.

Change: one daemon of each data centre, by rendezvous hash over its live members, takes the records of the others and appends them together.

--- a/core/tgframe/control.go
+++ b/core/tgframe/control.go
@@ -92,3 +92,11 @@
 	Reached bool           `cbor:"reached,omitempty"`
 	Target  netip.AddrPort `cbor:"target"`
 }
+
+// Append asks the log writer of a data centre to append records, or is its answer.
+type Append struct {
+	Failure string            `cbor:"failure,omitempty"` // of an answer; the records may have been appended
+	Offset  uint64            `cbor:"offset,omitempty"`  // of an answer
+	Records []tgrecord.Record `cbor:"records,omitempty"`
+	Stream  string            `cbor:"stream,omitempty"`
+}
--- a/core/tgframe/frame.go
+++ b/core/tgframe/frame.go
@@ -16,6 +16,7 @@
 // Kinds of frames, sorted.
 const (
 	KindAccepted Kind = "accepted"
+	KindAppend   Kind = "append"
 	KindAttach   Kind = "attach"
 	KindCancel   Kind = "cancel"
 	KindChunk    Kind = "chunk"
@@ -33,6 +34,7 @@
 // Frame is one message of an exchange; the field named by Kind is set. A frame of an answer also carries what
 // precedes it, if that is ready at the same time: an end its last chunks, a chunk the head.
 type Frame struct {
+	Append   *Append   `cbor:"append,omitempty"`
 	Attach   *Attach   `cbor:"attach,omitempty"`
 	Attempt  [16]byte  `cbor:"attempt"` // UUID, set on reply frames; as an array it is encoded without an allocation
 	Cancel   *Cancel   `cbor:"cancel,omitempty"`
--- a/core/tggossip/peers.go
+++ b/core/tggossip/peers.go
@@ -105,6 +105,23 @@
 	return before < Readers
 }
 
+// Writer returns the daemon that gathers the records of the own data centre for the log, by rendezvous hashing, and
+// whether it is this one. Daemons that disagree do no harm: the log's order decides and repeated IDs are ignored.
+func (p *Peers) Writer() (member tgframe.Member, self bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	best, self := p.self, true
+	for _, m := range p.local {
+		usable := m.Status == tgframe.MemberAlive || m.Status == tgframe.MemberListed
+		if usable && writerHash(m.Name) > writerHash(best.Name) {
+			best, self = m, false
+		}
+	}
+	return best, self
+}
+
+func writerHash(name string) uint64 { return xxhash.Sum64String("writer\x00" + name) }
+
 func readerHash(name string) uint64 { return xxhash.Sum64String("reader\x00" + name) }
 
 // Reader reports whether this daemon reads the log directly.
--- a/io/tgcompanion/claim.go
+++ b/io/tgcompanion/claim.go
@@ -13,14 +13,9 @@
 	"tanagergrade/core/tgframe"
 	"tanagergrade/core/tgroute"
 	"tanagergrade/io/tgclaimer"
-	"tanagergrade/io/tglogclient"
 )
 
-const (
-	claimAppendTimeout = 2 * time.Second
-	claimInterval      = 100 * time.Millisecond // between appends of one companion, which are 10/s at most
-	poolPoll           = 100 * time.Millisecond
-)
+const poolPoll = 100 * time.Millisecond
 
 // claims holds the claimer of the upstream's pool, once the configuration says which pool that is.
 type claims struct {
@@ -106,8 +101,7 @@
 	identity := tgclaimer.Identity{
 		Incarnation: c.node.Incarnation, Name: c.node.Settings.Name, Started: c.started,
 	}
-	log := tglogclient.NewBatcher(c.node.LogClient, claimInterval, claimAppendTimeout)
-	return tgclaimer.New(log, u.Pool, tgclaim.MaxKeyAge, identity, c.node.Log)
+	return tgclaimer.New(c.node.GatheredLog(), u.Pool, tgclaim.MaxKeyAge, identity, c.node.Log)
 }
 
 // runClaimed runs an attempt that is not idempotent under a claim in the log. It waits for the claim before it is
--- a/io/tgnode/gossip.go
+++ b/io/tgnode/gossip.go
@@ -232,6 +232,9 @@
 	}
 	var reply tgframe.Frame
 	switch {
+	case f.Kind == tgframe.KindAppend && f.Append != nil:
+		n.Observe(f.Sender)
+		reply = tgframe.Frame{Append: n.answerAppend(ctx, f.Append), Kind: tgframe.KindAppend}
 	case f.Kind == tgframe.KindFetch && f.Fetch != nil:
 		n.Observe(f.Sender)
 		fetched, release := n.answerFetch(f.Fetch)
--- a/io/tgnode/node.go
+++ b/io/tgnode/node.go
@@ -52,8 +52,9 @@
 	Settings    Settings
 	Transport   tglink.Link
 
-	applied    atomic.Uint64                   // of state
-	booted     atomic.Bool                     // the configuration was compared with the log or several peers
+	applied    atomic.Uint64 // of state
+	booted     atomic.Bool   // the configuration was compared with the log or several peers
+	batcher    *tglogclient.Batcher
 	behind     chan netip.AddrPort             // address of a peer that has shown a newer configuration
 	cfg        atomic.Pointer[tgconfig.Config] // of state; requests read it without waiting for a change being applied
 	counters   *counters
@@ -122,6 +123,7 @@
 		state:    tgconfig.NewState(),
 		tracker:  tgfreshness.NewTracker(settings.DataCentre),
 	}
+	n.batcher = tglogclient.NewBatcher(directLog{n}, gatherInterval, gatherAppend)
 	n.removed.Store(&removedCapacity{})
 	n.cfg.Store(n.state.Config())
 	return n
@@ -143,6 +145,7 @@
 // Run keeps the control state up to date until ctx ends.
 func (n *Node) Run(ctx context.Context) {
 	var wg conc.WaitGroup
+	defer n.batcher.Wait()
 	defer wg.Wait()
 	n.following.Store(true)
 	n.joinVMs(ctx)
