Bring control traffic within 3 KB a second

Cause: at the two-year size a daemon spent 3.5 KB/s for control, both directions and headers counted; the budget is 3 KB/s.

Change: gossip every 1.25 s in place of 1 s.

--- a/io/tgnode/gossip.go
+++ b/io/tgnode/gossip.go
@@ -19,7 +19,7 @@
 	contactTries    = 3 // peers tried in one round, so that lost messages do not look like a lost data centre
 	exchangeTimeout = 350 * time.Millisecond
 	farRounds       = 5 // one contact with another region in so many rounds
-	gossipInterval  = time.Second
+	gossipInterval  = 1250 * time.Millisecond
 	manyLocal       = 32 // peers of the own data centre from which on their contacts with others make up for fewer own ones
 	maxUpdates      = 6  // member updates in one frame
 	minBootPeers    = 3  // peers that a daemon compares its configuration with before it works
