--- a/core/tgconfig/schedule.go
+++ b/core/tgconfig/schedule.go
@@ -49,7 +49,7 @@
 	return time.Unix(id.Time().UnixTime())
 }
 
-// SnapshotSchedule says when a daemon writes a snapshot. Each daemon adds a jitter, so that the first spares the
+// SnapshotSchedule says when a daemon writes a snapshot. Each daemon adds a jitter, so that the first writes for the
 // others; two snapshots at once are harmless.
 type SnapshotSchedule struct {
 	jitter  float64 // 0 to 1, part of the interval that is added
--- a/core/tgframe/control.go
+++ b/core/tgframe/control.go
@@ -9,7 +9,7 @@
 	"tanagergrade/core/tgrecord"
 )
 
-// MemberStatus is what a daemon believes of another.
+// MemberStatus is the state of a member as another daemon sees it.
 type MemberStatus string
 
 // Statuses of members, sorted.
--- a/core/tgmember/table.go
+++ b/core/tgmember/table.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	deadRetention    = 10 * time.Minute // a dead member is remembered, so that late rumours of its life are judged
+	deadRetention    = 10 * time.Minute // a dead member is remembered, so that late updates that say it is alive are judged
 	leavingRetention = time.Hour        // the daemons that poll the VM list repeat a mark that still holds
 	maxForeign       = 8                // members kept of each other data centre
 	maxLeaving       = 4096             // leaving members of other data centres; more than one data centre holds
@@ -110,7 +110,7 @@
 	return leaving
 }
 
-// mergeSelf refutes a rumour that this process is dead, and believes that it is leaving.
+// mergeSelf refutes an update that says this process is dead, and accepts one that says it is leaving.
 func (t *Table) mergeSelf(m tgframe.Member) bool {
 	e := t.members[t.self.Name]
 	switch m.Status {
@@ -122,7 +122,7 @@
 		t.self.Generation, t.self.Status = m.Generation, tgframe.MemberLeaving
 		return t.set(m)
 	case tgframe.MemberDead, tgframe.MemberSuspect:
-		// After a restart with a clock set back, the rumour may name a later generation than this process has.
+		// After a restart with a clock set back, the update may name a later generation than this process has.
 		if m.Generation > t.self.Generation {
 			t.self.Generation, t.self.Incarnation = m.Generation+1, 0
 		} else if m.Generation == t.self.Generation && m.Incarnation >= t.self.Incarnation {
@@ -148,7 +148,7 @@
 	t.pending[e.Name] = e
 }
 
-// List takes the VM list. A leaving mark is believed at once, a live mark only as a place to look for evidence.
+// List takes the VM list. A leaving mark is trusted at once; a live mark only names a member to contact.
 func (t *Table) List(vms []tgframe.Member) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/core/tgmember/table_test.go
+++ b/core/tgmember/table_test.go
@@ -19,7 +19,7 @@
 	}
 }
 
-// Guards against members that are believed alive without evidence, or lost because of a rumour of an earlier process.
+// Guards against members that are taken for alive without evidence, or lost because of an update about an earlier process.
 func TestTableBeliefs(t *testing.T) {
 	const alive, dead, leaving = tgframe.MemberAlive, tgframe.MemberDead, tgframe.MemberLeaving
 	const listed, suspect = tgframe.MemberListed, tgframe.MemberSuspect
@@ -35,7 +35,7 @@
 		{"a heartbeat is evidence", []func(*Table){
 			list(member("b", "x", listed, 0, 0)), observe(member("b", "x", "", 5, 0)),
 		}, alive},
-		{"a leaving mark is believed at once", []func(*Table){
+		{"a leaving mark is trusted at once", []func(*Table){
 			observe(member("b", "x", "", 5, 0)), list(member("b", "x", leaving, 0, 0)),
 		}, leaving},
 		{"a leaving member that answers still leaves", []func(*Table){
@@ -44,13 +44,13 @@
 		{"a later process on a leaving VM is alive", []func(*Table){
 			observe(member("b", "x", "", 5, 0)), list(member("b", "x", leaving, 0, 0)), observe(member("b", "x", "", 6, 0)),
 		}, alive},
-		{"a rumour of an earlier process is ignored", []func(*Table){
+		{"an update about an earlier process is ignored", []func(*Table){
 			observe(member("b", "x", "", 5, 0)), merge(member("b", "x", dead, 4, 9)),
 		}, alive},
 		{"a suspicion is refuted by the next incarnation", []func(*Table){
 			observe(member("b", "x", "", 5, 0)), merge(member("b", "x", suspect, 5, 0)), merge(member("b", "x", alive, 5, 1)),
 		}, alive},
-		{"a late rumour of life does not undo a death", []func(*Table){
+		{"a late update does not undo a death", []func(*Table){
 			merge(member("b", "x", dead, 5, 0)), merge(member("b", "x", alive, 5, 0)),
 		}, dead},
 		{"a suspicion that is not refuted ends in death", []func(*Table){
@@ -69,16 +69,16 @@
 	}
 }
 
-// Guards against a process that stays dead for others because it does not hear or outbid a rumour of its death, also
+// Guards against a process that stays dead for others because it does not supersede an update that says it is dead, also
 // after a restart with a clock that was set back.
-func TestTableRefutesRumoursOfItself(t *testing.T) {
+func TestTableRefutesItsOwnDeath(t *testing.T) {
 	for _, generation := range []uint64{5, 9} {
 		table := NewTable(member("a", "x", tgframe.MemberAlive, 5, 0))
-		rumour := member("a", "x", tgframe.MemberDead, generation, 3)
-		table.Merge([]tgframe.Member{rumour})
+		stale := member("a", "x", tgframe.MemberDead, generation, 3)
+		table.Merge([]tgframe.Member{stale})
 		updates := table.Updates("b", "x", 1)
 		assert.Equal(t, len(updates), 1)
-		assert.Assert(t, newer(updates[0], rumour), "refutation %+v does not replace %+v", updates[0], rumour)
+		assert.Assert(t, newer(updates[0], stale), "refutation %+v does not replace %+v", updates[0], stale)
 	}
 }
 
--- a/io/tgdemo/caller.go
+++ b/io/tgdemo/caller.go
@@ -138,7 +138,7 @@
 			return o
 		}
 		if state != "" {
-			// An explicit error is an honest end.
+			// The stream ended with an error event, which states the outcome.
 			return outcome{state: state}
 		}
 		now := time.Now()
--- a/io/tgnode/follow.go
+++ b/io/tgnode/follow.go
@@ -15,7 +15,7 @@
 
 const (
 	// fallbackAge is the mean age of the last confirmation at which a daemon that is no reader reads the log; the age
-	// differs between daemons, so that the first ones to read spare the others.
+	// differs between daemons, so that the first ones read for the others.
 	fallbackAge      = 10 * time.Second
 	fallbackInterval = 30 * time.Second // longest mean time between such reads; 7,400 daemons make 250 reads/s in an outage
 	followPause      = 200 * time.Millisecond
