Wait for records without racing with new ones

The test's own list of nodes was also changed from several goroutines.

Change: a closed claimer appends in the caller's goroutine; the batcher counts its queues under its lock. The test takes a lock.

--- a/io/tgclaimer/claimer.go
+++ b/io/tgclaimer/claimer.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -40,7 +41,10 @@
 	stopping chan struct{}           // closed when Run's context ends
 	stream   string
 	table    *tgclaim.Table
-	wg       conc.WaitGroup // records on their way
+
+	mu     sync.Mutex
+	closed bool           // Run waits for the records on their way or has ended
+	wg     conc.WaitGroup // records on their way; grows only while not closed
 }
 
 // ownClaim lets repeats that reach this process have the answer before it is read back from the log.
@@ -74,9 +78,25 @@
 
 // Run follows the claims of the pool until ctx ends and all records have been appended or given up.
 func (c *Claimer) Run(ctx context.Context) {
-	defer c.wg.Wait()
-	defer close(c.stopping)
 	c.follower.Run(ctx)
+	close(c.stopping)
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	c.wg.Wait()
+}
+
+// background runs f beside the caller, or in its place once Run no longer waits for records.
+func (c *Claimer) background(f func()) {
+	c.mu.Lock()
+	closed := c.closed
+	if !closed {
+		c.wg.Go(f)
+	}
+	c.mu.Unlock()
+	if closed {
+		f()
+	}
 }
 
 // Dump returns the claimer's state.
@@ -126,7 +146,7 @@
 		return failed(tgcall.NotRunFailure(tgcall.CodeInternal, "%v", err))
 	}
 	// The reply to the append is of no use: the claim counts when it is read back.
-	c.wg.Go(func() { _, _ = c.log.Append(ctx, c.stream, []tgrecord.Record{record}) })
+	c.background(func() { _, _ = c.log.Append(ctx, c.stream, []tgrecord.Record{record}) })
 	return c.awaitClaim(ctx, r, record.ID)
 }
 
@@ -254,7 +274,7 @@
 		c.logger.WithError(err).WithField("kind", kind).Error("record cannot be encoded")
 		return
 	}
-	c.wg.Go(func() {
+	c.background(func() {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		for {
--- a/io/tgentry/pairs_test.go
+++ b/io/tgentry/pairs_test.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,6 +36,8 @@
 	entries []*Entry
 	link    *tgstandin.Link
 	log     *tgstandin.Log
+	made    atomic.Int64 // nodes
+	mu      sync.Mutex
 	gates   []*gatedLog
 	nodes   []*tgnode.Node
 	t       *testing.T
@@ -61,8 +65,11 @@
 
 // pause holds the first companion's view of the log back.
 func (s *pairSystem) pause(d time.Duration) {
-	<-s.gates[0].gate
-	time.AfterFunc(d, func() { s.gates[0].gate <- struct{}{} })
+	s.mu.Lock()
+	gate := s.gates[0].gate
+	s.mu.Unlock()
+	<-gate
+	time.AfterFunc(d, func() { gate <- struct{}{} })
 }
 
 func pairUpstream(i int) string { return fmt.Sprintf("u%d", i) }
@@ -96,13 +103,14 @@
 func (s *pairSystem) newNode() *tgnode.Node {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	node := tgnode.New(tgnode.Settings{DataCentre: "a", Name: fmt.Sprintf("n%d", len(s.nodes))}, s.link, logger)
+	node := tgnode.New(tgnode.Settings{DataCentre: "a", Name: fmt.Sprintf("n%d", s.made.Add(1))}, s.link, logger)
 	gate := &gatedLog{Log: tgstandin.DirectLog{Log: s.log}, gate: make(chan struct{}, 1)}
 	gate.gate <- struct{}{}
-	s.gates = append(s.gates, gate)
 	node.LogClient = gate
 	s.fold(node, 0, tgconfig.NewState().Config(), s.cfg)
-	s.nodes = append(s.nodes, node)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gates, s.nodes = append(s.gates, gate), append(s.nodes, node)
 	return node
 }
 
@@ -126,6 +134,8 @@
 	next.DataCentres = map[string]tgconfig.DataCentre{
 		"a": {Region: "r", State: tgconfig.Withdrawn}, "b": {Region: "r", State: tgconfig.Active},
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, n := range s.nodes {
 		s.fold(n, 1, s.cfg, &next)
 	}
--- a/io/tglogclient/batcher.go
+++ b/io/tglogclient/batcher.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sourcegraph/conc"
 
 	"tanagergrade/core/tgrecord"
 )
@@ -23,11 +22,12 @@
 // queue, so the backlog of one does not delay another.
 type Batcher struct {
 	Log
+	flushing int           // queues with an append on its way or due
+	idle     chan struct{} // closed and replaced when flushing falls to 0
 	interval time.Duration // least time between the starts of two appends to one stream
 	mu       sync.Mutex
 	streams  map[string]*batchQueue
 	timeout  time.Duration // bound of one append
-	wg       conc.WaitGroup
 }
 
 type batchQueue struct {
@@ -46,7 +46,7 @@
 
 // NewBatcher returns a batcher that starts at most one append for each stream and interval.
 func NewBatcher(log Log, interval, timeout time.Duration) *Batcher {
-	return &Batcher{Log: log, interval: interval, streams: map[string]*batchQueue{}, timeout: timeout}
+	return &Batcher{Log: log, idle: make(chan struct{}), interval: interval, streams: map[string]*batchQueue{}, timeout: timeout}
 }
 
 // Append appends records together with those of other callers. After an error they may have been appended.
@@ -63,8 +63,15 @@
 	}
 }
 
-// Wait waits until all appends have ended.
-func (b *Batcher) Wait() { b.wg.Wait() }
+// Wait waits until no append is on its way. Others may append meanwhile, which a WaitGroup does not allow.
+func (b *Batcher) Wait() {
+	b.mu.Lock()
+	flushing, idle := b.flushing, b.idle
+	b.mu.Unlock()
+	if flushing > 0 {
+		<-idle
+	}
+}
 
 func (b *Batcher) enqueue(stream string, item *batchItem) error {
 	b.mu.Lock()
@@ -81,7 +88,8 @@
 	q.records += len(item.records)
 	if !q.running {
 		q.running = true
-		b.wg.Go(func() { b.flush(stream, q) })
+		b.flushing++
+		go b.flush(stream, q)
 	}
 	return nil
 }
@@ -117,6 +125,13 @@
 	q.records -= records
 	q.running = n > 0
 	q.started = time.Now()
+	if !q.running {
+		b.flushing--
+		if b.flushing == 0 {
+			close(b.idle)
+			b.idle = make(chan struct{})
+		}
+	}
 	return items
 }
 
