Judge idempotency keys by one rule at entry and companion

Cause: the age and the clock skew of keys stood twice, in the entry and in the claims. Change: the entry uses tgclaim.KeyTime, MaxKeyAge and MaxClockSkew. Figures: go test -run 'TestRefusals|TestAnswers|Key' ./io/tgentry passes. Conclusion: both ends refuse the same keys.

--- a/io/tgentry/plain.go
+++ b/io/tgentry/plain.go
@@ -5,18 +5,13 @@
 	"time"
 
 	"github.com/gofiber/fiber/v3"
-	"github.com/google/uuid"
 
 	"tanagergrade/core/tgcall"
+	"tanagergrade/core/tgclaim"
 	"tanagergrade/core/tgconfig"
 	"tanagergrade/core/tgframe"
 )
 
-const (
-	maxKeyAge  = 24 * time.Hour  // claims are kept for this time
-	maxKeyLead = 5 * time.Minute // tolerated difference between clocks
-)
-
 func (e *Entry) handlePlain(c fiber.Ctx) error {
 	cfg := e.node.Config()
 	path := c.Path()
@@ -58,15 +53,13 @@
 // checkKey refuses a key whose claim may have been dropped, which makes its outcome unknown, and keys that
 // this system could not age.
 func checkKey(key string, now time.Time) *tgcall.Failure {
-	id, err := uuid.Parse(key)
-	if err != nil || id.Version() != 7 {
-		return tgcall.NotRunFailure(tgcall.CodeIdempotencyKeyInvalid, "Idempotency-Key is not a UUIDv7")
-	}
-	made := time.Unix(id.Time().UnixTime())
+	made, err := tgclaim.KeyTime(key)
 	switch {
-	case now.Sub(made) > maxKeyAge:
-		return tgcall.UnknownFailure(tgcall.CodeIdempotencyKeyExpired, "Idempotency-Key is older than %s", maxKeyAge)
-	case made.Sub(now) > maxKeyLead:
+	case err != nil:
+		return tgcall.NotRunFailure(tgcall.CodeIdempotencyKeyInvalid, "Idempotency-Key is not a UUIDv7")
+	case now.Sub(made) > tgclaim.MaxKeyAge:
+		return tgcall.UnknownFailure(tgcall.CodeIdempotencyKeyExpired, "Idempotency-Key is older than %s", tgclaim.MaxKeyAge)
+	case made.Sub(now) > tgclaim.MaxClockSkew:
 		return tgcall.NotRunFailure(tgcall.CodeIdempotencyKeyInvalid, "Idempotency-Key is from the future")
 	default:
 		return nil
