Keep searches of the configuration off the request path

Change: admission applies a configuration once; whether this is the key's home is asked only when the log fails; the gathered log embeds the direct one; one constant for the prefix; the unused follower is gone.

Conclusion: no change of behaviour.

--- a/core/tgclaim/record.go
+++ b/core/tgclaim/record.go
@@ -9,6 +9,9 @@
 	"tanagergrade/core/tgframe"
 )
 
+// StreamPrefix begins the names of the claims streams; the name of the pool follows.
+const StreamPrefix = "claims-"
+
 // Claim is the body of a claim record; the record's ID is the claim's ID.
 type Claim struct {
 	Digest      Digest    `cbor:"digest"`
--- a/io/tgclaimer/claimer.go
+++ b/io/tgclaimer/claimer.go
@@ -55,7 +55,7 @@
 }
 
 // Stream returns the name of the claims stream of a pool.
-func Stream(pool string) string { return "claims-" + pool }
+func Stream(pool string) string { return tgclaim.StreamPrefix + pool }
 
 // New returns a claimer for a pool whose keys are judged up to the age of window.
 func New(
@@ -112,7 +112,7 @@
 // Request is what is claimed.
 type Request struct {
 	Digest  tgclaim.Digest
-	Home    bool // this process is where all entries send the key first
+	Home    func() bool // whether all entries send the key here first; asked only if the log cannot be
 	Key     tgclaim.Key
 	KeyTime time.Time
 }
@@ -185,7 +185,7 @@
 func (c *Claimer) unavailable(r Request) *tgcall.Failure {
 	f := tgcall.UnknownFailure(tgcall.CodeLogUnavailable,
 		"not run now, since the log did not confirm the claim in time; an earlier call may have run")
-	if r.Home && c.identity.Started.Before(r.KeyTime.Add(-tgclaim.MaxClockSkew)) {
+	if r.Home() && c.identity.Started.Before(r.KeyTime.Add(-tgclaim.MaxClockSkew)) {
 		f = tgcall.NotRunFailure(tgcall.CodeLogUnavailable, "the log did not confirm the claim in time")
 	}
 	return f.WithRetryAfter(retryAfter)
--- a/io/tgcompanion/admission.go
+++ b/io/tgcompanion/admission.go
@@ -27,6 +27,7 @@
 
 // admission is the limit of the upstream and the queue before it.
 type admission struct {
+	cfg     atomic.Pointer[tgconfig.Config] // the configuration applied last
 	limiter *tgadmit.Limiter
 	mu      sync.Mutex // held while queued attempts are admitted, so that no free place is missed
 	queue   *tgqueue.Queue[*waiter]
@@ -129,12 +130,11 @@
 // configureAdmission applies the accepted configuration.
 func (c *Companion) configureAdmission() {
 	cfg := c.node.Config()
-	lockStep := false
-	for _, g := range cfg.Groups {
-		for _, rank := range g.Ranks {
-			lockStep = lockStep || rank == c.upstream
-		}
+	if c.admission.cfg.Swap(cfg) == cfg {
+		return // a configuration is never modified, and the search for the group is long
 	}
+	group, _, _ := groupOf(cfg, c.upstream)
+	lockStep := group != ""
 	c.admission.limiter.Configure(cfg.Settings.ColdConcurrency, cfg.Settings.WarmConcurrency, lockStep)
 	c.admission.queue.SetCapacity(cfg.Settings.MaxQueued)
 }
--- a/io/tgcompanion/claim.go
+++ b/io/tgcompanion/claim.go
@@ -122,7 +122,7 @@
 	}
 	key := tgclaim.NewKey(e.Account, e.Pool, e.IdempotencyKey)
 	claimer, grant := c.acquire(ctx, e.Pool, settings.ClaimTimeout, tgclaimer.Request{
-		Digest: tgclaim.NewDigest(e.Method, e.Path, e.Body), Home: c.isHome(e), Key: key, KeyTime: keyTime,
+		Digest: tgclaim.NewDigest(e.Method, e.Path, e.Body), Home: func() bool { return c.isHome(e) }, Key: key, KeyTime: keyTime,
 	})
 	c.claiming.Add(-1)
 	switch {
--- a/io/tgnode/follow.go
+++ b/io/tgnode/follow.go
@@ -33,28 +33,6 @@
 	Verdict   tgconfig.Verdict  `json:"verdict"`
 }
 
-// Follow reads stream from its start and passes each append to apply until ctx ends.
-func Follow(
-	ctx context.Context, c *tglogclient.Client, stream string, log *logrus.Entry, apply func(tglogclient.Entry) error,
-) {
-	next := uint64(0)
-	for ctx.Err() == nil {
-		page, err := c.Read(ctx, stream, next, followWait)
-		if err != nil {
-			log.WithError(err).WithField("stream", stream).Debug("read from the log failed")
-			sleep(ctx, followPause)
-			continue
-		}
-		for _, e := range page.Entries {
-			if err := apply(e); err != nil {
-				log.WithError(err).WithFields(logrus.Fields{"offset": e.Offset, "stream": stream}).
-					Error("record cannot be applied")
-			}
-			next = e.Offset + 1
-		}
-	}
-}
-
 // readLog reads the configuration from the log: always as one of the readers of the data centre, else only when no
 // confirmation arrives by gossip.
 func (n *Node) readLog(ctx context.Context) {
--- a/io/tgnode/gather.go
+++ b/io/tgnode/gather.go
@@ -7,13 +7,13 @@
 
 	"github.com/cockroachdb/errors"
 
+	"tanagergrade/core/tgclaim"
 	"tanagergrade/core/tgframe"
 	"tanagergrade/core/tgrecord"
 	"tanagergrade/io/tglogclient"
 )
 
 const (
-	claimsPrefix  = "claims-" // streams that the log writer takes records for
 	gatherAppend  = 2 * time.Second
 	gatherTimeout = 500 * time.Millisecond // for the writer's answer; then the records are appended directly
 
@@ -23,16 +23,10 @@
 
 // GatheredLog returns the log for records that many daemons of a data centre write: one of them gathers the records of
 // all and appends them together.
-func (n *Node) GatheredLog() tglogclient.Log { return gatheredLog{n} }
+func (n *Node) GatheredLog() tglogclient.Log { return gatheredLog{directLog{n}} }
 
-type gatheredLog struct{ n *Node }
-
-// Read implements tglogclient.Log.
-func (g gatheredLog) Read(
-	ctx context.Context, stream string, from uint64, wait time.Duration,
-) (tglogclient.Page, error) {
-	return g.n.ownLog().Read(ctx, stream, from, wait)
-}
+// gatheredLog appends through the log writer and reads directly.
+type gatheredLog struct{ directLog }
 
 // Append implements tglogclient.Log. What the writer does not confirm in time is appended directly; readers ignore the
 // repeated IDs.
@@ -72,7 +66,7 @@
 
 // answerAppend appends records for another daemon of the data centre.
 func (n *Node) answerAppend(ctx context.Context, a *tgframe.Append) *tgframe.Append {
-	if !strings.HasPrefix(a.Stream, claimsPrefix) {
+	if !strings.HasPrefix(a.Stream, tgclaim.StreamPrefix) {
 		return &tgframe.Append{Failure: "stream " + a.Stream + " is not gathered"}
 	}
 	ctx, cancel := context.WithTimeout(ctx, gatherAppend)
