Wait with one function that ends with its context

Cause: five packages had the same wait of their own. Change: core/tgwait.Sleep replaces them. Conclusion: no change of behaviour.

--- a/io/tgdemo/fault.go
+++ b/io/tgdemo/fault.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"tanagergrade/core/tgconfig"
+	"tanagergrade/core/tgwait"
 )
 
 // loadDuration is the time over which the requests are spread; the faults lie within it.
@@ -132,13 +133,4 @@
 	return n
 }
 
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	t := time.NewTimer(time.Until(at))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
+func sleepUntil(ctx context.Context, at time.Time) bool { return tgwait.Sleep(ctx, time.Until(at)) }
--- a/io/tggroup/group.go
+++ b/io/tggroup/group.go
@@ -9,6 +9,7 @@
 
 	"tanagergrade/core/tgexpert"
 	"tanagergrade/core/tgstep"
+	"tanagergrade/core/tgwait"
 )
 
 // Settings describe a group.
@@ -136,19 +137,10 @@
 		token, err := g.leases.Acquire(ctx, LeaseName(g.settings.Name))
 		if err != nil {
 			g.log.WithError(err).Debug("lease is not held")
-			sleep(ctx, g.settings.Poll)
+			tgwait.Sleep(ctx, g.settings.Poll)
 			continue
 		}
 		g.log.WithField("token", token).Info("controller starts")
 		newTerm(g, token).run(ctx)
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/io/tggroup/group_test.go
+++ b/io/tggroup/group_test.go
@@ -13,6 +13,7 @@
 
 	"tanagergrade/core/tgexpert"
 	"tanagergrade/core/tgstep"
+	"tanagergrade/core/tgwait"
 	"tanagergrade/io/tgstandin"
 )
 
@@ -38,7 +39,7 @@
 		if owner == h {
 			return token, nil
 		}
-		sleep(ctx, time.Millisecond)
+		tgwait.Sleep(ctx, time.Millisecond)
 	}
 	return 0, ctx.Err()
 }
--- a/io/tggroup/term.go
+++ b/io/tggroup/term.go
@@ -10,6 +10,7 @@
 
 	"tanagergrade/core/tgexpert"
 	"tanagergrade/core/tgstep"
+	"tanagergrade/core/tgwait"
 )
 
 // term is the time in which one token is valid.
@@ -60,7 +61,7 @@
 		t.track()
 		t.publish()
 		if t.controller.Phase() == tgstep.PhaseIdle {
-			sleep(ctx, t.group.settings.Poll)
+			tgwait.Sleep(ctx, t.group.settings.Poll)
 		}
 	}
 }
@@ -104,7 +105,7 @@
 
 // exchange sends the messages that are due.
 func (t *term) exchange(ctx context.Context) {
-	sleep(ctx, resendInterval-time.Since(t.sent))
+	tgwait.Sleep(ctx, resendInterval-time.Since(t.sent))
 	requests := map[int]Request{}
 	for _, m := range t.controller.Messages() {
 		r := Request{Kind: RequestOrder, Message: m}
--- a/io/tglogclient/follower.go
+++ b/io/tglogclient/follower.go
@@ -8,6 +8,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
+
+	"tanagergrade/core/tgwait"
 )
 
 const (
@@ -76,7 +78,7 @@
 	for ctx.Err() == nil {
 		if err := f.step(ctx); err != nil {
 			f.note(err)
-			sleep(ctx, backoff/2+rand.N(backoff/2)) //nolint:gosec // jitter is no secret
+			tgwait.Sleep(ctx, backoff/2+rand.N(backoff/2)) //nolint:gosec // jitter is no secret
 			backoff = min(2*backoff, maxBackoff)
 			continue
 		}
@@ -142,12 +144,3 @@
 		f.logger.Info("log can be read again")
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/io/tgnode/fetch.go
+++ b/io/tgnode/fetch.go
@@ -11,6 +11,7 @@
 
 	"tanagergrade/core/tgconfig"
 	"tanagergrade/core/tgframe"
+	"tanagergrade/core/tgwait"
 	"tanagergrade/io/tglogclient"
 )
 
@@ -66,7 +67,7 @@
 		}
 		wg.Wait()
 		if n.Applied() == applied {
-			sleep(ctx, jitter(fetchPause))
+			tgwait.Sleep(ctx, jitter(fetchPause))
 		}
 	}
 }
--- a/io/tgnode/follow.go
+++ b/io/tgnode/follow.go
@@ -10,6 +10,7 @@
 
 	"tanagergrade/core/tgconfig"
 	"tanagergrade/core/tgframe"
+	"tanagergrade/core/tgwait"
 	"tanagergrade/io/tglogclient"
 )
 
@@ -41,7 +42,7 @@
 		reader := n.peers.Reader()
 		if !reader && !n.needsLog() {
 			pause = followPause
-			sleep(ctx, idleCheck)
+			tgwait.Sleep(ctx, idleCheck)
 			continue
 		}
 		wait := followWait
@@ -52,7 +53,7 @@
 		if err == nil {
 			pause = followPause
 			if !reader {
-				sleep(ctx, idleCheck)
+				tgwait.Sleep(ctx, idleCheck)
 			}
 			continue
 		}
@@ -61,7 +62,7 @@
 		if reader {
 			limit = maxReaderPause
 		}
-		sleep(ctx, jitter(pause))
+		tgwait.Sleep(ctx, jitter(pause))
 		pause = min(2*pause, limit)
 	}
 }
--- a/io/tgnode/gossip.go
+++ b/io/tgnode/gossip.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/conc"
 
 	"tanagergrade/core/tgframe"
+	"tanagergrade/core/tgwait"
 	"tanagergrade/io/tglink"
 )
 
@@ -40,7 +41,7 @@
 			wg.Go(func() { n.contact(ctx, name) })
 		}
 		wg.Wait()
-		sleep(ctx, time.Until(next))
+		tgwait.Sleep(ctx, time.Until(next))
 	}
 }
 
--- a/io/tgnode/marks.go
+++ b/io/tgnode/marks.go
@@ -10,6 +10,7 @@
 	"tanagergrade/core/tgframe"
 	"tanagergrade/core/tgmark"
 	"tanagergrade/core/tgrecord"
+	"tanagergrade/core/tgwait"
 )
 
 const (
@@ -43,7 +44,7 @@
 func (n *Node) writeMarks(ctx context.Context) {
 	var since time.Time
 	for ctx.Err() == nil {
-		sleep(ctx, jitter(markInterval))
+		tgwait.Sleep(ctx, jitter(markInterval))
 		marks := n.marks.Marks()
 		c := n.tracker.Confirmation(n.Applied())
 		if len(marks) == 0 || c == nil || c.Age > markInterval*2 {
--- a/io/tgnode/node.go
+++ b/io/tgnode/node.go
@@ -160,12 +160,3 @@
 		n.Log.WithField("kind", f.Kind).Warn("unexpected first frame")
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/io/tgnode/push.go
+++ b/io/tgnode/push.go
@@ -8,6 +8,7 @@
 	"github.com/sourcegraph/conc"
 
 	"tanagergrade/core/tgframe"
+	"tanagergrade/core/tgwait"
 )
 
 const (
@@ -45,7 +46,7 @@
 		for _, m := range targets {
 			wg.Go(func() { n.pushTo(ctx, m) })
 		}
-		sleep(ctx, pushPause)
+		tgwait.Sleep(ctx, pushPause)
 	}
 }
 
--- a/io/tgnode/snapshot.go
+++ b/io/tgnode/snapshot.go
@@ -8,6 +8,7 @@
 
 	"tanagergrade/core/tgconfig"
 	"tanagergrade/core/tgrecord"
+	"tanagergrade/core/tgwait"
 )
 
 const (
@@ -22,14 +23,14 @@
 func (n *Node) writeSnapshots(ctx context.Context) {
 	schedule := tgconfig.NewSnapshotSchedule(time.Now())
 	for {
-		sleep(ctx, jitter(snapshotCheck))
+		tgwait.Sleep(ctx, jitter(snapshotCheck))
 		if ctx.Err() != nil {
 			return
 		}
 		if !n.snapshotDue(schedule) {
 			continue
 		}
-		sleep(ctx, jitter(snapshotWait))
+		tgwait.Sleep(ctx, jitter(snapshotWait))
 		if ctx.Err() != nil || !n.snapshotDue(schedule) {
 			continue
 		}
--- a/io/tgnode/vms.go
+++ b/io/tgnode/vms.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"tanagergrade/core/tgframe"
+	"tanagergrade/core/tgwait"
 )
 
 const (
@@ -85,7 +86,7 @@
 		return
 	}
 	for range joinTries {
-		sleep(ctx, rand.N(joinJitter))
+		tgwait.Sleep(ctx, rand.N(joinJitter))
 		if n.readVMs(ctx, &vmView{leaving: map[string]tgframe.Member{}}) == nil {
 			n.peers.Update(n.members.Peers())
 			return
@@ -107,7 +108,7 @@
 	view := &vmView{leaving: map[string]tgframe.Member{}}
 	last := time.Now()
 	for ctx.Err() == nil {
-		sleep(ctx, jitter(readerVMPoll))
+		tgwait.Sleep(ctx, jitter(readerVMPoll))
 		if !n.peers.Reader() && time.Since(last) < vmPoll {
 			continue
 		}
--- a/io/tgpublisher/publisher.go
+++ b/io/tgpublisher/publisher.go
@@ -9,6 +9,7 @@
 
 	"tanagergrade/core/tgconfig"
 	"tanagergrade/core/tgrecord"
+	"tanagergrade/core/tgwait"
 	"tanagergrade/io/tglogclient"
 	"tanagergrade/io/tgnode"
 )
@@ -112,18 +113,9 @@
 		}
 		readable = readErr == nil
 		if !readable {
-			pause(ctx, retryPause)
+			tgwait.Sleep(ctx, retryPause)
 		}
 	}
 	// The reason of a refused append says more than the timeout of the last read.
 	return decision, &UnresolvedError{Err: cmp.Or(appendErr, readErr), ID: record.ID}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
