--- /dev/null
+++ b/core/tgpace/pacer.go
@@ -0,0 +1,141 @@
+// Package tgpace limits the streams that run at once in a pool of engines whose passes slow down with each stream. The
+// limit is found from the time between the events of the streams that run.
+package tgpace
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	decisionInterval = 150 * time.Millisecond
+	gapsPerDecision  = 8    // fewer say too little
+	gapTarget        = 0.80 // part of the longest pause on time that the mean pause may reach
+	growthFactor     = 1.06 // of the limit in one decision while it binds
+	shrinkMin        = 0.80 // largest cut of the limit in one decision
+	minLimit         = 2.0
+	returnHeadroom   = 1.2 // callers who come back after a refusal may go this far beyond the limit
+	retryAfterMin    = 150 * time.Millisecond
+	retryAfterMax    = 2 * time.Second
+	turnoverMemory   = 0.9 // weight of the past in the mean time that a stream takes
+)
+
+// Ticket is a place of a stream; Done returns it.
+type Ticket struct {
+	pacer *Pacer
+	start time.Time
+}
+
+// Refusal says when a place is expected.
+type Refusal struct {
+	InFlight   int
+	Limit      float64
+	MeanGap    time.Duration
+	RetryAfter time.Duration
+}
+
+// Pacer is the limit of one process for one pool. It is safe for concurrent use.
+type Pacer struct {
+	binding  bool // the limit refused a stream since the last decision
+	decided  time.Time
+	gapMean  float64 // seconds, of the last decision
+	gapSum   float64
+	gaps     int
+	inFlight int
+	limit    float64
+	maxLimit float64
+	mu       sync.Mutex
+	rand     func() float64
+	refused  int     // since the last place became free
+	stay     float64 // seconds that a stream takes, smoothed
+	target   time.Duration
+}
+
+// NewPacer returns a pacer that starts at limit and stays below most; target is the longest pause on time.
+func NewPacer(limit, most float64, target time.Duration, random func() float64) *Pacer {
+	return &Pacer{limit: limit, maxLimit: most, rand: random, stay: 1.5, target: target}
+}
+
+// SetBounds changes the longest pause on time and the highest limit.
+func (p *Pacer) SetBounds(most float64, target time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.maxLimit, p.target = most, target
+}
+
+// Admit takes a place for a stream; returning says that the caller was refused before.
+func (p *Pacer) Admit(returning bool, now time.Time) (*Ticket, *Refusal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.decide(now)
+	limit := p.limit
+	if returning {
+		limit *= returnHeadroom
+	}
+	if float64(p.inFlight+1) > limit {
+		p.binding = true
+		p.refused++
+		return nil, p.refusal()
+	}
+	p.inFlight++
+	return &Ticket{pacer: p, start: now}, nil
+}
+
+// refusal spreads the callers refused since the last free place over the time in which as many places come free.
+func (p *Pacer) refusal() *Refusal {
+	perPlace := p.stay / max(p.limit, 1)
+	wait := time.Duration((float64(p.refused) + p.rand()) * perPlace * float64(time.Second))
+	return &Refusal{
+		InFlight: p.inFlight, Limit: p.limit, MeanGap: time.Duration(p.gapMean * float64(time.Second)),
+		RetryAfter: min(max(wait, retryAfterMin), retryAfterMax),
+	}
+}
+
+// Gap takes the time between two events of a stream.
+func (p *Pacer) Gap(d time.Duration, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.gapSum += d.Seconds()
+	p.gaps++
+	p.decide(now)
+}
+
+// Done returns the place.
+func (t *Ticket) Done(now time.Time) {
+	p := t.pacer
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.inFlight--
+	p.refused = max(0, p.refused-1)
+	p.stay = turnoverMemory*p.stay + (1-turnoverMemory)*now.Sub(t.start).Seconds()
+}
+
+func (p *Pacer) decide(now time.Time) {
+	if p.gaps < gapsPerDecision || now.Sub(p.decided) < decisionInterval {
+		return
+	}
+	p.gapMean = p.gapSum / float64(p.gaps)
+	p.gapSum, p.gaps, p.decided = 0, 0, now
+	wanted := gapTarget * p.target.Seconds()
+	switch {
+	case p.gapMean > wanted:
+		p.limit = max(minLimit, min(p.limit, float64(p.inFlight)+1)*max(shrinkMin, wanted/p.gapMean))
+	case p.binding || float64(p.inFlight) > 0.8*p.limit:
+		p.limit = min(p.limit*growthFactor+0.2, p.maxLimit)
+	}
+	p.binding = false
+}
+
+// State is the pacer's state for a dump.
+type State struct {
+	InFlight int           `json:"inFlight"`
+	Limit    float64       `json:"limit"`
+	MeanGap  time.Duration `json:"meanGap"`
+}
+
+// State returns the present state.
+func (p *Pacer) State() State {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return State{InFlight: p.inFlight, Limit: p.limit, MeanGap: time.Duration(p.gapMean * float64(time.Second))}
+}
--- /dev/null
+++ b/core/tgretry/window.go
@@ -0,0 +1,70 @@
+package tgretry
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	windowSlots = 10
+	windowPart  = 0.8 // of the allowance is used, since the windows of processes are not aligned
+)
+
+// Window bounds the repeats of one pool in any window of time to a part of its requests and a burst that all
+// processes share. It is safe for concurrent use.
+type Window struct {
+	burst   float64 // share of this process
+	mu      sync.Mutex
+	ratio   float64
+	repeats [windowSlots]int
+	sent    [windowSlots]int // first sends
+	slot    int64            // the newest one, in units of span
+	span    time.Duration
+}
+
+// NewWindow returns a budget of ratio repeats for each request plus burst in each window.
+func NewWindow(ratio, burst float64, window time.Duration) *Window {
+	return &Window{burst: burst, ratio: ratio, span: max(window/windowSlots, time.Millisecond)}
+}
+
+// SetBurst changes this process's share of the burst.
+func (w *Window) SetBurst(burst float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.burst = burst
+}
+
+func (w *Window) advance(now time.Time) int {
+	slot := now.UnixNano() / int64(w.span)
+	if slot > w.slot {
+		for s := max(w.slot+1, slot-windowSlots+1); s <= slot; s++ {
+			w.repeats[s%windowSlots], w.sent[s%windowSlots] = 0, 0
+		}
+		w.slot = slot
+	}
+	return int(w.slot % windowSlots)
+}
+
+// Sent counts a request that is sent for the first time.
+func (w *Window) Sent(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sent[w.advance(now)]++
+}
+
+// Repeat pays for sending a request once more, or reports that the budget is used up.
+func (w *Window) Repeat(now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	i := w.advance(now)
+	sent, repeats := 0, 0
+	for s := range windowSlots {
+		sent += w.sent[s]
+		repeats += w.repeats[s]
+	}
+	if float64(repeats+1) > windowPart*(w.ratio*float64(sent)+w.burst) {
+		return false
+	}
+	w.repeats[i]++
+	return true
+}
--- /dev/null
+++ b/core/tgview/view.go
@@ -0,0 +1,264 @@
+// Package tgview is one daemon's view of the deployment, folded from the records of the operator and of the upstreams.
+// The view only moves forward: whichever source brings a record, an older version never replaces a newer one.
+package tgview
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"tanagergrade/core/tgcatalog"
+	"tanagergrade/core/tgfold"
+)
+
+// OperatorKey says what a record of the operator holds.
+type OperatorKey string
+
+// What records of the operator hold.
+const (
+	OperatorConfig     OperatorKey = "config"
+	OperatorOther      OperatorKey = "other"
+	OperatorWithdrawal OperatorKey = "withdrawal"
+)
+
+// Codec reads the platform's records.
+type Codec struct {
+	Config   func(value []byte) (*tgcatalog.Config, error)
+	Operator func(key string) (kind OperatorKey, dataCentre string)
+	Upstream func(id string, value []byte, now time.Time) (tgcatalog.Upstream, error)
+}
+
+// Change is a change of the view, for the log.
+type Change struct {
+	Err     error
+	Key     string
+	Offset  int64
+	Outcome string
+	Version int64 // of the configuration, if it changed
+}
+
+const (
+	// A registration that lapsed while the store was away returns within about two seconds if its engine lives.
+	lapseGrace = 2200 * time.Millisecond
+	// A configuration is taken as current for so long after it was last confirmed.
+	currentFor = 1500 * time.Millisecond
+)
+
+// Upstream is an upstream with the time from which it counts as gone; zero while it is registered.
+type entry struct {
+	tgcatalog.Upstream
+	gone time.Time
+}
+
+// View is safe for concurrent use.
+type View struct {
+	codec     Codec
+	confirmed atomic.Int64 // Unix nanoseconds of the last confirmation that the operator's records are complete
+	config    atomic.Pointer[tgcatalog.Config]
+	following atomic.Bool // a source that reports each change at once is connected
+	pools     atomic.Pointer[map[string][]tgcatalog.Upstream]
+
+	mu        sync.Mutex
+	lost      time.Time // when the store was lost; zero while it answers
+	back      time.Time // when it last came back
+	upstreams map[string]entry
+	withdrawn map[string]bool // by data centre
+}
+
+// NewView returns an empty view.
+func NewView(codec Codec) *View {
+	v := &View{codec: codec, upstreams: map[string]entry{}, withdrawn: map[string]bool{}}
+	v.pools.Store(&map[string][]tgcatalog.Upstream{})
+	return v
+}
+
+// Config returns the newest configuration, or nil, and whether it is known to be current.
+func (v *View) Config() (c *tgcatalog.Config, current bool) {
+	c = v.config.Load()
+	if c == nil {
+		return nil, false
+	}
+	return c, v.following.Load() || time.Now().UnixNano()-v.confirmed.Load() < int64(currentFor)
+}
+
+// Confirm says that all records of the operator up to now were applied.
+func (v *View) Confirm(now time.Time) { v.confirmed.Store(now.UnixNano()) }
+
+// SetFollowing says whether the store reports each change of the operator at once.
+func (v *View) SetFollowing(following bool) {
+	if v.following.Swap(following) && !following {
+		v.Confirm(time.Now())
+	}
+}
+
+// Upstreams returns the upstreams of a pool that may get new work. The result is not to be changed.
+func (v *View) Upstreams(pool string) []tgcatalog.Upstream { return (*v.pools.Load())[pool] }
+
+// StoreLost says that the list of upstreams cannot be read.
+func (v *View) StoreLost(now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.lost.IsZero() {
+		v.lost = now
+	}
+}
+
+// StoreBack says that the list of upstreams can be read again.
+func (v *View) StoreBack(now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.lost.IsZero() {
+		v.lost, v.back = time.Time{}, now
+	}
+}
+
+// ApplyOperator takes changed records of the operator.
+func (v *View) ApplyOperator(records []tgfold.Record) []Change {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var changes []Change
+	for _, r := range records {
+		c := Change{Key: r.Key, Offset: r.Offset}
+		switch kind, dc := v.codec.Operator(r.Key); kind {
+		case OperatorConfig:
+			v.applyConfig(r, &c)
+		case OperatorWithdrawal:
+			c.Outcome = "restored"
+			delete(v.withdrawn, dc)
+			if len(r.Value) > 0 {
+				c.Outcome = "withdrawn"
+				v.withdrawn[dc] = true
+			}
+		case OperatorOther:
+			c.Outcome = "ignored"
+		}
+		changes = append(changes, c)
+	}
+	v.publish()
+	return changes
+}
+
+func (v *View) applyConfig(r tgfold.Record, c *Change) {
+	if len(r.Value) == 0 {
+		c.Outcome = "ignored" // an operator cannot remove the configuration
+		return
+	}
+	cfg, err := v.codec.Config(r.Value)
+	if err != nil {
+		c.Outcome, c.Err = "rejected", err
+		return
+	}
+	c.Version = cfg.Version
+	if old := v.config.Load(); old != nil && cfg.Version <= old.Version {
+		c.Outcome = "older"
+		return
+	}
+	c.Outcome = "inForce"
+	v.config.Store(cfg)
+}
+
+// ApplyUpstreams takes changed registrations of upstreams.
+func (v *View) ApplyUpstreams(records []tgfold.Record, now time.Time) []Change {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var changes []Change
+	for _, r := range records {
+		if c, ok := v.applyUpstream(r, now); ok {
+			changes = append(changes, c)
+		}
+	}
+	for id, e := range v.upstreams {
+		if !e.gone.IsZero() && !now.Before(e.gone) {
+			delete(v.upstreams, id)
+			changes = append(changes, Change{Key: id, Outcome: "lapsed"})
+		}
+	}
+	v.publish()
+	return changes
+}
+
+// applyUpstream reports ok if the change is worth a line in the log; renewals are not.
+func (v *View) applyUpstream(r tgfold.Record, now time.Time) (c Change, ok bool) {
+	c = Change{Key: r.Key, Offset: r.Offset}
+	old, known := v.upstreams[r.Key]
+	if len(r.Value) == 0 {
+		c.Outcome = "removed"
+		if v.lapses(now) && known && old.State == tgcatalog.StateReady {
+			c.Outcome = "removedInOutage"
+			old.gone = now.Add(lapseGrace)
+			v.upstreams[r.Key] = old
+			return c, known
+		}
+		delete(v.upstreams, r.Key)
+		return c, known
+	}
+	u, err := v.codec.Upstream(r.Key, r.Value, now)
+	if err != nil {
+		c.Outcome, c.Err = "rejected", err
+		delete(v.upstreams, r.Key)
+		return c, true
+	}
+	if known && !u.Started.IsZero() && u.Started.Before(old.Started) {
+		c.Outcome = "olderIncarnation"
+		return c, true
+	}
+	v.upstreams[r.Key] = entry{Upstream: u}
+	c.Outcome = string(u.State)
+	return c, !known || old.State != u.State || old.Address != u.Address
+}
+
+// lapses reports whether a removal may only mean that the engine could not renew its registration.
+func (v *View) lapses(now time.Time) bool {
+	return !v.lost.IsZero() || !v.back.IsZero() && now.Sub(v.back) < lapseGrace
+}
+
+// publish makes the list of upstreams that may get new work.
+func (v *View) publish() {
+	pools := map[string][]tgcatalog.Upstream{}
+	for e := range maps.Values(v.upstreams) {
+		if e.State == tgcatalog.StateReady && !v.withdrawn[e.DataCentre] {
+			pools[e.Pool] = append(pools[e.Pool], e.Upstream)
+		}
+	}
+	v.pools.Store(&pools)
+}
+
+// All returns all registered upstreams of a pool, those that take no new work among them.
+func (v *View) All(pool string) []tgcatalog.Upstream {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var all []tgcatalog.Upstream
+	for _, e := range v.upstreams {
+		if e.Pool == pool {
+			all = append(all, e.Upstream)
+		}
+	}
+	return all
+}
+
+// State is the view's state for a dump.
+type State struct {
+	Current   bool                 `json:"current"`
+	Upstreams []tgcatalog.Upstream `json:"upstreams"`
+	Version   int64                `json:"version"`
+	Withdrawn []string             `json:"withdrawn"`
+}
+
+// State returns the present state.
+func (v *View) State() State {
+	cfg, current := v.Config()
+	s := State{Current: current}
+	if cfg != nil {
+		s.Version = cfg.Version
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, e := range v.upstreams {
+		s.Upstreams = append(s.Upstreams, e.Upstream)
+	}
+	for dc := range v.withdrawn {
+		s.Withdrawn = append(s.Withdrawn, dc)
+	}
+	return s
+}
--- a/io/tgcommand/main.go
+++ b/io/tgcommand/main.go
@@ -65,6 +65,7 @@
 		c.newDemoCmd(),
 		c.newEntryCmd(),
 		c.newKeyCmd(),
+		c.newPlatformCmd(),
 		c.newUpstreamCmd(),
 	)
 	cmd.AddCommand(queries.Root...)
--- /dev/null
+++ b/io/tgcommand/platform.go
@@ -0,0 +1,147 @@
+package tgcommand
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/netip"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+	"github.com/valyala/fasthttp"
+
+	"tanagergrade/io/tgfleet"
+	"tanagergrade/io/tgproxy"
+	"tanagergrade/io/tgreport"
+	tgplatform "tanagergrade/platform"
+)
+
+const (
+	memoryPart = 0.6 // of the platform's limit that the runtime aims at
+	gcPercent  = 200
+)
+
+func (c *config) newPlatformCmd() *cobra.Command {
+	cmd := newGroupCmd("platform", "Run daemons on the users' platform")
+	cmd.Long = "Runs the daemons on the users' platform. The platform gives each process its settings in the file that " +
+		tgplatform.SettingsEnv + " names."
+	cmd.AddCommand(c.newPlatformCompanionCmd(), c.newPlatformEntryCmd())
+	return cmd
+}
+
+// platformDaemon has what both daemons on the platform share.
+type platformDaemon struct {
+	peers    *tgfleet.Peers
+	report   *tgreport.Reporter
+	settings *tgplatform.Settings
+	started  time.Time
+	store    *tgplatform.Store
+}
+
+func (c *config) newPlatformDaemon(role tgfleet.Role) (*platformDaemon, error) {
+	s, err := tgplatform.LoadSettings(os.Getenv(tgplatform.SettingsEnv))
+	if err != nil {
+		return nil, err
+	}
+	runtime.GOMAXPROCS(1) // a VM of the platform runs one thread at a time
+	debug.SetMemoryLimit(int64(memoryPart * float64(s.MemoryBytes)))
+	debug.SetGCPercent(gcPercent)
+	d := &platformDaemon{
+		peers: tgfleet.NewPeers(s.VM), report: tgreport.NewReporter(s.VM, c.stdout), settings: s, started: time.Now(),
+		store: tgplatform.NewStore(s.StoreAddr, dialStore),
+	}
+	d.report.Line("start", tgreport.Fields{"role": role, "ip": s.IP, "dataCentre": s.DataCentre})
+	return d, nil
+}
+
+func dialStore(addr string) (net.Conn, error) { return tgproxy.Dialer().Dial("tcp", addr) }
+
+// peerAddr returns the address of the daemon's datagrams and of its admin server.
+func (d *platformDaemon) peerAddr() netip.AddrPort {
+	return netip.AddrPortFrom(d.settings.IP, d.settings.FirstPeerPort)
+}
+
+// listenPeers opens the socket for datagrams.
+func (d *platformDaemon) listenPeers(ctx context.Context) (*net.UDPConn, error) {
+	var lc net.ListenConfig
+	conn, err := lc.ListenPacket(ctx, "udp4", d.peerAddr().String())
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for peers")
+	}
+	udp, ok := conn.(*net.UDPConn)
+	if !ok {
+		return nil, errors.AssertionFailedf("packet socket is a %T", conn)
+	}
+	return udp, nil
+}
+
+// register writes the daemon's registration to the store until it is accepted.
+func (d *platformDaemon) register(ctx context.Context, role tgfleet.Role) {
+	m := tgfleet.Member{
+		Address: d.peerAddr(), DataCentre: d.settings.DataCentre, Engine: d.settings.EngineAddr, Role: role, Started: d.started,
+	}
+	value, err := m.Encode()
+	if err != nil {
+		d.report.Dependency("store", "encodeFailed", err)
+		return
+	}
+	for ctx.Err() == nil {
+		if err = d.store.Put(tgplatform.TopicMembers, d.settings.VM, value); err == nil {
+			d.report.Line("registered", tgreport.Fields{"address": m.Address})
+			return
+		}
+		d.report.Dependency("store", "registerFailed", err)
+		pause(ctx, time.Second)
+	}
+}
+
+// followMembers keeps the peers up to date.
+func (d *platformDaemon) followMembers(ctx context.Context, f *tgfleet.Follower) {
+	f.Run(ctx)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// serveHTTP serves a handler on an address until ctx ends.
+func serveHTTP(ctx context.Context, addr netip.AddrPort, handler fasthttp.RequestHandler) error {
+	var lc net.ListenConfig
+	listener, err := lc.Listen(ctx, "tcp", addr.String())
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", addr)
+	}
+	server := &fasthttp.Server{
+		CloseOnShutdown: true, Handler: handler, IdleTimeout: 30 * time.Second, NoDefaultServerHeader: true,
+		ReadBufferSize: 4096, WriteBufferSize: 4096,
+	}
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() }) // Serve returns when its listener is closed
+	defer stop()
+	if err := server.Serve(listener); err != nil && ctx.Err() == nil {
+		return errors.Wrapf(err, "serve on %s", addr)
+	}
+	return nil
+}
+
+// Paths of the admin server.
+const (
+	dumpPath    = "/dump"
+	metricsPath = "/metrics"
+)
+
+func (d *platformDaemon) writeJSON(ctx *fasthttp.RequestCtx, v any) {
+	data, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(data)
+}
--- /dev/null
+++ b/io/tgcommand/platform_entry.go
@@ -0,0 +1,204 @@
+package tgcommand
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+	"github.com/spf13/cobra"
+	"github.com/valyala/fasthttp"
+
+	"tanagergrade/core/tgcatalog"
+	"tanagergrade/core/tgfold"
+	"tanagergrade/core/tgview"
+	"tanagergrade/io/tgfleet"
+	"tanagergrade/io/tgproxy"
+	"tanagergrade/io/tgreport"
+	tgplatform "tanagergrade/platform"
+)
+
+func (c *config) newPlatformEntryCmd() *cobra.Command {
+	return &cobra.Command{
+		Args:  cobra.NoArgs,
+		Long:  "Runs the daemon that takes callers' requests. SIGTERM starts a graceful shutdown.",
+		RunE:  c.runPlatformEntry,
+		Short: "Run an entry daemon on the users' platform",
+		Use:   "entry",
+	}
+}
+
+const (
+	operatorWait   = 10 * time.Second // of a read of the operator's topic, which is quiet
+	upstreamsPause = 900 * time.Millisecond
+	upstreamsWait  = 5 * time.Second
+	spareForDrain  = 400 * time.Millisecond
+)
+
+// platformEntry is an entry daemon on the platform.
+type platformEntry struct {
+	*platformDaemon
+	exchange  *tgfleet.Exchange
+	operator  *tgfold.Table
+	proxy     *tgproxy.Server
+	ready     atomic.Bool
+	upstreams *tgfold.Table
+	view      *tgview.View
+}
+
+// Config implements tgproxy.Catalog.
+func (e *platformEntry) Config() (*tgcatalog.Config, bool) { return e.view.Config() }
+
+// Entries implements tgproxy.Catalog.
+func (e *platformEntry) Entries() int { return e.peers.Serving(time.Now()) }
+
+// Upstreams implements tgproxy.Catalog.
+func (e *platformEntry) Upstreams(pool string) []tgcatalog.Upstream { return e.view.Upstreams(pool) }
+
+func (c *config) runPlatformEntry(cmd *cobra.Command, _ []string) error {
+	d, err := c.newPlatformDaemon(tgfleet.RoleEntry)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = d.report.Close() }() // never fails
+	e := newPlatformEntry(d)
+	return e.run(cmd.Context())
+}
+
+func newPlatformEntry(d *platformDaemon) *platformEntry {
+	e := &platformEntry{
+		operator: tgfold.NewTable(), platformDaemon: d, upstreams: tgfold.NewTable(),
+		view: tgview.NewView(tgplatform.Codec()),
+	}
+	b := d.settings.Bounds
+	e.proxy = tgproxy.NewServer(d.settings.DataCentre, e, tgplatform.Headers(), tgproxy.Limits{
+		ColdOverrun: b.ColdOverrun, ColdSlack: b.ColdSlack, DrainGrace: b.DrainGrace, RetryBurst: b.RetryBurst,
+		RetryRatio: b.RetryRatio, RetryWindow: b.RetryWindow, SpareForDrain: spareForDrain,
+	}, d.report, d.report.Counters)
+	e.exchange = &tgfleet.Exchange{
+		InFlight: e.proxy.InFlight, Log: d.report, Operator: e.operator, Peers: d.peers, Upstreams: e.upstreams,
+		VM: d.settings.VM, View: e.view,
+	}
+	return e
+}
+
+func (e *platformEntry) run(ctx context.Context) error {
+	s := e.settings
+	if !s.CallersAddr.IsValid() || !s.ReadyAddr.IsValid() {
+		return errors.New("the settings give this process no address for callers")
+	}
+	var lc net.ListenConfig
+	callers, err := lc.Listen(ctx, "tcp", s.CallersAddr.String())
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	datagrams, err := e.listenPeers(ctx)
+	if err != nil {
+		return err
+	}
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	var wg conc.WaitGroup
+	wg.Go(func() { e.logError(serveHTTP(background, s.ReadyAddr, e.handleReady(ctx))) })
+	wg.Go(func() { e.logError(serveHTTP(background, e.peerAddr(), e.handleAdmin)) })
+	wg.Go(func() { e.exchange.Run(background, datagrams) })
+	go e.register(background, tgfleet.RoleEntry) // calls to the store may outlast the daemon's end
+	go e.follower(tgplatform.TopicOperator, e.operator, operatorWait, 0).Run(background)
+	go e.follower(tgplatform.TopicUpstreams, e.upstreams, upstreamsWait, upstreamsPause).Run(background)
+	go e.follower(tgplatform.TopicMembers, tgfold.NewTable(), operatorWait, 0).Run(background)
+	err = e.proxy.Serve(ctx, callers)
+	cancel()
+	wg.Wait()
+	e.report.Line("stop", tgreport.Fields{"uptimeS": int(time.Since(e.started).Seconds())})
+	return err
+}
+
+func (e *platformEntry) logError(err error) {
+	if err != nil {
+		e.report.Dependency("listener", "failed", err)
+	}
+}
+
+// follower returns the follower of a topic.
+func (e *platformEntry) follower(topic string, table *tgfold.Table, wait, between time.Duration) *tgfleet.Follower {
+	f := &tgfleet.Follower{
+		Back:  func() { e.report.Dependency("store "+topic, "answers", nil) },
+		Lost:  func(err error) { e.report.Dependency("store "+topic, "lost", err) },
+		Pause: between, Store: e.store, Table: table, Topic: topic, Wait: wait,
+	}
+	switch topic {
+	case tgplatform.TopicOperator:
+		f.Apply = func(changed []tgfold.Record) {
+			e.applyOperator(changed)
+			e.view.SetFollowing(true)
+		}
+		lost := f.Lost
+		f.Lost = func(err error) {
+			e.view.SetFollowing(false)
+			lost(err)
+		}
+	case tgplatform.TopicUpstreams:
+		f.Apply = e.applyUpstreams
+		lost, back := f.Lost, f.Back
+		f.Lost = func(err error) {
+			e.view.StoreLost(time.Now())
+			lost(err)
+		}
+		f.Back = func() {
+			e.view.StoreBack(time.Now())
+			back()
+		}
+	default:
+		f.Apply = func(changed []tgfold.Record) {
+			for _, err := range e.peers.Apply(changed, time.Now()) {
+				e.report.Dependency("members", "malformed", err)
+			}
+		}
+	}
+	return f
+}
+
+func (e *platformEntry) applyOperator(changed []tgfold.Record) {
+	for _, c := range e.view.ApplyOperator(changed) {
+		e.report.Belief("store", "operator", c)
+	}
+}
+
+func (e *platformEntry) applyUpstreams(changed []tgfold.Record) {
+	now := time.Now()
+	for _, c := range e.view.ApplyUpstreams(changed, now) {
+		e.report.Belief("store", "upstreams", c)
+	}
+	e.exchange.ReadUpstreams(now)
+}
+
+// handleReady answers the platform's question whether this daemon takes new connections.
+func (e *platformEntry) handleReady(draining context.Context) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		cfg, _ := e.view.Config()
+		if string(ctx.Path()) != tgplatform.ReadyPath {
+			ctx.SetStatusCode(fasthttp.StatusNotFound)
+			return
+		}
+		if cfg == nil || draining.Err() != nil {
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		}
+	}
+}
+
+// handleAdmin serves peers and operators.
+func (e *platformEntry) handleAdmin(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case tgfleet.TablesPath:
+		e.exchange.HandleTables(ctx)
+	case dumpPath:
+		e.writeJSON(ctx, map[string]any{
+			"proxy": e.proxy.State(), "settings": e.settings, "started": e.started, "view": e.view.State(),
+		})
+	case metricsPath:
+		ctx.SetBodyString(e.report.Counters.String())
+	default:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
--- /dev/null
+++ b/io/tgfleet/exchange.go
@@ -0,0 +1,176 @@
+package tgfleet
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+
+	"tanagergrade/core/tgfold"
+	"tanagergrade/core/tgview"
+)
+
+const (
+	gossipInterval   = 500 * time.Millisecond
+	maxDatagram      = 60 << 10
+	pullTimeout      = 800 * time.Millisecond
+	pullBehindFor    = 300 * time.Millisecond // the store usually brings a change sooner
+	upstreamsStale   = 1200 * time.Millisecond
+	TablesPath       = "/tables" // of the admin server
+	socketRetryPause = 50 * time.Millisecond
+)
+
+// Exchange keeps the tables of entries equal: each tells the others how far its tables reach, and one that is behind
+// and does not hear from the store asks for them.
+type Exchange struct {
+	InFlight  func() int
+	Log       Log
+	Operator  *tgfold.Table
+	Peers     *Peers
+	Upstreams *tgfold.Table
+	VM        string
+	View      *tgview.View
+
+	behind  time.Time // since when a peer knows more of the operator
+	client  fasthttp.Client
+	mu      sync.Mutex
+	pulling bool
+	readAt  time.Time // when the store last answered a read of the upstreams
+}
+
+// Log takes changes of what the daemon believes.
+type Log interface {
+	Belief(source, table string, c tgview.Change)
+	Dependency(name, state string, err error)
+}
+
+// ReadUpstreams notes that the store answered a read of the upstreams.
+func (x *Exchange) ReadUpstreams(now time.Time) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.readAt = now
+}
+
+// Run exchanges datagrams on conn until ctx ends.
+func (x *Exchange) Run(ctx context.Context, conn *net.UDPConn) {
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	wg.Go(func() { x.receive(ctx, conn) })
+	for ctx.Err() == nil {
+		x.send(conn)
+		sleep(ctx, gossipInterval)
+	}
+}
+
+func (x *Exchange) send(conn *net.UDPConn) {
+	_, current := x.View.Config()
+	data, err := cbor.Marshal(Gossip{
+		Confirmed: current, InFlight: x.InFlight(), OperatorEnd: x.Operator.End(), UpstreamsEnd: x.Upstreams.End(),
+		VM: x.VM,
+	})
+	if err != nil {
+		x.Log.Dependency("peers", "encodeFailed", err)
+		return
+	}
+	for _, m := range x.Peers.List(RoleEntry, time.Now()) {
+		// A datagram that cannot be sent is as good as lost; the next one follows soon.
+		_, _ = conn.WriteToUDPAddrPort(data, m.Address)
+	}
+}
+
+func (x *Exchange) receive(ctx context.Context, conn *net.UDPConn) {
+	buf := make([]byte, maxDatagram)
+	for ctx.Err() == nil {
+		n, from, err := conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			sleep(ctx, socketRetryPause)
+			continue
+		}
+		var g Gossip
+		if cbor.Unmarshal(buf[:n], &g) != nil || g.VM == "" {
+			continue // not from a daemon of this version
+		}
+		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+		now := time.Now()
+		x.Peers.Heard(g.VM, from, RoleEntry, now)
+		x.compare(g, from, now)
+	}
+}
+
+// compare confirms the own tables with those of a peer, or pulls the peer's.
+func (x *Exchange) compare(g Gossip, from netip.AddrPort, now time.Time) {
+	end := x.Operator.End()
+	if g.Confirmed && g.OperatorEnd <= end {
+		x.View.Confirm(now)
+	}
+	x.mu.Lock()
+	if g.OperatorEnd <= end {
+		x.behind = time.Time{}
+	} else if x.behind.IsZero() {
+		x.behind = now
+	}
+	cfg, _ := x.View.Config()
+	pull := !x.behind.IsZero() && (cfg == nil || now.Sub(x.behind) >= pullBehindFor) ||
+		g.UpstreamsEnd > x.Upstreams.End() && now.Sub(x.readAt) > upstreamsStale
+	pull = pull && !x.pulling
+	if pull {
+		x.pulling = true
+	}
+	x.mu.Unlock()
+	if pull {
+		go x.pull(g.VM, from)
+	}
+}
+
+func (x *Exchange) pull(vm string, from netip.AddrPort) {
+	defer func() {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		x.pulling = false
+	}()
+	status, body, err := x.client.GetTimeout(nil, "http://"+from.String()+TablesPath, pullTimeout)
+	if err == nil && status != fasthttp.StatusOK {
+		err = errors.Newf("status %d", status)
+	}
+	var t Tables
+	if err == nil {
+		err = cbor.Unmarshal(body, &t)
+	}
+	if err != nil {
+		x.Log.Dependency("peer "+vm, "pullFailed", err)
+		return
+	}
+	now := time.Now()
+	source := "peer " + vm
+	for _, c := range x.View.ApplyOperator(x.Operator.Replace(t.Operator, t.OperatorEnd)) {
+		x.Log.Belief(source, "operator", c)
+	}
+	for _, c := range x.View.ApplyUpstreams(x.Upstreams.Replace(t.Upstreams, t.UpstreamsEnd), now) {
+		x.Log.Belief(source, "upstreams", c)
+	}
+	if t.Confirmed {
+		x.View.Confirm(now)
+	}
+}
+
+// HandleTables answers a peer that is behind.
+func (x *Exchange) HandleTables(ctx *fasthttp.RequestCtx) {
+	var t Tables
+	_, t.Confirmed = x.View.Config()
+	t.Operator, t.OperatorEnd = x.Operator.Records()
+	t.Upstreams, t.UpstreamsEnd = x.Upstreams.Records()
+	data, err := cbor.Marshal(t)
+	if err != nil {
+		ctx.Error("encode tables", fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetBody(data)
+}
--- /dev/null
+++ b/io/tgfleet/follower.go
@@ -0,0 +1,100 @@
+// Package tgfleet keeps a daemon's tables of the store's topics up to date, from the store and from its peers.
+package tgfleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"tanagergrade/core/tgfold"
+)
+
+// Store reads and writes keyed topics.
+type Store interface {
+	Newest(ctx context.Context, topic string) (records []tgfold.Record, end int64, err error)
+	Put(topic, key string, value []byte) error
+	Read(topic string, from int64, wait time.Duration) (records []tgfold.Record, next int64, err error)
+}
+
+// Follower applies a topic's records to a table.
+type Follower struct {
+	Apply func(changed []tgfold.Record)
+	Back  func()          // the store answers again; called before Apply
+	Lost  func(err error) // the store stopped answering
+	Pause time.Duration   // between reads that returned records, so that a busy topic is read in batches
+	Store Store
+	Table *tgfold.Table
+	Topic string
+	Wait  time.Duration // for the first record of a read
+}
+
+const (
+	retryFirst = 50 * time.Millisecond
+	retryMost  = 400 * time.Millisecond
+)
+
+// Run follows the topic until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	listed, answering := false, false
+	backoff := retryFirst
+	for ctx.Err() == nil {
+		var err error
+		var changed []tgfold.Record
+		found := false
+		if listed {
+			changed, found, err = f.read()
+		} else {
+			changed, err = f.list(ctx)
+		}
+		switch {
+		case errors.Is(err, tgfold.ErrTrimmed):
+			listed = false
+			continue
+		case err != nil:
+			if answering || backoff == retryFirst {
+				f.Lost(err)
+			}
+			answering = false
+			sleep(ctx, backoff)
+			backoff = min(2*backoff, retryMost)
+			continue
+		}
+		if !answering {
+			f.Back()
+		}
+		listed, answering, backoff = true, true, retryFirst
+		f.Apply(changed)
+		if found {
+			sleep(ctx, f.Pause)
+		}
+	}
+}
+
+func (f *Follower) list(ctx context.Context) ([]tgfold.Record, error) {
+	records, end, err := f.Store.Newest(ctx, f.Topic)
+	if err != nil {
+		return nil, err
+	}
+	return f.Table.Replace(records, end), nil
+}
+
+func (f *Follower) read() (changed []tgfold.Record, found bool, err error) {
+	records, next, err := f.Store.Read(f.Topic, f.Table.End(), f.Wait)
+	if err != nil {
+		return nil, false, err
+	}
+	return f.Table.Apply(records, next), len(records) > 0, nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/io/tgfleet/peers.go
@@ -0,0 +1,93 @@
+package tgfleet
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"tanagergrade/core/tgfold"
+)
+
+const (
+	heardFor     = 20 * time.Second // a peer counts as serving for so long after its last datagram
+	forgottenFor = 10 * time.Minute // a peer that was not heard for so long is not written to any more
+)
+
+// peer is another daemon.
+type peer struct {
+	Member
+	heard time.Time
+}
+
+// Peers is the set of other daemons, from the store and from their datagrams. It is safe for concurrent use.
+type Peers struct {
+	mu    sync.Mutex
+	peers map[string]peer // by VM
+	self  string
+}
+
+// NewPeers returns the peers of the daemon on the VM self.
+func NewPeers(self string) *Peers { return &Peers{peers: map[string]peer{}, self: self} }
+
+// Apply takes changed registrations.
+func (p *Peers) Apply(records []tgfold.Record, now time.Time) (failed []error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, r := range records {
+		if r.Key == p.self {
+			continue
+		}
+		if len(r.Value) == 0 {
+			delete(p.peers, r.Key)
+			continue
+		}
+		m, err := DecodeMember(r)
+		if err != nil {
+			failed = append(failed, err)
+			continue
+		}
+		p.peers[r.Key] = peer{Member: m, heard: now}
+	}
+	return failed
+}
+
+// Heard notes a datagram of an entry, which may not be known yet.
+func (p *Peers) Heard(vm string, addr netip.AddrPort, role Role, now time.Time) {
+	if vm == p.self || vm == "" {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	k, ok := p.peers[vm]
+	if !ok || k.Address != addr {
+		k = peer{Member: Member{Address: addr, Role: role, VM: vm}}
+	}
+	k.heard = now
+	p.peers[vm] = k
+}
+
+// List returns the peers with a role that are still written to.
+func (p *Peers) List(role Role, now time.Time) []Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var members []Member
+	for _, k := range p.peers {
+		if k.Role == role && now.Sub(k.heard) < forgottenFor {
+			members = append(members, k.Member)
+		}
+	}
+	return members
+}
+
+// Serving returns how many entries may serve callers, the own one included.
+func (p *Peers) Serving(now time.Time) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 1
+	for _, k := range p.peers {
+		if k.Role == RoleEntry && now.Sub(k.heard) < heardFor {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/io/tghttp/body.go
@@ -0,0 +1,144 @@
+package tghttp
+
+import (
+	"bufio"
+	"io"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	maxChunkLine = 256
+	maxTrailer   = 8 << 10
+)
+
+// Body reads the body of a message and knows whether its end was seen.
+type Body struct {
+	br       *bufio.Reader
+	complete bool
+	framing  Framing
+	left     int64 // of the body or of the present chunk
+	started  bool  // a chunk was read
+}
+
+// NewBody returns the body that follows a head on br.
+func NewBody(br *bufio.Reader, framing Framing, length int64) *Body {
+	b := &Body{br: br, framing: framing, left: length}
+	if framing == FramingChunked {
+		b.left = 0
+	}
+	b.complete = framing == FramingNone || framing == FramingLength && length == 0
+	return b
+}
+
+// Complete reports whether the end of the body was read.
+func (b *Body) Complete() bool { return b.complete }
+
+// Read implements io.Reader. It returns io.EOF only at the end of the body, and io.ErrUnexpectedEOF if the connection
+// ends earlier.
+func (b *Body) Read(p []byte) (int, error) {
+	if b.complete {
+		return 0, io.EOF
+	}
+	if b.framing == FramingClose {
+		n, err := b.br.Read(p)
+		b.complete = errors.Is(err, io.EOF)
+		return n, err
+	}
+	if b.left == 0 {
+		if err := b.nextChunk(); err != nil {
+			return 0, unexpected(err)
+		}
+		if b.complete {
+			return 0, io.EOF
+		}
+	}
+	n, err := b.br.Read(p[:min(int64(len(p)), b.left)])
+	b.left -= int64(n)
+	if b.left == 0 && b.framing == FramingLength {
+		b.complete = true
+	}
+	if err != nil && !b.complete {
+		return n, unexpected(err)
+	}
+	return n, nil
+}
+
+func unexpected(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// nextChunk reads the end of the last chunk and the size of the next one.
+func (b *Body) nextChunk() error {
+	left := maxChunkLine
+	if b.started {
+		line, err := readLine(b.br, &left)
+		if err != nil {
+			return err
+		}
+		if line != "" {
+			return syntaxError(statusBadRequest, "chunk is longer than its size")
+		}
+	}
+	b.started = true
+	line, err := readLine(b.br, &left)
+	if err != nil {
+		return err
+	}
+	size, _, _ := strings.Cut(line, ";")
+	size = strings.TrimRight(size, " \t")
+	if size == "" || strings.Trim(size, "0123456789abcdefABCDEF") != "" {
+		return syntaxError(statusBadRequest, "chunk size is not valid")
+	}
+	if b.left, err = strconv.ParseInt(size, 16, 63); err != nil {
+		return syntaxError(statusBadRequest, "chunk size is not valid")
+	}
+	if b.left > 0 {
+		return nil
+	}
+	trailer := maxTrailer
+	if _, err := readHeader(b.br, &trailer); err != nil {
+		return err
+	}
+	b.complete = true
+	return nil
+}
+
+// ReadAll reads a whole body of at most limit bytes.
+func (b *Body) ReadAll(limit int64) ([]byte, error) {
+	if b.framing == FramingLength && b.left > limit {
+		return nil, syntaxError(statusTooLarge, "body is longer than %d bytes", limit)
+	}
+	if b.complete {
+		return nil, nil
+	}
+	size := int64(512)
+	if b.framing == FramingLength {
+		size = b.left
+	}
+	data := make([]byte, 0, min(size, 64<<10))
+	for {
+		if len(data) == cap(data) {
+			data = append(data, 0)[:len(data)]
+		}
+		n, err := b.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		if int64(len(data)) > limit {
+			return nil, syntaxError(statusTooLarge, "body is longer than %d bytes", limit)
+		}
+		if errors.Is(err, io.EOF) {
+			return data, nil
+		}
+		if err != nil {
+			return data, err
+		}
+		if b.complete {
+			return data, nil
+		}
+	}
+}
--- /dev/null
+++ b/io/tghttp/head.go
@@ -0,0 +1,259 @@
+package tghttp
+
+import (
+	"bufio"
+	"bytes"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// readLine reads one line without its end; left is what the head may still take.
+func readLine(br *bufio.Reader, left *int) (string, error) {
+	var long []byte
+	for {
+		part, err := br.ReadSlice('\n')
+		*left -= len(part)
+		if *left < 0 {
+			return "", syntaxError(statusHeaderTooLarge, "head is too large")
+		}
+		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
+			return "", err
+		}
+		if err == nil && long == nil {
+			return trimLine(part)
+		}
+		long = append(long, part...)
+		if err == nil {
+			return trimLine(long)
+		}
+	}
+}
+
+func trimLine(line []byte) (string, error) {
+	line, ok := bytes.CutSuffix(line, []byte("\r\n"))
+	if !ok {
+		return "", syntaxError(statusBadRequest, "line does not end with CRLF")
+	}
+	if bytes.ContainsAny(line, "\r\x00") {
+		return "", syntaxError(statusBadRequest, "line has a control character")
+	}
+	return string(line), nil
+}
+
+func readHeader(br *bufio.Reader, left *int) (Header, error) {
+	var h Header
+	for {
+		line, err := readLine(br, left)
+		if err != nil {
+			return nil, err
+		}
+		if line == "" {
+			return h, nil
+		}
+		name, value, ok := strings.Cut(line, ":")
+		if !ok || !isToken(name) {
+			return nil, syntaxError(statusBadRequest, "header line has no valid name")
+		}
+		h = append(h, Field{Name: name, Value: strings.Trim(value, " \t")})
+	}
+}
+
+// isToken reports whether s is a token as names of headers and methods are.
+func isToken(s string) bool {
+	for i := range len(s) {
+		c := s[i]
+		switch {
+		case c >= '0' && c <= '9', c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z':
+		case strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0:
+		default:
+			return false
+		}
+	}
+	return s != ""
+}
+
+// ReadRequest reads a request head of at most maxBytes.
+func ReadRequest(br *bufio.Reader, maxBytes int) (*Request, error) {
+	left := maxBytes
+	line, err := readLine(br, &left)
+	if err != nil {
+		return nil, err
+	}
+	r := &Request{}
+	if err := r.parseLine(line); err != nil {
+		return nil, err
+	}
+	if r.Header, err = readHeader(br, &left); err != nil {
+		return nil, err
+	}
+	if r.Framing, r.Length, err = bodyFraming(r.Header); err != nil {
+		return nil, err
+	}
+	if r.Framing == FramingChunked && r.Minor == 0 {
+		return nil, syntaxError(statusBadRequest, "chunked body in HTTP/1.0")
+	}
+	if n := r.Header.Count("Host"); n > 1 || n == 0 && r.Minor > 0 {
+		return nil, syntaxError(statusBadRequest, "request has %d Host headers", n)
+	}
+	r.Host = r.Header.Get("Host")
+	r.KeepAlive = keepsAlive(r.Header, r.Minor)
+	return r, nil
+}
+
+func (r *Request) parseLine(line string) error {
+	method, rest, ok := strings.Cut(line, " ")
+	target, version, ok2 := strings.Cut(rest, " ")
+	if !ok || !ok2 || !isToken(method) {
+		return syntaxError(statusBadRequest, "request line is not valid")
+	}
+	if !strings.HasPrefix(target, "/") {
+		return syntaxError(statusBadRequest, "request target is not a path")
+	}
+	for i := range len(target) {
+		if target[i] <= ' ' || target[i] == 0x7f || target[i] == '#' {
+			return syntaxError(statusBadRequest, "request target has a character that is not allowed")
+		}
+	}
+	switch version {
+	case "HTTP/1.0":
+	case "HTTP/1.1":
+		r.Minor = 1
+	default:
+		return syntaxError(statusBadRequest, "version is not HTTP/1.0 or HTTP/1.1")
+	}
+	r.Method, r.Target = method, target
+	return nil
+}
+
+func keepsAlive(h Header, minor int) bool {
+	for i := range h {
+		if !strings.EqualFold(h[i].Name, "Connection") {
+			continue
+		}
+		if hasToken(h[i].Value, "close") {
+			return false
+		}
+		if minor == 0 && hasToken(h[i].Value, "keep-alive") {
+			return true
+		}
+	}
+	return minor > 0
+}
+
+// bodyFraming returns how the body of a request ends. Messages that two readers could frame differently are errors.
+func bodyFraming(h Header) (Framing, int64, error) {
+	coding, lengths := "", []string(nil)
+	for i := range h {
+		switch {
+		case strings.EqualFold(h[i].Name, "Transfer-Encoding"):
+			if coding != "" {
+				return "", 0, syntaxError(statusBadRequest, "two Transfer-Encoding headers")
+			}
+			coding = h[i].Value
+			if coding == "" {
+				return "", 0, syntaxError(statusBadRequest, "empty Transfer-Encoding")
+			}
+		case strings.EqualFold(h[i].Name, "Content-Length"):
+			lengths = append(lengths, h[i].Value)
+		}
+	}
+	switch {
+	case coding != "" && len(lengths) > 0:
+		return "", 0, syntaxError(statusBadRequest, "both Transfer-Encoding and Content-Length")
+	case coding != "" && !strings.EqualFold(coding, "chunked"):
+		return "", 0, syntaxError(statusNotImplemented, "transfer coding is not supported")
+	case coding != "":
+		return FramingChunked, -1, nil
+	case len(lengths) == 0:
+		return FramingNone, 0, nil
+	case len(lengths) > 1:
+		return "", 0, syntaxError(statusBadRequest, "two Content-Length headers")
+	}
+	n, err := parseLength(lengths[0])
+	if err != nil {
+		return "", 0, err
+	}
+	if n == 0 {
+		return FramingNone, 0, nil
+	}
+	return FramingLength, n, nil
+}
+
+func parseLength(s string) (int64, error) {
+	for i := range len(s) {
+		if s[i] < '0' || s[i] > '9' {
+			return 0, syntaxError(statusBadRequest, "Content-Length is not a number")
+		}
+	}
+	n, err := strconv.ParseInt(s, 10, 63)
+	if err != nil {
+		return 0, syntaxError(statusBadRequest, "Content-Length is not a number")
+	}
+	return n, nil
+}
+
+const (
+	maxResponseHead     = 64 << 10
+	maxInformational    = 5 // 1xx responses before the final one
+	statusInformational = 199
+	statusNoContent     = 204
+	statusNotModified   = 304
+)
+
+// ReadResponse reads the head of the final response to a request with the given method.
+func ReadResponse(br *bufio.Reader, method string) (*Response, error) {
+	for range maxInformational {
+		r, err := readResponse(br, method)
+		if err != nil || r.Status > statusInformational {
+			return r, err
+		}
+	}
+	return nil, syntaxError(statusBadRequest, "too many informational responses")
+}
+
+func readResponse(br *bufio.Reader, method string) (*Response, error) {
+	left := maxResponseHead
+	line, err := readLine(br, &left)
+	if err != nil {
+		return nil, err
+	}
+	version, rest, ok := strings.Cut(line, " ")
+	if !ok || version != "HTTP/1.1" && version != "HTTP/1.0" {
+		return nil, syntaxError(statusBadRequest, "status line is not valid")
+	}
+	code, reason, _ := strings.Cut(rest, " ")
+	r := &Response{Reason: reason}
+	if len(code) != 3 {
+		return nil, syntaxError(statusBadRequest, "status is not valid")
+	}
+	if r.Status, err = strconv.Atoi(code); err != nil || r.Status < 100 {
+		return nil, syntaxError(statusBadRequest, "status is not valid")
+	}
+	if r.Header, err = readHeader(br, &left); err != nil {
+		return nil, err
+	}
+	minor := 0
+	if version == "HTTP/1.1" {
+		minor = 1
+	}
+	r.KeepAlive = keepsAlive(r.Header, minor)
+	return r, r.frame(method)
+}
+
+func (r *Response) frame(method string) error {
+	if method == "HEAD" || r.Status == statusNoContent || r.Status == statusNotModified || r.Status <= statusInformational {
+		r.Framing = FramingNone
+		return nil
+	}
+	framing, n, err := bodyFraming(r.Header)
+	if err != nil {
+		return err
+	}
+	if framing == FramingNone && r.Header.Count("Content-Length") == 0 {
+		framing, r.KeepAlive = FramingClose, false
+	}
+	r.Framing, r.Length = framing, n
+	return nil
+}
--- /dev/null
+++ b/io/tgproxy/call.go
@@ -0,0 +1,118 @@
+package tgproxy
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"tanagergrade/core/tgcatalog"
+	"tanagergrade/core/tgpace"
+	"tanagergrade/io/tghttp"
+)
+
+// call is one attempt of a caller.
+type call struct {
+	account  tgcatalog.Account
+	attempts int
+	began    time.Time
+	body     []byte
+	config   *tgcatalog.Config
+	deadline time.Time // of the caller
+	detail   string    // of the last attempt
+	ends     time.Time // earlier one of the caller's deadline and the route's timeout
+	headers  *Headers
+	id       string
+	pool     string
+	request  *tghttp.Request
+	returns  bool // the caller was refused before
+	route    *tgcatalog.Route
+	sent     bool // an upstream may have run it
+	ticket   *tgpace.Ticket
+	tried    map[string]bool
+	upstream string
+	work     float64
+}
+
+const (
+	defaultWait    = 30 * time.Second // for a request without a deadline
+	maxWait        = 10 * time.Minute
+	returnMargin   = 50 * time.Millisecond // a deadline that is shorter than usual by more marks a caller who returns
+	meanPrompt     = 1000.0                // tokens that add as much load as a stream without a prompt
+	maxPromptShare = 4.0
+)
+
+func (s *Server) newCall(r *tghttp.Request, body []byte, began time.Time) *call {
+	c := &call{began: began, body: body, headers: &s.headers, id: r.Header.Get(s.headers.AttemptID), request: r, work: 1}
+	wait := defaultWait
+	if ms, err := strconv.ParseFloat(r.Header.Get(s.headers.DeadlineMs), 64); err == nil && ms >= 0 {
+		wait = min(time.Duration(ms*float64(time.Millisecond)), maxWait)
+	}
+	c.deadline = began.Add(wait)
+	c.ends = c.deadline
+	return c
+}
+
+// bind sets what follows from the route.
+func (c *call) bind(route *tgcatalog.Route) {
+	c.route = route
+	if end := c.began.Add(route.Timeout); route.Timeout > 0 && end.Before(c.ends) {
+		c.ends = end
+	}
+	if route.Kind != tgcatalog.KindStreaming {
+		return
+	}
+	prompt, _, _ := strings.Cut(c.request.Header.Get(c.headers.TokenCounts), ",")
+	if n, err := strconv.ParseFloat(strings.TrimSpace(prompt), 64); err == nil {
+		c.work = 1 + min(max(n, 0)/meanPrompt, maxPromptShare)
+	}
+}
+
+// head returns the head of the request to an upstream; resumeAfter is the last event that the caller has, if any.
+func (c *call) head(u tgcatalog.Upstream, resumeAfter string, now time.Time) []byte {
+	h := c.headers
+	b := make([]byte, 0, 1<<10)
+	b = tghttp.AppendRequestLine(b, c.request.Method, c.request.Target)
+	for _, f := range c.request.Header {
+		if c.request.Header.IsHop(f.Name) || c.replaces(f.Name, resumeAfter != "") {
+			continue
+		}
+		b = tghttp.AppendField(b, f.Name, f.Value)
+	}
+	if resumeAfter != "" {
+		b = tghttp.AppendField(b, h.LastEventID, resumeAfter)
+	}
+	if c.account.Name != "" {
+		b = tghttp.AppendField(b, h.Account, c.account.Name)
+	}
+	b = tghttp.AppendField(b, h.TargetID, u.ID)
+	b = tghttp.AppendField(b, h.DeadlineMs, strconv.FormatInt(max(1, c.ends.Sub(now).Milliseconds()), 10))
+	if len(c.body) == 0 && c.request.Framing == tghttp.FramingNone && c.request.Header.Count("Content-Length") == 0 {
+		return append(b, "\r\n"...)
+	}
+	return tghttp.AppendLength(b, len(c.body))
+}
+
+// replaces reports whether the proxy sets a header itself or keeps it to itself.
+func (c *call) replaces(name string, resumes bool) bool {
+	h := c.headers
+	for _, own := range [...]string{h.Account, h.DeadlineMs, h.Key, h.TargetID} {
+		if strings.EqualFold(name, own) {
+			return true
+		}
+	}
+	return resumes && strings.EqualFold(name, h.LastEventID)
+}
+
+func (c *call) event(outcome string, status int, now time.Time) Event {
+	e := Event{
+		Account: c.account.Name, Attempts: c.attempts, Detail: c.detail, Elapsed: now.Sub(c.began), ID: c.id,
+		Outcome: outcome, Pool: c.pool, Status: status, Upstream: c.upstream,
+	}
+	if c.config != nil {
+		e.ConfigVersion = c.config.Version
+	}
+	if c.route != nil {
+		e.Route = c.route.Name
+	}
+	return e
+}
--- /dev/null
+++ b/io/tgproxy/conns.go
@@ -0,0 +1,192 @@
+package tgproxy
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	dialTimeout      = 400 * time.Millisecond
+	idleBuffer       = 4 << 10
+	idleMargin       = 0.7 // part of the upstream's idle timeout after which a connection is not used again
+	defaultIdle      = 4 * time.Second
+	keepAliveProbes  = 2
+	keepAliveSpacing = time.Second
+	sweepInterval    = time.Second
+	tcpUserTimeout   = 18 // option of the Linux TCP stack
+	unackedTimeout   = 1200 * time.Millisecond
+)
+
+// errNoConnection says that the share of the upstream's connections is used up.
+var errNoConnection = errors.New("all connections to the upstream are in use")
+
+// Dialer returns a dialer whose connections end when the peer goes silent.
+func Dialer() *net.Dialer {
+	return &net.Dialer{
+		Control: func(_, _ string, c syscall.RawConn) error {
+			return c.Control(func(fd uintptr) {
+				// A kernel without the option only finds silence later.
+				_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTimeout.Milliseconds()))
+			})
+		},
+		KeepAliveConfig: net.KeepAliveConfig{
+			Count: keepAliveProbes, Enable: true, Idle: keepAliveSpacing, Interval: keepAliveSpacing,
+		},
+		Timeout: dialTimeout,
+	}
+}
+
+// upstreamConn is a connection that serves one request at a time.
+type upstreamConn struct {
+	net.Conn
+	br      *bufio.Reader
+	expires time.Time // not used again from then on
+	reused  bool
+}
+
+// connPool keeps idle connections by address.
+type connPool struct {
+	dialer *net.Dialer
+	idle   map[netip.AddrPort][]*upstreamConn
+	mu     sync.Mutex
+	open   map[netip.AddrPort]int
+	swept  time.Time
+}
+
+func newConnPool() *connPool {
+	return &connPool{dialer: Dialer(), idle: map[netip.AddrPort][]*upstreamConn{}, open: map[netip.AddrPort]int{}}
+}
+
+// get returns an idle connection or a new one, of at most most connections to the address.
+func (p *connPool) get(ctx context.Context, addr netip.AddrPort, most int) (*upstreamConn, error) {
+	for {
+		c := p.takeIdle(addr)
+		if c == nil {
+			break
+		}
+		if c.usable() {
+			return c, nil
+		}
+		p.discard(addr, c)
+	}
+	if !p.reserve(addr, most) {
+		return nil, errNoConnection
+	}
+	conn, err := p.dialer.DialContext(ctx, "tcp", addr.String())
+	if err != nil {
+		p.release(addr)
+		return nil, err
+	}
+	return &upstreamConn{Conn: conn, br: bufio.NewReaderSize(conn, idleBuffer)}, nil
+}
+
+func (p *connPool) takeIdle(addr netip.AddrPort) *upstreamConn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[addr]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[addr] = list[:len(list)-1]
+	return c
+}
+
+func (p *connPool) reserve(addr netip.AddrPort, most int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if most > 0 && p.open[addr] >= most {
+		return false
+	}
+	p.open[addr]++
+	return true
+}
+
+func (p *connPool) release(addr netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open[addr]--; p.open[addr] <= 0 {
+		delete(p.open, addr)
+	}
+}
+
+// put keeps a connection whose answer was read to its end for another request.
+func (p *connPool) put(addr netip.AddrPort, c *upstreamConn, idleFor time.Duration) {
+	now := time.Now()
+	c.expires = now.Add(time.Duration(idleMargin * float64(idleFor)))
+	c.reused = true
+	p.mu.Lock()
+	expired := p.takeExpired(now)
+	p.idle[addr] = append(p.idle[addr], c)
+	p.mu.Unlock()
+	for _, e := range expired {
+		p.discard(e.addr, e.conn)
+	}
+}
+
+type expiredConn struct {
+	addr netip.AddrPort
+	conn *upstreamConn
+}
+
+// takeExpired removes idle connections that are not used any more; a list is in the order of its returns.
+func (p *connPool) takeExpired(now time.Time) []expiredConn {
+	if now.Sub(p.swept) < sweepInterval {
+		return nil
+	}
+	p.swept = now
+	var expired []expiredConn
+	for addr, list := range p.idle {
+		n := 0
+		for n < len(list) && !now.Before(list[n].expires) {
+			expired = append(expired, expiredConn{addr, list[n]})
+			n++
+		}
+		if p.idle[addr] = list[n:]; n == len(list) {
+			delete(p.idle, addr)
+		}
+	}
+	return expired
+}
+
+// usable reports whether an idle connection can take a request: it is not closed, its time is not over, and there are
+// no bytes that nobody asked for.
+func (c *upstreamConn) usable() bool {
+	if !time.Now().Before(c.expires) || c.br.Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	waiting := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		waiting = errors.Is(e, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && waiting
+}
+
+func isTimeout(err error) bool {
+	var ne net.Error
+	return errors.As(err, &ne) && ne.Timeout()
+}
+
+// discard closes a connection.
+func (p *connPool) discard(addr netip.AddrPort, c *upstreamConn) {
+	_ = c.Close() // nothing is lost with a connection that is not used any more
+	p.release(addr)
+}
--- /dev/null
+++ b/io/tgproxy/forward.go
@@ -0,0 +1,248 @@
+package tgproxy
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"tanagergrade/core/tgcatalog"
+	"tanagergrade/core/tgpace"
+	"tanagergrade/core/tgpick"
+	"tanagergrade/io/tghttp"
+)
+
+// answer is the answer to a call in progress.
+type answer struct {
+	caller  *caller
+	ctx     context.Context //nolint:containedctx // lives as long as one call
+	keep    bool            // the connection may carry another request
+	lastGap time.Time       // when the last event was passed on
+	lastID  string          // last event that the caller has
+	pacer   *tgpace.Pacer
+	started bool // the head was written
+}
+
+const (
+	maxAnswer     = 16 << 20
+	maxUnsent     = 3 // upstreams that could not be reached before the request is refused
+	minTimeToSend = 20 * time.Millisecond
+)
+
+// run passes the call on until it is answered.
+func (k *caller) run(a *answer, c *call) {
+	s := k.server
+	upstreams := s.catalog.Upstreams(c.pool)
+	if !k.admit(a, c, len(upstreams)) {
+		return
+	}
+	if c.ticket != nil {
+		defer func() { c.ticket.Done(time.Now()) }()
+	}
+	c.tried = map[string]bool{}
+	window := s.window(c.pool)
+	for unsent := 0; ; {
+		now := time.Now()
+		if a.ctx.Err() != nil || c.ends.Sub(now) < minTimeToSend {
+			k.giveUp(a, c)
+			return
+		}
+		choice, reason := s.picker.Pick(s.catalog.Upstreams(c.pool), s.pickRequest(c), now)
+		if choice == nil {
+			k.exhausted(a, c, "no upstream: "+string(reason), retryNoUpstream)
+			return
+		}
+		if c.attempts == 0 {
+			window.Sent(now)
+		} else if !window.Repeat(now) {
+			choice.Done(tgpick.OutcomeCancelled, 0, now)
+			k.exhausted(a, c, c.detail+"; retry budget is used up", retryNoUpstream)
+			return
+		}
+		c.attempts++
+		verdict := k.attempt(a, c, choice)
+		if verdict == verdictDone {
+			return
+		}
+		if verdict == verdictUnsent {
+			c.attempts--
+			if unsent++; unsent < maxUnsent {
+				continue
+			}
+		}
+		if c.attempts >= c.route.MaxAttempts || verdict != verdictRetry {
+			k.exhausted(a, c, c.detail, retryFullBase+time.Duration(s.rand()*float64(retryFullSpread)))
+			return
+		}
+	}
+}
+
+func (s *Server) pickRequest(c *call) tgpick.Request {
+	rate := c.config.Pools[c.pool].ColdRate / float64(max(1, s.catalog.Entries())+1)
+	return tgpick.Request{ColdRate: rate, Tried: c.tried, Work: c.work}
+}
+
+// verdict says what follows an attempt.
+type verdict string
+
+const (
+	verdictDone   verdict = "done"
+	verdictRetry  verdict = "retry"  // another upstream may have it
+	verdictStop   verdict = "stop"   // no other upstream may have it
+	verdictUnsent verdict = "unsent" // it did not reach the upstream
+)
+
+// attempt sends the call to one upstream and passes its answer on.
+func (k *caller) attempt(a *answer, c *call, choice *tgpick.Choice) verdict {
+	s := k.server
+	u := choice.Upstream
+	c.upstream = u.ID
+	c.tried[u.ID] = true
+	x := s.open(a.ctx, u, s.connections(c), c, c.head(u, a.lastID, time.Now()))
+	defer x.finish()
+	c.detail = x.detail
+	if x.kind != answerUnsent && x.kind != answerNotRun {
+		c.sent = true
+	}
+	outcome, v := tgpick.OutcomeAnswered, verdictDone
+	switch x.kind {
+	case answerOK:
+		outcome, v = k.deliver(a, c, x)
+	case answerFailed:
+		outcome = tgpick.OutcomeBroken
+		if v = verdictRetry; !k.mayRepeat(c) || a.started {
+			v = k.deliverFailure(a, c, x)
+		}
+	case answerNotRun:
+		outcome, v = tgpick.OutcomeFull, verdictRetry
+	case answerUnsent:
+		outcome, v = tgpick.OutcomeLost, verdictUnsent
+	case answerCanceled:
+		outcome, v = tgpick.OutcomeCancelled, verdictDone
+		k.giveUp(a, c)
+	case answerSpoilt, answerUnclear:
+		outcome, v = tgpick.OutcomeLost, verdictStop
+		if c.route.Repeatable() {
+			v = verdictRetry
+		}
+	}
+	now := time.Now()
+	choice.Done(outcome, x.firstByte, now)
+	if v != verdictDone {
+		s.observer.Attempt(c.event(string(x.kind), 0, now))
+	}
+	return v
+}
+
+// mayRepeat reports whether another attempt could follow one that ran.
+func (k *caller) mayRepeat(c *call) bool {
+	return c.route.Repeatable() && c.attempts < c.route.MaxAttempts
+}
+
+// connections returns this process's share of the connections of an upstream.
+func (s *Server) connections(c *call) int {
+	most := c.config.Pools[c.pool].MaxConnections
+	if most <= 0 {
+		return 0
+	}
+	return max(1, most/(max(1, s.catalog.Entries())+1))
+}
+
+// deliver passes a success on.
+func (k *caller) deliver(a *answer, c *call, x *exchange) (tgpick.Outcome, verdict) {
+	if c.route.Kind == tgcatalog.KindStreaming {
+		return k.deliverStream(a, c, x)
+	}
+	body, err := x.body.ReadAll(maxAnswer)
+	if err != nil {
+		c.detail = "answer ends early: " + err.Error()
+		if a.ctx.Err() != nil {
+			k.giveUp(a, c)
+			return tgpick.OutcomeCancelled, verdictDone
+		}
+		if c.route.Repeatable() {
+			return tgpick.OutcomeBroken, verdictRetry
+		}
+		return tgpick.OutcomeBroken, verdictStop
+	}
+	k.writePlain(a, c, x, body)
+	return tgpick.OutcomeAnswered, verdictDone
+}
+
+// deliverFailure passes an upstream's own failure on. A status that would promise that the request has not run is
+// replaced, since the upstream did not say so.
+func (k *caller) deliverFailure(a *answer, c *call, x *exchange) verdict {
+	switch x.response.Status {
+	case timeoutCause, statusConflict, statusTooMany, statusFull:
+		return verdictStop
+	}
+	body, err := x.body.ReadAll(maxAnswer)
+	if err != nil || a.started {
+		return verdictStop
+	}
+	k.writePlain(a, c, x, body)
+	return verdictDone
+}
+
+func (k *caller) writePlain(a *answer, c *call, x *exchange, body []byte) {
+	b := responseHead(x.response, a.keep)
+	b = tghttp.AppendLength(b, len(body))
+	err := k.write(append(b, body...))
+	a.keep = a.keep && err == nil
+	outcome := outcomeAnswered
+	if x.kind == answerFailed {
+		outcome = outcomeFailed
+	}
+	k.server.observer.Request(c.event(outcome, x.response.Status, time.Now()))
+}
+
+// responseHead returns the head of an upstream's answer without its framing.
+func responseHead(r *tghttp.Response, keep bool) []byte {
+	b := tghttp.AppendStatusLine(make([]byte, 0, 1<<10), r.Status, r.Reason)
+	for _, f := range r.Header {
+		if !r.Header.IsHop(f.Name) {
+			b = tghttp.AppendField(b, f.Name, f.Value)
+		}
+	}
+	if !keep {
+		b = tghttp.AppendField(b, "Connection", "close")
+	}
+	return b
+}
+
+// exhausted answers a call that no upstream will answer.
+func (k *caller) exhausted(a *answer, c *call, detail string, retryAfter time.Duration) {
+	c.detail = detail
+	switch {
+	case a.started:
+		k.breakOff(a, c, outcomeBroken)
+	case c.sent:
+		a.keep = k.refuse(c, http.StatusBadGateway, outcomeUnclear, 0, a.keep)
+	default:
+		a.keep = k.refuse(c, http.StatusServiceUnavailable, outcomeRefused, retryAfter, a.keep)
+	}
+}
+
+// giveUp ends a call whose time is over or whose caller has left.
+func (k *caller) giveUp(a *answer, c *call) {
+	now := time.Now()
+	left := now.Before(c.ends.Add(-minTimeToSend)) && a.ctx.Err() != nil
+	switch {
+	case left:
+		k.breakOff(a, c, outcomeCancelled)
+	case a.started:
+		k.breakOff(a, c, outcomeDeadline)
+	case c.sent:
+		a.keep = k.refuse(c, http.StatusGatewayTimeout, outcomeDeadline, 0, a.keep)
+	default:
+		a.keep = k.refuse(c, http.StatusServiceUnavailable, outcomeDeadline, 0, a.keep)
+	}
+}
+
+// breakOff closes the caller's connection, so that an answer that has begun does not look complete.
+func (k *caller) breakOff(a *answer, c *call, outcome string) {
+	a.keep = false
+	k.server.observer.Request(c.event(outcome, 0, time.Now()))
+}
+
+func formatID(id int64) string { return strconv.FormatInt(id, 10) }
--- /dev/null
+++ b/io/tgproxy/options.go
@@ -0,0 +1,71 @@
+// Package tgproxy takes callers' requests over HTTP/1.1 and passes them to upstreams: it routes, admits, retries,
+// resumes streams and answers. It learns names of headers and the catalog from its owner.
+package tgproxy
+
+import (
+	"time"
+
+	"tanagergrade/core/tgcatalog"
+)
+
+// Headers names the headers that the proxy reads or sets.
+type Headers struct {
+	Account       string // set for upstreams: the client account of the key
+	AttemptID     string // of the caller's attempt; upstreams echo it
+	DeadlineMs    string // milliseconds that the caller will wait
+	EngineAtFault string // upstream that made a group fail
+	Key           string // the caller's key; not passed on
+	LastEventID   string // last event that the caller has
+	NotRun        string // set by upstreams that did not run the request
+	Priority      string // set for upstreams: 0 is first
+	Signature     string // of an upstream's own answer
+	TargetID      string // set for upstreams: the incarnation that may run the request
+	TokenCounts   string // prompt tokens and most output tokens
+}
+
+// Catalog is what the proxy knows of the deployment.
+type Catalog interface {
+	// Config returns the accepted configuration, or nil if none is known, and whether it is known to be current.
+	Config() (c *tgcatalog.Config, current bool)
+	// Entries returns how many daemons may take callers' requests at the same time, this one included.
+	Entries() int
+	// Upstreams returns the upstreams of a pool that may get new work.
+	Upstreams(pool string) []tgcatalog.Upstream
+}
+
+// Limits are the bounds that all entries keep together.
+type Limits struct {
+	ColdOverrun   float64
+	ColdSlack     float64
+	DrainGrace    time.Duration
+	RetryBurst    float64
+	RetryRatio    float64
+	RetryWindow   time.Duration
+	SpareForDrain time.Duration // part of DrainGrace kept for ending the process
+}
+
+// Event is one decision about a request, for the log.
+type Event struct {
+	Account       string
+	Attempts      int
+	ConfigVersion int64
+	Detail        string
+	Elapsed       time.Duration
+	ID            string
+	InFlight      int
+	Outcome       string
+	Limit         float64
+	Pool          string
+	RetryAfter    time.Duration
+	Route         string
+	Status        int
+	Upstream      string
+}
+
+// Observer takes the events of the proxy; it must not block.
+type Observer interface {
+	// Request takes the final decision about a request.
+	Request(e Event)
+	// Attempt takes the result of an attempt that did not end its request.
+	Attempt(e Event)
+}
--- /dev/null
+++ b/io/tgproxy/server.go
@@ -0,0 +1,168 @@
+package tgproxy
+
+import (
+	"bufio"
+	"context"
+	"expvar"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+
+	"tanagergrade/core/tgcatalog"
+	"tanagergrade/core/tgpace"
+	"tanagergrade/core/tgpick"
+	"tanagergrade/core/tgretry"
+)
+
+// Server serves callers' connections.
+type Server struct {
+	catalog   Catalog
+	conns     *connPool
+	counters  *expvar.Map
+	drainedAt atomic.Int64 // Unix nanoseconds at which idle connections close; 0 while not draining
+	headers   Headers
+	limits    Limits
+	observer  Observer
+	picker    *tgpick.Picker
+	rand      func() float64
+
+	mu      sync.Mutex
+	callers map[*caller]struct{}
+	pacers  map[string]*tgpace.Pacer   // by pool
+	usual   map[string]time.Duration   // longest deadline seen, by route
+	windows map[string]*tgretry.Window // by pool
+}
+
+const (
+	// The platform asks once a second and needs two misses before it sends no new connections.
+	newConnectionsFor = 2600 * time.Millisecond
+	firstLimit        = 20.0 // streams of a pool until the passes show more
+)
+
+// NewServer returns a server for a process in the data centre local.
+func NewServer(local string, catalog Catalog, headers Headers, limits Limits, observer Observer, counters *expvar.Map) *Server {
+	return &Server{
+		callers: map[*caller]struct{}{}, catalog: catalog, conns: newConnPool(), counters: counters, headers: headers,
+		limits: limits, observer: observer, pacers: map[string]*tgpace.Pacer{}, picker: tgpick.NewPicker(local),
+		rand: rand.Float64, usual: map[string]time.Duration{}, windows: map[string]*tgretry.Window{},
+	}
+}
+
+// Serve accepts connections until ctx ends; then it lets requests finish and returns.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	work, abort := context.WithCancel(context.WithoutCancel(ctx))
+	defer abort()
+	stopDrain := context.AfterFunc(ctx, func() { s.drain(listener, abort) })
+	defer stopDrain()
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			var ne net.Error
+			if errors.As(err, &ne) {
+				time.Sleep(acceptPause) // descriptors may be short for a moment
+				continue
+			}
+			return errors.Wrap(err, "accept")
+		}
+		k := &caller{br: bufio.NewReaderSize(conn, callerBuffer), conn: conn, server: s}
+		s.track(k)
+		wg.Go(func() {
+			defer s.untrack(k)
+			k.serve(work)
+		})
+	}
+}
+
+const acceptPause = 10 * time.Millisecond
+
+// drain ends the server: for a moment new connections still arrive, then idle connections close, and requests finish
+// until little of the grace is left.
+func (s *Server) drain(listener net.Listener, abort context.CancelFunc) {
+	start := time.Now()
+	s.drainedAt.Store(start.Add(newConnectionsFor).UnixNano())
+	time.Sleep(newConnectionsFor)
+	_ = listener.Close() // Serve sees the closed listener
+	s.mu.Lock()
+	for k := range s.callers {
+		k.closeIdle()
+	}
+	s.mu.Unlock()
+	time.Sleep(time.Until(start.Add(s.limits.DrainGrace - s.limits.SpareForDrain)))
+	abort()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for k := range s.callers {
+		_ = k.conn.Close()
+	}
+}
+
+func (s *Server) isDraining() bool { return s.drainedAt.Load() != 0 }
+
+func (s *Server) closesIdle() bool {
+	at := s.drainedAt.Load()
+	return at != 0 && time.Now().UnixNano() >= at
+}
+
+func (s *Server) track(k *caller) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.callers[k] = struct{}{}
+}
+
+func (s *Server) untrack(k *caller) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.callers, k)
+}
+
+// window returns the retry budget of a pool.
+func (s *Server) window(pool string) *tgretry.Window {
+	burst := s.limits.RetryBurst / float64(max(1, s.catalog.Entries())) / 2
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w, ok := s.windows[pool]
+	if !ok {
+		w = tgretry.NewWindow(s.limits.RetryRatio, burst, s.limits.RetryWindow)
+		s.windows[pool] = w
+	}
+	w.SetBurst(burst)
+	return w
+}
+
+// pacer returns the limit of streams of a pool.
+func (s *Server) pacer(pool tgcatalog.Pool, upstreams int, target time.Duration) *tgpace.Pacer {
+	most := float64(max(1, pool.Engine.Slots) * max(1, upstreams))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p, ok := s.pacers[pool.Name]
+	if !ok {
+		p = tgpace.NewPacer(min(firstLimit, most), most, target, s.rand)
+		s.pacers[pool.Name] = p
+		return p
+	}
+	p.SetBounds(most, target)
+	return p
+}
+
+// returning reports whether a request with the given wait was refused before: its deadline is shorter than that of
+// first attempts on the route.
+func (s *Server) returning(route string, wait time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	usual := s.usual[route]
+	if wait > usual {
+		s.usual[route] = wait
+		return false
+	}
+	return wait < usual-returnMargin
+}
--- /dev/null
+++ b/io/tgproxy/state.go
@@ -0,0 +1,36 @@
+package tgproxy
+
+import (
+	"tanagergrade/core/tgpace"
+	"tanagergrade/core/tgpick"
+)
+
+// State is the proxy's state for a dump.
+type State struct {
+	Callers   int                     `json:"callers"` // open connections
+	Pools     map[string]tgpace.State `json:"pools"`
+	Upstreams []tgpick.Load           `json:"upstreams"`
+}
+
+// State returns the present state.
+func (s *Server) State() State {
+	state := State{Pools: map[string]tgpace.State{}, Upstreams: s.picker.Loads()}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state.Callers = len(s.callers)
+	for name, p := range s.pacers {
+		state.Pools[name] = p.State()
+	}
+	return state
+}
+
+// InFlight returns the number of streams in progress.
+func (s *Server) InFlight() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, p := range s.pacers {
+		n += p.State().InFlight
+	}
+	return n
+}
--- /dev/null
+++ b/io/tgreport/report.go
@@ -0,0 +1,167 @@
+// Package tgreport turns what the daemons decide into log lines, counters and latency histograms.
+package tgreport
+
+import (
+	"expvar"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/sirupsen/logrus"
+
+	"tanagergrade/core/tgview"
+	"tanagergrade/io/tglogline"
+	"tanagergrade/io/tgproxy"
+)
+
+const (
+	histogramMin    = 1              // milliseconds
+	histogramMax    = 10 * 60 * 1000 // milliseconds
+	histogramDigits = 2
+)
+
+// Reporter writes the log and keeps the counters of a daemon. It is safe for concurrent use and never blocks.
+type Reporter struct {
+	Counters *expvar.Map
+
+	latencies map[string]*hdrhistogram.Histogram // by outcome, in milliseconds
+	log       *logrus.Logger
+	mu        sync.Mutex
+	writer    *tglogline.Writer
+}
+
+// NewReporter returns a reporter for the daemon on vm that logs to out.
+func NewReporter(vm string, out io.Writer) *Reporter {
+	r := &Reporter{
+		Counters: new(expvar.Map).Init(), latencies: map[string]*hdrhistogram.Histogram{}, log: logrus.New(),
+		writer: tglogline.NewWriter(out),
+	}
+	r.log.SetOutput(r.writer)
+	r.log.SetFormatter(&logrus.TextFormatter{DisableColors: true, TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
+	r.log.AddHook(&fixedField{name: "vm", value: vm})
+	r.Counters.Set("latencyMs", expvar.Func(r.quantiles))
+	r.Counters.Set("logLinesDropped", expvar.Func(func() any { return r.writer.Dropped() }))
+	return r
+}
+
+// fixedField adds a field to each line.
+type fixedField struct {
+	name, value string
+}
+
+// Levels implements logrus.Hook.
+func (f *fixedField) Levels() []logrus.Level { return logrus.AllLevels }
+
+// Fire implements logrus.Hook.
+func (f *fixedField) Fire(e *logrus.Entry) error {
+	e.Data[f.name] = f.value
+	return nil
+}
+
+// Close writes the lines that are pending.
+func (r *Reporter) Close() error { return r.writer.Close() }
+
+// Fields are the values of a log line.
+type Fields = logrus.Fields
+
+// Line writes one line.
+func (r *Reporter) Line(message string, fields Fields) { r.log.WithFields(fields).Info(message) }
+
+// Request implements tgproxy.Observer.
+func (r *Reporter) Request(e tgproxy.Event) {
+	r.Counters.Add("requests."+e.Outcome, 1)
+	r.observe(e.Outcome, e.Elapsed)
+	r.log.WithFields(eventFields(e)).Info("request")
+}
+
+// Attempt implements tgproxy.Observer.
+func (r *Reporter) Attempt(e tgproxy.Event) {
+	r.Counters.Add("attempts."+e.Outcome, 1)
+	r.log.WithFields(eventFields(e)).Info("attempt")
+}
+
+func eventFields(e tgproxy.Event) Fields {
+	f := Fields{"elapsedMs": e.Elapsed.Milliseconds(), "outcome": e.Outcome}
+	text := func(name, value string) {
+		if value != "" {
+			f[name] = value
+		}
+	}
+	number := func(name string, value int64) {
+		if value != 0 {
+			f[name] = value
+		}
+	}
+	text("account", e.Account)
+	text("detail", e.Detail)
+	text("id", e.ID)
+	text("pool", e.Pool)
+	text("route", e.Route)
+	text("upstream", e.Upstream)
+	number("attempts", int64(e.Attempts))
+	number("config", e.ConfigVersion)
+	number("status", int64(e.Status))
+	if e.RetryAfter > 0 {
+		f["retryAfterMs"] = e.RetryAfter.Milliseconds()
+	}
+	if e.Limit > 0 {
+		f["inFlight"], f["limit"] = e.InFlight, e.Limit
+	}
+	return f
+}
+
+// Belief logs a change of what the daemon believes.
+func (r *Reporter) Belief(source, table string, c tgview.Change) {
+	r.Counters.Add("beliefs."+c.Outcome, 1)
+	f := Fields{"key": c.Key, "offset": c.Offset, "outcome": c.Outcome, "source": source, "table": table}
+	if c.Version != 0 {
+		f["version"] = c.Version
+	}
+	if c.Err != nil {
+		f["error"] = c.Err.Error()
+	}
+	r.log.WithFields(f).Info("belief")
+}
+
+// Dependency logs that a dependency was lost or answers again.
+func (r *Reporter) Dependency(name, state string, err error) {
+	r.Counters.Add("dependencies."+state, 1)
+	f := Fields{"name": name, "state": state}
+	if err != nil {
+		f["error"] = err.Error()
+	}
+	r.log.WithFields(f).Warn("dependency")
+}
+
+func (r *Reporter) observe(name string, d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h, ok := r.latencies[name]
+	if !ok {
+		h = hdrhistogram.New(histogramMin, histogramMax, histogramDigits)
+		r.latencies[name] = h
+	}
+	// A value beyond the range counts as the highest one.
+	_ = h.RecordValue(min(max(d.Milliseconds(), histogramMin), histogramMax))
+}
+
+// Quantiles are the latencies of requests with one outcome, in milliseconds.
+type Quantiles struct {
+	Count int64 `json:"count"`
+	P50   int64 `json:"p50"`
+	P95   int64 `json:"p95"`
+	P99   int64 `json:"p99"`
+}
+
+func (r *Reporter) quantiles() any {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	q := make(map[string]Quantiles, len(r.latencies))
+	for name, h := range r.latencies {
+		q[name] = Quantiles{
+			Count: h.TotalCount(), P50: h.ValueAtQuantile(50), P95: h.ValueAtQuantile(95), P99: h.ValueAtQuantile(99),
+		}
+	}
+	return q
+}
