--- /dev/null
+++ b/core/tgexpert/replication_test.go
@@ -0,0 +1,81 @@
+package tgexpert
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// skewedLoads draws loads in which few experts take most tokens, others in each set.
+func skewedLoads(r *rand.Rand, sets, experts int) Loads {
+	l := NewLoads(sets, experts)
+	for s := range sets {
+		for i, e := range r.Perm(experts) {
+			l.Layer(s)[e] = 1000 / math.Pow(float64(i+1), 1.3)
+		}
+	}
+	return l
+}
+
+// Guards against plans that exceed a rank's places, drop an expert or copy more than the engines accept.
+func TestImproveKeepsLimits(t *testing.T) {
+	for name, size := range map[string]struct{ sets, experts, ranks, places int }{
+		"grown": {8, 252, 63, 5},
+		"small": {4, 72, 12, 8},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := rand.New(rand.NewPCG(1, 2))
+			limits := ReplicationLimits{CopyCost: 0.002, NewPerRank: 6, NewPerSet: 3, Places: size.places}
+			p := NewReplication(size.sets, size.experts, size.ranks)
+			for range 8 {
+				loads := skewedLoads(r, size.sets, size.experts)
+				next, before, after := p.Improve(loads, limits)
+				assert.Assert(t, next.Valid(size.places))
+				assert.Assert(t, after <= before, "%.3f > %.3f", after, before)
+				for s := range next.Sets {
+					for rank, held := range next.Sets[s] {
+						added := 0
+						for _, e := range held {
+							if !contains(p.Sets[s][rank], e) {
+								added++
+							}
+						}
+						assert.Assert(t, added <= limits.NewPerSet)
+					}
+				}
+				_, most := next.Copies(p)
+				assert.Assert(t, most <= limits.NewPerRank)
+				t.Logf("skew %.2f -> %.2f", before, after)
+				p = next
+			}
+		})
+	}
+}
+
+func contains(list []int, e int) bool {
+	for _, x := range list {
+		if x == e {
+			return true
+		}
+	}
+	return false
+}
+
+func BenchmarkImprove(b *testing.B) {
+	r := rand.New(rand.NewPCG(1, 2))
+	limits := ReplicationLimits{CopyCost: 0.002, NewPerRank: 6, NewPerSet: 3, Places: 8}
+	loads := skewedLoads(r, 4, 72)
+	p := NewReplication(4, 72, 12)
+	var before, after float64
+	var next *Replication
+	for b.Loop() {
+		next, before, after = p.Improve(loads, limits)
+	}
+	copies, most := next.Copies(p)
+	b.ReportMetric(before, "skewBefore")
+	b.ReportMetric(after, "skewAfter")
+	b.ReportMetric(float64(copies), "copies")
+	b.ReportMetric(float64(most), "copiesOnRank")
+}
--- /dev/null
+++ b/core/tgswitch/recovery.go
@@ -0,0 +1,172 @@
+package tgswitch
+
+import "time"
+
+// RecoveryPhase is what a recovery is doing.
+type RecoveryPhase string
+
+// Phases of a recovery.
+const (
+	RecoveryDisarming RecoveryPhase = "disarming"
+	RecoveryEnded     RecoveryPhase = "ended"
+	RecoveryFencing   RecoveryPhase = "fencing" // all ranks refuse earlier controllers from here on
+	RecoveryLost      RecoveryPhase = "lost"
+	RecoveryReading   RecoveryPhase = "reading"
+	RecoveryReleasing RecoveryPhase = "releasing"
+)
+
+// Recovery ends what an earlier controller left behind: a pass that is held, or ranks that are armed. A change that all
+// ranks are armed for is completed, any other is undone.
+type Recovery struct {
+	epoch   int64
+	fenced  time.Time
+	phase   RecoveryPhase
+	ranks   []rankProgress
+	answers []time.Time // of disarming
+}
+
+// Needed reports whether the ranks' states call for a recovery.
+func Needed(ranks []Rank) bool {
+	for _, r := range ranks {
+		if r.Held != 0 || r.ArmedVersion != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// NewRecovery returns a recovery of a group of n ranks.
+func NewRecovery(n int, epoch int64) *Recovery {
+	return &Recovery{
+		answers: make([]time.Time, n), epoch: epoch, phase: RecoveryFencing, ranks: make([]rankProgress, n),
+	}
+}
+
+// Phase returns the phase.
+func (v *Recovery) Phase() RecoveryPhase { return v.phase }
+
+// Ended reports whether no more orders will be due.
+func (v *Recovery) Ended() bool { return v.phase == RecoveryEnded || v.phase == RecoveryLost }
+
+// Due returns the orders to send now.
+func (v *Recovery) Due(ranks []Rank, now time.Time) []Order {
+	for _, r := range ranks {
+		if r.Epoch != v.epoch && !r.Seen.IsZero() {
+			v.phase = RecoveryEnded // nothing of the old epoch is left
+		}
+	}
+	switch v.phase {
+	case RecoveryFencing:
+		return v.fence(now)
+	case RecoveryReading:
+		return v.read(ranks, now)
+	case RecoveryDisarming:
+		return v.disarm(ranks, now)
+	case RecoveryReleasing:
+		return v.release(ranks, now)
+	default:
+		return nil
+	}
+}
+
+func (v *Recovery) send(op Operation, rank int, step, version int64, now time.Time) Order {
+	p := &v.ranks[rank]
+	p.pending, p.sentAt = true, now
+	p.tries++
+	return Order{Epoch: v.epoch, Expected: NoExpectation, Operation: op, Rank: rank, Step: step, Version: version}
+}
+
+// fence sends each rank an order that changes nothing but carries the new token.
+func (v *Recovery) fence(now time.Time) []Order {
+	var due []Order
+	all := true
+	for i := range v.ranks {
+		if v.ranks[i].done {
+			continue
+		}
+		all = false
+		if v.ranks[i].idle(now, orderPause) {
+			due = append(due, v.send(Release, i, 0, 0, now))
+		}
+	}
+	if all {
+		v.phase, v.fenced = RecoveryReading, now
+	}
+	return due
+}
+
+func (v *Recovery) read(ranks []Rank, now time.Time) []Order {
+	armed := 0
+	held := false
+	for _, r := range ranks {
+		if !r.Seen.After(v.fenced) {
+			return nil
+		}
+		held = held || r.Held != 0 && r.Held == ranks[0].ArmedStep
+		if r.ArmedVersion != 0 && r.ArmedVersion == ranks[0].ArmedVersion && r.ArmedStep == ranks[0].ArmedStep {
+			armed++
+		}
+	}
+	clear(v.ranks)
+	if armed == len(ranks) && held {
+		v.phase = RecoveryReleasing
+		return v.release(ranks, now)
+	}
+	v.phase = RecoveryDisarming
+	return v.disarm(ranks, now)
+}
+
+func (v *Recovery) disarm(ranks []Rank, now time.Time) []Order {
+	var due []Order
+	all := true
+	for i, r := range ranks {
+		p := &v.ranks[i]
+		if r.ArmedVersion == 0 && r.Seen.After(v.answers[i]) {
+			continue
+		}
+		all = false
+		if p.idle(now, orderPause) && r.ArmedVersion != 0 {
+			due = append(due, v.send(Disarm, i, r.ArmedStep, r.ArmedVersion, now))
+		}
+	}
+	if all {
+		clear(v.ranks)
+		v.phase = RecoveryReleasing
+		return v.release(ranks, now)
+	}
+	return due
+}
+
+func (v *Recovery) release(ranks []Rank, now time.Time) []Order {
+	var due []Order
+	all := true
+	for i, r := range ranks {
+		p := &v.ranks[i]
+		if r.Held == 0 || p.done {
+			continue
+		}
+		all = false
+		if p.idle(now, orderPause) {
+			due = append(due, v.send(Release, i, r.Held, 0, now))
+		}
+	}
+	if all {
+		v.phase = RecoveryEnded
+	}
+	return due
+}
+
+// Answer takes the result of an order.
+func (v *Recovery) Answer(o Order, r Result, now time.Time) {
+	p := &v.ranks[o.Rank]
+	p.pending, p.sentAt = false, now
+	switch {
+	case r == Fenced:
+		v.phase = RecoveryLost
+	case r == Unknown:
+	case o.Operation == Disarm:
+		v.answers[o.Rank] = now
+	case v.phase == RecoveryFencing, v.phase == RecoveryReleasing:
+		p.done = true
+	}
+}
--- /dev/null
+++ b/core/tgswitch/switch.go
@@ -0,0 +1,368 @@
+package tgswitch
+
+import (
+	"time"
+)
+
+// Phase is what a change is doing.
+type Phase string
+
+// Phases of a change.
+const (
+	PhaseAborting  Phase = "aborting"  // disarming the ranks
+	PhaseArming    Phase = "arming"    // all ranks, for the pass that is held
+	PhaseFailed    Phase = "failed"    // ended without effect
+	PhaseHolding   Phase = "holding"   // one rank keeps the group from beginning the pass of the change
+	PhaseLost      Phase = "lost"      // another controller has taken over
+	PhasePreparing Phase = "preparing" // the ranks load the experts that are new to them
+	PhaseReleasing Phase = "releasing" // the change is decided; the hold ends
+	PhaseSucceeded Phase = "succeeded"
+)
+
+const (
+	holdTries     = 4
+	armTries      = 3
+	leadSteps     = 3                      // passes between the newest one that is known and that of the change
+	orderPause    = 120 * time.Millisecond // before an order that had no answer is sent again
+	prepareFor    = 6 * time.Second
+	prepareRepeat = 600 * time.Millisecond
+)
+
+// rankProgress is how far one rank is in the present phase.
+type rankProgress struct {
+	armUnknown bool // an order to arm had no answer; it may still be carried out
+	bumped     bool // the sequence number has moved on, so such an order does nothing
+	done       bool
+	held       bool // while bumping
+	pending    bool // an order is under way
+	sentAt     time.Time
+	tries      int
+	unanswered bool // an order to prepare had no answer
+}
+
+// Switch is one change of a group's map, from the order to load experts to the pass that first uses them. It only says
+// which orders are due; its owner sends them and reports the answers. It is not safe for concurrent use.
+type Switch struct {
+	epoch   int64
+	failed  bool // the change is being undone
+	holder  int  // rank that holds the pass
+	phase   Phase
+	ranks   []rankProgress
+	reason  string
+	started time.Time
+	step    int64
+	tries   int // of holds
+	version int64
+}
+
+// NewSwitch returns a change of a group of n ranks in an epoch to the map of a version; the rank holder holds the pass.
+func NewSwitch(n int, epoch, version int64, holder int, now time.Time) *Switch {
+	return &Switch{
+		epoch: epoch, holder: holder, phase: PhasePreparing, ranks: make([]rankProgress, n), started: now, version: version,
+	}
+}
+
+// Phase returns the phase.
+func (s *Switch) Phase() Phase { return s.phase }
+
+// Reason says why a change failed.
+func (s *Switch) Reason() string { return s.reason }
+
+// Step returns the pass of the change.
+func (s *Switch) Step() int64 { return s.step }
+
+// Ended reports whether no more orders will be due.
+func (s *Switch) Ended() bool {
+	return s.phase == PhaseFailed || s.phase == PhaseLost || s.phase == PhaseSucceeded
+}
+
+func (s *Switch) enter(p Phase) {
+	s.phase = p
+	if p == PhaseArming || p == PhaseHolding {
+		for i := range s.ranks {
+			s.ranks[i] = rankProgress{}
+		}
+	}
+}
+
+// Due returns the orders to send now.
+func (s *Switch) Due(ranks []Rank, now time.Time) []Order {
+	if s.Ended() {
+		return nil
+	}
+	if !s.sameEpoch(ranks) {
+		// A new epoch starts with map 0 and without holds, and orders of this one are refused.
+		s.fail("epoch", PhaseFailed)
+		return nil
+	}
+	switch s.phase {
+	case PhasePreparing:
+		return s.prepare(ranks, now)
+	case PhaseHolding:
+		return s.hold(ranks, now)
+	case PhaseArming:
+		return s.arm(ranks, now)
+	case PhaseAborting:
+		return s.abort(ranks, now)
+	case PhaseReleasing:
+		return s.release(ranks, now)
+	default:
+		return nil
+	}
+}
+
+func (s *Switch) sameEpoch(ranks []Rank) bool {
+	for _, r := range ranks {
+		if r.Epoch != s.epoch && !r.Seen.IsZero() {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Switch) fail(reason string, phase Phase) {
+	if s.reason == "" {
+		s.reason = reason
+	}
+	s.phase = phase
+}
+
+// send returns an order and notes that it is under way.
+func (s *Switch) send(op Operation, rank int, expected int64, now time.Time) Order {
+	p := &s.ranks[rank]
+	p.pending, p.sentAt = true, now
+	p.tries++
+	return Order{Epoch: s.epoch, Expected: expected, Operation: op, Rank: rank, Step: s.step, Version: s.version}
+}
+
+func (p *rankProgress) idle(now time.Time, pause time.Duration) bool {
+	return !p.pending && (p.tries == 0 || now.Sub(p.sentAt) >= pause)
+}
+
+func (s *Switch) prepare(ranks []Rank, now time.Time) []Order {
+	if now.Sub(s.started) > prepareFor {
+		s.fail("prepareTimeout", PhaseFailed)
+		return nil
+	}
+	var due []Order
+	ready := true
+	for i := range s.ranks {
+		p := &s.ranks[i]
+		if ranks[i].Prepared == s.version {
+			continue
+		}
+		ready = false
+		if !p.done && p.idle(now, prepareRepeat) {
+			due = append(due, s.send(Prepare, i, NoExpectation, now))
+		}
+	}
+	if ready {
+		s.enter(PhaseHolding)
+		return s.hold(ranks, now)
+	}
+	return due
+}
+
+func newest(ranks []Rank) int64 {
+	step := int64(0)
+	for _, r := range ranks {
+		step = max(step, r.Step)
+	}
+	return step
+}
+
+func (s *Switch) hold(ranks []Rank, now time.Time) []Order {
+	p := &s.ranks[s.holder]
+	if s.step != 0 && ranks[s.holder].Held == s.step {
+		s.enter(PhaseArming)
+		return s.arm(ranks, now)
+	}
+	if !p.idle(now, orderPause) {
+		return nil
+	}
+	if s.step == 0 || newest(ranks) >= s.step {
+		s.step = newest(ranks) + leadSteps
+	}
+	if s.tries++; s.tries > holdTries {
+		// A hold without an answer may still take effect before its pass begins, so it is released.
+		s.failed = true
+		s.fail("hold", PhaseReleasing)
+		return s.release(ranks, now)
+	}
+	return []Order{s.send(Hold, s.holder, NoExpectation, now)}
+}
+
+func (s *Switch) arm(ranks []Rank, now time.Time) []Order {
+	var due []Order
+	all := true
+	for i := range s.ranks {
+		p := &s.ranks[i]
+		if ranks[i].ArmedVersion == s.version && ranks[i].ArmedStep == s.step {
+			p.done = true
+		}
+		if p.done {
+			continue
+		}
+		all = false
+		if !p.idle(now, orderPause) {
+			continue
+		}
+		if p.tries >= armTries {
+			s.undo("arm")
+			return s.abort(ranks, now)
+		}
+		due = append(due, s.send(Arm, i, ranks[i].Sequence+s.holdsBefore(i, ranks), now))
+	}
+	if all {
+		s.phase = PhaseReleasing
+		s.ranks[s.holder].tries, s.ranks[s.holder].pending = 0, false
+		return s.release(ranks, now)
+	}
+	return due
+}
+
+// holdsBefore returns how many orders to a rank its report may not show yet: the hold of this change.
+func (s *Switch) holdsBefore(rank int, ranks []Rank) int64 {
+	if rank == s.holder && ranks[rank].Held != s.step {
+		return 1
+	}
+	return 0
+}
+
+// undo starts to disarm the ranks that may be armed.
+func (s *Switch) undo(reason string) {
+	s.failed = true
+	s.fail(reason, PhaseAborting)
+	for i := range s.ranks {
+		p := &s.ranks[i]
+		*p = rankProgress{armUnknown: p.armUnknown, done: p.tries == 0, pending: p.pending}
+	}
+}
+
+// abort disarms all ranks. A rank with an order to arm that had no answer is held and released once, which makes that
+// order do nothing if it is carried out late.
+func (s *Switch) abort(ranks []Rank, now time.Time) []Order {
+	var due []Order
+	all := true
+	for i := range s.ranks {
+		p := &s.ranks[i]
+		if p.done && (!p.armUnknown || p.bumped) {
+			continue
+		}
+		all = false
+		if !p.idle(now, orderPause) {
+			continue
+		}
+		switch {
+		case !p.done:
+			due = append(due, s.send(Disarm, i, NoExpectation, now))
+		case !p.held:
+			due = append(due, s.send(Hold, i, NoExpectation, now))
+		case i == s.holder: // its hold ends last
+			p.bumped = true
+		default:
+			due = append(due, s.send(Release, i, NoExpectation, now))
+		}
+	}
+	if all {
+		s.phase = PhaseReleasing
+		p := &s.ranks[s.holder]
+		p.tries, p.pending = 0, false
+		return s.release(ranks, now)
+	}
+	return due
+}
+
+func (s *Switch) release(_ []Rank, now time.Time) []Order {
+	if !s.ranks[s.holder].idle(now, orderPause) {
+		return nil
+	}
+	return []Order{s.send(Release, s.holder, NoExpectation, now)}
+}
+
+// Answer takes the result of an order.
+func (s *Switch) Answer(o Order, r Result, now time.Time) {
+	if s.Ended() || o.Version != s.version {
+		return
+	}
+	p := &s.ranks[o.Rank]
+	p.pending, p.sentAt = false, now
+	if r == Fenced {
+		s.fail("fenced", PhaseLost)
+		return
+	}
+	switch o.Operation {
+	case Prepare:
+		s.answerPrepare(p, r)
+	case Hold:
+		s.answerHold(p, o, r)
+	case Arm:
+		s.answerArm(p, r)
+	case Disarm:
+		s.answerDisarm(p, r)
+	case Release:
+		s.answerRelease(p, o, r)
+	}
+}
+
+func (s *Switch) answerPrepare(p *rankProgress, r Result) {
+	if s.phase != PhasePreparing {
+		return
+	}
+	switch r {
+	case Done:
+		p.done = true
+	case Refused:
+		// After an order without an answer it may mean that the rank has the map already; its report tells.
+		if !p.unanswered {
+			s.fail("prepareRefused", PhaseFailed)
+		}
+	case Unknown:
+		p.unanswered = true
+	case Fenced:
+	}
+}
+
+func (s *Switch) answerHold(p *rankProgress, o Order, r Result) {
+	switch {
+	case s.phase == PhaseAborting:
+		// A refused hold also means that the pass has begun, after which no rank can be armed for it.
+		p.held = r != Unknown
+		p.bumped = p.bumped || r == Refused
+	case s.phase == PhaseHolding && r == Done && o.Step == s.step:
+		s.enter(PhaseArming)
+	case s.phase == PhaseHolding && r == Refused:
+		s.step = 0 // the pass has begun, or an earlier hold is in force
+	}
+}
+
+func (s *Switch) answerArm(p *rankProgress, r Result) {
+	switch {
+	case r == Unknown:
+		p.armUnknown = true
+	case s.phase != PhaseArming:
+	case r == Done:
+		p.done = true
+	case r == Refused:
+		// It may be an earlier order of this change that took effect: the report tells when it comes.
+	}
+}
+
+func (s *Switch) answerDisarm(p *rankProgress, r Result) {
+	// A rank refuses only to disarm the map in use, and the pass is held.
+	p.done = r == Done || r == Refused
+}
+
+func (s *Switch) answerRelease(p *rankProgress, o Order, r Result) {
+	if s.phase == PhaseAborting {
+		p.bumped = p.bumped || r != Unknown
+		return
+	}
+	if s.phase != PhaseReleasing || o.Rank != s.holder || r == Unknown {
+		return
+	}
+	s.phase = PhaseSucceeded
+	if s.failed {
+		s.phase = PhaseFailed
+	}
+}
--- a/io/tgcommand/platform_companion.go
+++ b/io/tgcommand/platform_companion.go
@@ -1,9 +1,22 @@
 package tgcommand
 
 import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
 	"github.com/spf13/cobra"
 
+	"tanagergrade/core/tgcatalog"
+	"tanagergrade/core/tgfold"
+	"tanagergrade/core/tgview"
 	"tanagergrade/io/tgfleet"
+	"tanagergrade/io/tgrank"
+	"tanagergrade/io/tgreport"
+	tgplatform "tanagergrade/platform"
 )
 
 func (c *config) newPlatformCompanionCmd() *cobra.Command {
@@ -16,12 +29,114 @@
 	}
 }
 
+const electionTTL = 1500 * time.Millisecond // a leader that stopped is replaced after about so long
+
+// platformCompanion is a companion daemon on the platform.
+type platformCompanion struct {
+	*platformDaemon
+
+	mu       sync.Mutex
+	profiles map[string]tgcatalog.Engine // by pool
+	readAt   time.Time
+}
+
 func (c *config) runPlatformCompanion(cmd *cobra.Command, _ []string) error {
 	d, err := c.newPlatformDaemon(tgfleet.RoleCompanion)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = d.report.Close() }() // never fails
-	<-cmd.Context().Done()
+	p := &platformCompanion{platformDaemon: d, profiles: map[string]tgcatalog.Engine{}}
+	return p.run(cmd.Context())
+}
+
+func (p *platformCompanion) run(ctx context.Context) error {
+	s := p.settings
+	if !s.EngineAddr.IsValid() {
+		return errors.New("the settings name no engine on this VM")
+	}
+	conn, err := p.listenPeers(ctx)
+	if err != nil {
+		return err
+	}
+	engines := tgplatform.NewEngines(dialStore)
+	leader := tgrank.NewLeader()
+	leader.Companions = p.companions
+	leader.Election = &tgplatform.Election{Store: p.store, TTL: max(electionTTL, s.StoreTTLMin)}
+	leader.Engines, leader.Log, leader.Profile, leader.VM = engines, p, p.profile, s.VM
+	agent := &tgrank.Agent{
+		Conn: conn, Engine: s.EngineAddr, Engines: engines, Leader: leader, Log: p, Pool: s.EnginePool, VM: s.VM,
+	}
+	go p.register(ctx, tgfleet.RoleCompanion) // calls to the store may outlast the daemon's end
+	members := &tgfleet.Follower{
+		Apply: func(changed []tgfold.Record) {
+			for _, err := range p.peers.Apply(changed, time.Now()) {
+				p.Dependency("members", "malformed", err)
+			}
+		},
+		Back:  func() { p.Dependency("store "+tgplatform.TopicMembers, "answers", nil) },
+		Lost:  func(err error) { p.Dependency("store "+tgplatform.TopicMembers, "lost", err) },
+		Store: p.store, Table: tgfold.NewTable(), Topic: tgplatform.TopicMembers, Wait: operatorWait,
+	}
+	go members.Run(ctx)
+	var wg conc.WaitGroup
+	wg.Go(func() { agent.Run(ctx) })
+	wg.Wait()
+	p.Line("stop", tgreport.Fields{"uptimeS": int(time.Since(p.started).Seconds())})
 	return nil
 }
+
+// Line implements tgrank.Log.
+func (p *platformCompanion) Line(message string, fields map[string]any) {
+	p.report.Line(message, fields)
+}
+
+// Dependency implements tgrank.Log.
+func (p *platformCompanion) Dependency(name, state string, err error) {
+	p.report.Dependency(name, state, err)
+}
+
+func (p *platformCompanion) companions() []netip.AddrPort {
+	var addrs []netip.AddrPort
+	for _, m := range p.peers.List(tgfleet.RoleCompanion, time.Now()) {
+		addrs = append(addrs, m.Address)
+	}
+	return addrs
+}
+
+const profilePause = time.Second // between reads of the configuration for a pool that it lacks
+
+// profile returns the cost model of a pool's engines. The first call for a pool starts to read the configuration.
+func (p *platformCompanion) profile(pool string) (tgcatalog.Engine, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e, ok := p.profiles[pool]
+	if !ok && time.Since(p.readAt) > profilePause {
+		p.readAt = time.Now()
+		go p.readProfiles()
+	}
+	return e, ok
+}
+
+func (p *platformCompanion) readProfiles() {
+	records, _, err := p.store.Newest(context.Background(), tgplatform.TopicOperator)
+	if err != nil {
+		p.Dependency("store "+tgplatform.TopicOperator, "readFailed", err)
+		return
+	}
+	for _, r := range records {
+		if kind, _ := tgplatform.SplitOperatorKey(r.Key); kind != tgview.OperatorConfig {
+			continue
+		}
+		cfg, err := tgplatform.DecodeConfig(r.Value)
+		if err != nil {
+			p.Dependency("configuration", "rejected", err)
+			continue
+		}
+		p.mu.Lock()
+		for name, pool := range cfg.Pools {
+			p.profiles[name] = pool.Engine
+		}
+		p.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/io/tgrank/agent.go
@@ -0,0 +1,210 @@
+package tgrank
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sourcegraph/conc"
+)
+
+const maxDatagram = 60 << 10
+
+// Agent reports the state of one rank to the leader, and leads if it is elected.
+type Agent struct {
+	Conn    *net.UDPConn
+	Engine  netip.AddrPort // on this VM
+	Engines Engines
+	Leader  *Leader
+	Log     Log
+	Pool    string
+	VM      string
+
+	mu      sync.Mutex
+	beacon  Beacon // newest one
+	heard   time.Time
+	leader  netip.AddrPort
+	wake    chan struct{}
+	last    []uint64  // counts at the last report
+	started time.Time // of the engine that they belong to
+	version int64     // of the map that experts belong to
+	experts [][]int
+	lost    bool
+}
+
+// Run works until ctx ends.
+func (a *Agent) Run(ctx context.Context) {
+	a.wake = make(chan struct{}, 1)
+	stop := context.AfterFunc(ctx, func() { _ = a.Conn.Close() }) // ends receive
+	defer stop()
+	var wg conc.WaitGroup
+	wg.Go(func() { a.receive(ctx) })
+	wg.Go(func() { a.Leader.Run(ctx, a) })
+	a.reportLoop(ctx)
+	wg.Wait()
+}
+
+func (a *Agent) receive(ctx context.Context) {
+	buf := make([]byte, maxDatagram)
+	for ctx.Err() == nil {
+		n, from, err := a.Conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			pause(ctx, fastInterval)
+			continue
+		}
+		var e envelope
+		if cbor.Unmarshal(buf[:n], &e) != nil {
+			continue // not from a daemon of this version
+		}
+		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+		switch {
+		case e.Beacon != nil:
+			a.takeBeacon(*e.Beacon, from)
+		case e.Report != nil:
+			a.Leader.Take(*e.Report)
+		}
+	}
+}
+
+// takeBeacon follows the leader with the highest token.
+func (a *Agent) takeBeacon(b Beacon, from netip.AddrPort) {
+	now := time.Now()
+	a.mu.Lock()
+	if b.Token < a.beacon.Token {
+		a.mu.Unlock()
+		return
+	}
+	faster := b.Fast && !a.beacon.Fast
+	changed := b.VM != a.beacon.VM
+	a.beacon, a.heard, a.leader = b, now, from
+	a.mu.Unlock()
+	if changed {
+		a.Log.Line("leader", map[string]any{"leader": b.VM, "token": b.Token})
+	}
+	if b.VM != a.VM {
+		a.Leader.Outbid(b.Token)
+	}
+	if faster {
+		select {
+		case a.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (a *Agent) reportLoop(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	var counted time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-a.wake:
+		}
+		now := time.Now()
+		a.mu.Lock()
+		beacon, leader := a.beacon, a.leader
+		known := now.Sub(a.heard) < leaderFor
+		a.mu.Unlock()
+		interval := reportInterval
+		if beacon.Fast {
+			interval = fastInterval
+		}
+		if known {
+			withCounts := now.Sub(counted) >= reportInterval-fastInterval/2
+			if withCounts {
+				counted = now
+			}
+			a.report(leader, beacon, withCounts)
+		}
+		timer.Reset(interval)
+	}
+}
+
+// report sends the state of the rank to the leader.
+func (a *Agent) report(leader netip.AddrPort, b Beacon, withCounts bool) {
+	s, err := a.Engines.State(a.Engine)
+	if err != nil || s.Ranks == 0 {
+		if !a.lost {
+			a.Log.Dependency("engine", "lost", err)
+		}
+		a.lost = true
+		return
+	}
+	if a.lost {
+		a.Log.Dependency("engine", "answers", nil)
+	}
+	a.lost = false
+	r := Report{
+		Engine: a.Engine, Group: s.Group, Pool: a.Pool, Rank: s.Rank, Ranks: s.Ranks, State: s.State, VM: a.VM,
+	}
+	if !s.Started.Equal(a.started) {
+		a.started, a.last, a.experts = s.Started, nil, nil
+	}
+	if withCounts {
+		r.Counts = a.counts()
+	}
+	if b.Want {
+		r.Experts = a.held(s.State.Version)
+	}
+	if b.VM == a.VM {
+		a.Leader.Take(r)
+		return
+	}
+	a.send(envelope{Report: &r}, leader)
+}
+
+// counts returns the choices since the last call.
+func (a *Agent) counts() []uint32 {
+	counts, err := a.Engines.Counts(a.Engine)
+	if err != nil {
+		a.Log.Dependency("engine", "countsFailed", err)
+		return nil
+	}
+	var delta []uint32
+	if len(a.last) == len(counts) {
+		delta = make([]uint32, len(counts))
+		for i := range counts {
+			if counts[i] >= a.last[i] {
+				delta[i] = uint32(min(counts[i]-a.last[i], 1<<31)) //nolint:gosec // bounded
+			}
+		}
+	}
+	a.last = counts
+	return delta
+}
+
+// held returns the experts of the rank in the map in use.
+func (a *Agent) held(version int64) [][]int {
+	if a.experts != nil && a.version == version {
+		return a.experts
+	}
+	v, sets, err := a.Engines.Experts(a.Engine)
+	if err != nil || v != version {
+		return nil // the next report has them
+	}
+	a.version, a.experts = v, sets
+	return sets
+}
+
+func (a *Agent) send(e envelope, to netip.AddrPort) {
+	data, err := cbor.Marshal(e)
+	if err != nil {
+		a.Log.Dependency("peers", "encodeFailed", err)
+		return
+	}
+	// A datagram that cannot be sent is as good as lost; the next one follows soon.
+	_, _ = a.Conn.WriteToUDPAddrPort(data, to)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/io/tgrank/leader.go
@@ -0,0 +1,438 @@
+package tgrank
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"tanagergrade/core/tgbalance"
+	"tanagergrade/core/tgcatalog"
+	"tanagergrade/core/tgexpert"
+	"tanagergrade/core/tgswitch"
+)
+
+const (
+	joinInterval   = 500 * time.Millisecond
+	idleTick       = 100 * time.Millisecond
+	busyTick       = 10 * time.Millisecond
+	rankStale      = 900 * time.Millisecond // a rank that did not report for so long is not ordered to change
+	strayAfter     = 400 * time.Millisecond // a hold that no change explains is ended after so long
+	versionsOfTerm = 1 << 20                // map versions of one term of a leader
+)
+
+// Leader is the part of an agent that leads while it is elected.
+type Leader struct {
+	Companions func() []netip.AddrPort // addresses of all agents
+	Election   Election
+	Engines    Engines
+	Log        Log
+	Profile    func(pool string) (tgcatalog.Engine, bool) // reads the cost model of a pool's engines
+	VM         string
+
+	mu      sync.Mutex
+	token   int64 // of the own term; 0 while another leads
+	highest int64 // token seen so far
+	reports chan Report
+	results chan result
+	groups  map[string]*group
+	version int64 // last one of this term
+}
+
+// result is the answer to an order.
+type result struct {
+	group  string
+	order  tgswitch.Order
+	result tgswitch.Result
+	term   int64
+}
+
+// NewLeader returns a leader that is not elected yet.
+func NewLeader() *Leader {
+	return &Leader{groups: map[string]*group{}, reports: make(chan Report, 256), results: make(chan result, 256)}
+}
+
+// Take takes a report of a rank; reports that come too fast are dropped.
+func (l *Leader) Take(r Report) {
+	select {
+	case l.reports <- r:
+	default:
+	}
+}
+
+// Outbid says that another daemon leads with a token.
+func (l *Leader) Outbid(token int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.highest = max(l.highest, token)
+	if l.token != 0 && token > l.token {
+		l.token = 0
+	}
+}
+
+// Token returns the token of the own term, or 0.
+func (l *Leader) Token() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.token
+}
+
+// Run takes part in the election and leads while elected.
+func (l *Leader) Run(ctx context.Context, a *Agent) {
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { l.campaign(ctx) })
+	var beaconAt time.Time
+	tick := time.NewTimer(idleTick)
+	defer tick.Stop()
+	term := int64(0)
+	fast := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case r := <-l.reports:
+			if term != 0 {
+				l.takeReport(r)
+			}
+			continue
+		case r := <-l.results:
+			if term != 0 && r.term == term {
+				l.takeResult(r)
+			}
+		case <-tick.C:
+		}
+		now := time.Now()
+		if token := l.Token(); token != term {
+			l.changeTerm(term, token)
+			term, beaconAt = token, time.Time{}
+		}
+		busy := false
+		if term != 0 {
+			for _, g := range l.groups {
+				l.step(g, term, now)
+				busy = busy || g.busy()
+			}
+			if busy != fast || now.Sub(beaconAt) >= beaconInterval {
+				fast, beaconAt = busy, now
+				l.sendBeacons(a, term, busy)
+			}
+		}
+		next := idleTick
+		if busy {
+			next = busyTick
+		}
+		tick.Reset(next)
+	}
+}
+
+func (l *Leader) changeTerm(from, to int64) {
+	clear(l.groups)
+	l.version = to * versionsOfTerm
+	state := "elected"
+	if to == 0 {
+		state = "replaced"
+	}
+	l.Log.Line("term", map[string]any{"from": from, "state": state, "token": to})
+}
+
+func (l *Leader) sendBeacons(a *Agent, term int64, fast bool) {
+	want := false
+	for _, g := range l.groups {
+		want = want || g.present == nil
+	}
+	b := Beacon{Fast: fast, Token: term, VM: l.VM, Want: want}
+	a.takeBeacon(b, netip.AddrPort{})
+	for _, addr := range l.Companions() {
+		a.send(envelope{Beacon: &b}, addr)
+	}
+}
+
+// campaign keeps the daemon in the election.
+func (l *Leader) campaign(ctx context.Context) {
+	last, failing := int64(0), false
+	for ctx.Err() == nil {
+		s, err := l.Election.Join(l.VM, last)
+		switch {
+		case err != nil:
+			if !failing {
+				l.Log.Dependency("election", "lost", err)
+			}
+			failing = true
+		default:
+			if failing {
+				l.Log.Dependency("election", "answers", nil)
+			}
+			failing, last = false, s.Token
+			l.elect(s)
+		}
+		pause(ctx, joinInterval)
+	}
+	if err := l.Election.Leave(l.VM); err != nil {
+		l.Log.Dependency("election", "leaveFailed", err)
+	}
+}
+
+// elect takes the standing that the store reported. A term keeps its token while it lasts.
+func (l *Leader) elect(s Session) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case !s.Leads:
+		l.token = 0
+	case l.token == 0 && s.Token > l.highest:
+		l.token, l.highest = s.Token, s.Token
+	}
+}
+
+// stepDown ends the own term because a rank has seen a higher token.
+func (l *Leader) stepDown(term int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.token == term {
+		l.token = 0
+	}
+}
+
+func (l *Leader) takeReport(r Report) {
+	g, ok := l.groups[r.Group]
+	if !ok {
+		engine, known := l.Profile(r.Pool)
+		if !known || !engine.HasExperts() {
+			return
+		}
+		g = newGroup(r.Group, r.Pool, r.Ranks, engine)
+		l.groups[r.Group] = g
+	}
+	g.take(r, time.Now())
+}
+
+func (l *Leader) takeResult(r result) {
+	g, ok := l.groups[r.group]
+	if !ok {
+		return
+	}
+	now := time.Now()
+	if r.result == tgswitch.Fenced {
+		l.stepDown(r.term)
+	}
+	switch {
+	case g.change != nil:
+		g.change.Answer(r.order, r.result, now)
+	case g.recovery != nil:
+		g.recovery.Answer(r.order, r.result, now)
+	}
+}
+
+// step moves a group on.
+func (l *Leader) step(g *group, term int64, now time.Time) {
+	ranks, ready := g.view(now)
+	switch {
+	case g.change != nil:
+		l.send(g, g.change.Due(ranks, now), term)
+		if g.change.Ended() {
+			l.endChange(g, now)
+		}
+	case g.recovery != nil:
+		l.send(g, g.recovery.Due(ranks, now), term)
+		if g.recovery.Ended() {
+			l.Log.Line("recovery", map[string]any{"group": g.name, "outcome": g.recovery.Phase()})
+			g.recovery, g.strayAt = nil, time.Time{}
+		}
+	case !ready:
+	case tgswitch.Needed(ranks):
+		if g.strayAt.IsZero() {
+			g.strayAt = now
+		}
+		if now.Sub(g.strayAt) >= strayAfter {
+			l.Log.Line("recovery", map[string]any{"group": g.name, "outcome": "begun"})
+			g.recovery = tgswitch.NewRecovery(len(ranks), g.epoch)
+		}
+	default:
+		g.strayAt = time.Time{}
+		l.decide(g, ranks, now)
+	}
+}
+
+func (l *Leader) decide(g *group, ranks []tgswitch.Rank, now time.Time) {
+	if g.present == nil || !g.moving(now) || now.Sub(g.decided) < reportInterval {
+		return
+	}
+	g.decided = now
+	d := g.balancer.Decide(g.present, g.demand, now)
+	if d.Next == nil {
+		return
+	}
+	l.version++
+	g.next, g.nextVersion = d.Next, l.version
+	holder := 0
+	for i, m := range g.members {
+		if m.report.VM == l.VM {
+			holder = i // orders to the own engine cost nothing
+		}
+	}
+	g.change = tgswitch.NewSwitch(len(ranks), g.epoch, l.version, holder, now)
+	g.began = now
+	l.Log.Line("change", map[string]any{
+		"after": d.After, "before": d.Before, "copies": d.Copies, "copiesOnOne": d.CopiesOnOne, "epoch": g.epoch,
+		"group": g.name, "outcome": "begun", "step": g.newest, "version": l.version,
+	})
+}
+
+func (l *Leader) endChange(g *group, now time.Time) {
+	c := g.change
+	l.Log.Line("change", map[string]any{
+		"elapsedMs": now.Sub(g.began).Milliseconds(), "group": g.name, "outcome": c.Phase(), "reason": c.Reason(),
+		"step": c.Step(), "version": g.nextVersion,
+	})
+	if c.Phase() == tgswitch.PhaseSucceeded {
+		g.present, g.presentVersion = g.next, g.nextVersion
+		g.expectBy = now.Add(rankStale)
+	}
+	g.change = nil
+	g.balancer.Changed(now)
+}
+
+// send sends orders without waiting for their answers.
+func (l *Leader) send(g *group, orders []tgswitch.Order, term int64) {
+	for _, o := range orders {
+		addr := g.members[o.Rank].report.Engine
+		var replicas [][][]int
+		if o.Operation == tgswitch.Prepare {
+			replicas = g.next.Sets
+		}
+		go func() {
+			r, err := l.Engines.Order(addr, o, term, replicas)
+			if err != nil {
+				l.Log.Line("order", map[string]any{
+					"error": err.Error(), "group": g.name, "operation": o.Operation, "outcome": r, "rank": o.Rank,
+					"step": o.Step, "version": o.Version,
+				})
+			}
+			select {
+			case l.results <- result{group: g.name, order: o, result: r, term: term}:
+			default: // the leader is stopped; nobody waits
+			}
+		}()
+	}
+}
+
+// group is what the leader knows of one group.
+type group struct {
+	balancer       *tgbalance.Balancer
+	began          time.Time
+	change         *tgswitch.Switch
+	decided        time.Time
+	demand         *tgbalance.Demand
+	engine         tgcatalog.Engine
+	epoch          int64
+	expectBy       time.Time // when all ranks have to report the version in use
+	members        []member
+	moved          time.Time // when the newest pass was seen to grow
+	name           string
+	newest         int64 // pass
+	next           *tgexpert.Replication
+	nextVersion    int64
+	present        *tgexpert.Replication // nil if not known
+	presentVersion int64
+	recovery       *tgswitch.Recovery
+	strayAt        time.Time
+}
+
+type member struct {
+	experts [][]int
+	report  Report
+	version int64 // of experts
+}
+
+func newGroup(name, _ string, ranks int, e tgcatalog.Engine) *group {
+	return &group{
+		balancer: tgbalance.NewBalancer(tgbalance.Limits{NewPerSet: e.NewExpertsPerSet, Places: e.ExpertsPerRank}),
+		demand:   tgbalance.NewDemand(e.Sets, e.Experts), engine: e, members: make([]member, ranks), name: name,
+	}
+}
+
+func (g *group) busy() bool { return g.change != nil || g.recovery != nil }
+
+// take notes a report.
+func (g *group) take(r Report, now time.Time) {
+	if r.Rank < 0 || r.Rank >= len(g.members) || r.Ranks != len(g.members) {
+		return
+	}
+	if r.State.Epoch < g.epoch {
+		return // sent before the group formed anew
+	}
+	if r.State.Epoch > g.epoch {
+		g.epoch, g.newest, g.present = r.State.Epoch, 0, nil
+		for i := range g.members {
+			g.members[i].experts = nil
+		}
+	}
+	m := &g.members[r.Rank]
+	r.State.Seen = now
+	m.report = r
+	if r.Experts != nil {
+		m.experts, m.version = r.Experts, r.State.Version
+	}
+	if len(r.Counts) > 0 {
+		g.demand.Add(r.Counts, now)
+	}
+	if r.State.Step > g.newest {
+		g.newest, g.moved = r.State.Step, now
+	}
+}
+
+// view returns the states of all ranks and whether all of them are known, fresh and in an open group.
+func (g *group) view(now time.Time) ([]tgswitch.Rank, bool) {
+	ranks := make([]tgswitch.Rank, len(g.members))
+	ready := true
+	for i, m := range g.members {
+		ranks[i] = m.report.State
+		if m.report.State.Seen.IsZero() || now.Sub(m.report.State.Seen) > rankStale || !m.report.State.Open ||
+			m.report.State.Epoch != g.epoch {
+			ready = false
+		}
+	}
+	if ready {
+		g.learn(ranks, now)
+	}
+	return ranks, ready
+}
+
+// learn finds out which replication is in use.
+func (g *group) learn(ranks []tgswitch.Rank, now time.Time) {
+	version := ranks[0].Version
+	for _, r := range ranks {
+		if r.Version != version {
+			return // a change is just taking effect
+		}
+	}
+	if g.present != nil {
+		if version != g.presentVersion && now.After(g.expectBy) {
+			g.present = nil
+		}
+		return
+	}
+	if version == 0 {
+		g.present = tgexpert.NewReplication(g.engine.Sets, g.engine.Experts, len(g.members))
+		g.presentVersion = 0
+		return
+	}
+	p := tgexpert.NewReplication(g.engine.Sets, g.engine.Experts, len(g.members))
+	for rank, m := range g.members {
+		if m.experts == nil || m.version != version || len(m.experts) != g.engine.Sets {
+			return
+		}
+		for set := range p.Sets {
+			p.Sets[set][rank] = append([]int(nil), m.experts[set]...)
+		}
+	}
+	if p.Valid(g.engine.ExpertsPerRank) {
+		g.present, g.presentVersion = p, version
+	}
+}
+
+// moving reports whether the group makes passes; an order for a pass of an idle group could wait for long.
+func (g *group) moving(now time.Time) bool { return now.Sub(g.moved) < rankStale }
