--- a/core/tgswitch/order.go
+++ b/core/tgswitch/order.go
@@ -30,7 +30,6 @@
 // Order is an order to one rank.
 type Order struct {
 	Epoch     int64
-	Expected  int64 // sequence number of the rank's last order; an order that finds another one does nothing
 	Operation Operation
 	Rank      int
 	Step      int64
@@ -46,10 +45,6 @@
 	Open         bool  // the group runs
 	Prepared     int64 // version that is loaded besides the one in use; 0 if there is none
 	Seen         time.Time
-	Sequence     int64 // number of orders that began something
 	Step         int64 // last pass that was begun
 	Version      int64 // of the map in use
 }
-
-// NoExpectation is the Expected of an order that any state may take.
-const NoExpectation = -1
--- a/core/tgswitch/recovery.go
+++ b/core/tgswitch/recovery.go
@@ -73,7 +73,7 @@
 	p := &v.ranks[rank]
 	p.pending, p.sentAt = true, now
 	p.tries++
-	return Order{Epoch: v.epoch, Expected: NoExpectation, Operation: op, Rank: rank, Step: step, Version: version}
+	return Order{Epoch: v.epoch, Operation: op, Rank: rank, Step: step, Version: version}
 }
 
 // fence sends each rank an order that changes nothing but carries the new token.
--- a/core/tgswitch/switch.go
+++ b/core/tgswitch/switch.go
@@ -31,9 +31,8 @@
 // rankProgress is how far one rank is in the present phase.
 type rankProgress struct {
 	armUnknown bool // an order to arm had no answer; it may still be carried out
-	bumped     bool // the sequence number has moved on, so such an order does nothing
 	done       bool
-	held       bool // while bumping
+	replaced   bool // the prepared map was replaced, so such an order does nothing
 	pending    bool // an order is under way
 	sentAt     time.Time
 	tries      int
@@ -128,11 +127,11 @@
 }
 
 // send returns an order and notes that it is under way.
-func (s *Switch) send(op Operation, rank int, expected int64, now time.Time) Order {
+func (s *Switch) send(op Operation, rank int, now time.Time) Order {
 	p := &s.ranks[rank]
 	p.pending, p.sentAt = true, now
 	p.tries++
-	return Order{Epoch: s.epoch, Expected: expected, Operation: op, Rank: rank, Step: s.step, Version: s.version}
+	return Order{Epoch: s.epoch, Operation: op, Rank: rank, Step: s.step, Version: s.version}
 }
 
 func (p *rankProgress) idle(now time.Time, pause time.Duration) bool {
@@ -153,7 +152,7 @@
 		}
 		ready = false
 		if !p.done && p.idle(now, prepareRepeat) {
-			due = append(due, s.send(Prepare, i, NoExpectation, now))
+			due = append(due, s.send(Prepare, i, now))
 		}
 	}
 	if ready {
@@ -189,7 +188,7 @@
 		s.fail("hold", PhaseReleasing)
 		return s.release(ranks, now)
 	}
-	return []Order{s.send(Hold, s.holder, NoExpectation, now)}
+	return []Order{s.send(Hold, s.holder, now)}
 }
 
 func (s *Switch) arm(ranks []Rank, now time.Time) []Order {
@@ -211,7 +210,7 @@
 			s.undo("arm")
 			return s.abort(ranks, now)
 		}
-		due = append(due, s.send(Arm, i, ranks[i].Sequence+s.holdsBefore(i, ranks), now))
+		due = append(due, s.send(Arm, i, now))
 	}
 	if all {
 		s.phase = PhaseReleasing
@@ -221,14 +220,6 @@
 	return due
 }
 
-// holdsBefore returns how many orders to a rank its report may not show yet: the hold of this change.
-func (s *Switch) holdsBefore(rank int, ranks []Rank) int64 {
-	if rank == s.holder && ranks[rank].Held != s.step {
-		return 1
-	}
-	return 0
-}
-
 // undo starts to disarm the ranks that may be armed.
 func (s *Switch) undo(reason string) {
 	s.failed = true
@@ -239,30 +230,28 @@
 	}
 }
 
-// abort disarms all ranks. A rank with an order to arm that had no answer is held and released once, which makes that
-// order do nothing if it is carried out late.
+// abort disarms all ranks. A rank with an order to arm that had no answer gets the map in use prepared under the next
+// version, after which that order does nothing if it is carried out late.
 func (s *Switch) abort(ranks []Rank, now time.Time) []Order {
 	var due []Order
 	all := true
 	for i := range s.ranks {
 		p := &s.ranks[i]
-		if p.done && (!p.armUnknown || p.bumped) {
+		p.replaced = p.replaced || ranks[i].Prepared == s.Spare()
+		if p.done && (!p.armUnknown || p.replaced) {
 			continue
 		}
 		all = false
 		if !p.idle(now, orderPause) {
 			continue
 		}
-		switch {
-		case !p.done:
-			due = append(due, s.send(Disarm, i, NoExpectation, now))
-		case !p.held:
-			due = append(due, s.send(Hold, i, NoExpectation, now))
-		case i == s.holder: // its hold ends last
-			p.bumped = true
-		default:
-			due = append(due, s.send(Release, i, NoExpectation, now))
+		if !p.done {
+			due = append(due, s.send(Disarm, i, now))
+			continue
 		}
+		o := s.send(Prepare, i, now)
+		o.Version = s.Spare()
+		due = append(due, o)
 	}
 	if all {
 		s.phase = PhaseReleasing
@@ -273,16 +262,19 @@
 	return due
 }
 
+// Spare returns the version under which the map in use is prepared again when a change is undone.
+func (s *Switch) Spare() int64 { return s.version + 1 }
+
 func (s *Switch) release(_ []Rank, now time.Time) []Order {
 	if !s.ranks[s.holder].idle(now, orderPause) {
 		return nil
 	}
-	return []Order{s.send(Release, s.holder, NoExpectation, now)}
+	return []Order{s.send(Release, s.holder, now)}
 }
 
 // Answer takes the result of an order.
 func (s *Switch) Answer(o Order, r Result, now time.Time) {
-	if s.Ended() || o.Version != s.version {
+	if s.Ended() || o.Version != s.version && o.Version != s.Spare() {
 		return
 	}
 	p := &s.ranks[o.Rank]
@@ -293,19 +285,24 @@
 	}
 	switch o.Operation {
 	case Prepare:
-		s.answerPrepare(p, r)
+		s.answerPrepare(p, o, r)
 	case Hold:
-		s.answerHold(p, o, r)
+		s.answerHold(o, r)
 	case Arm:
 		s.answerArm(p, r)
 	case Disarm:
 		s.answerDisarm(p, r)
 	case Release:
-		s.answerRelease(p, o, r)
+		s.answerRelease(o, r)
 	}
 }
 
-func (s *Switch) answerPrepare(p *rankProgress, r Result) {
+func (s *Switch) answerPrepare(p *rankProgress, o Order, r Result) {
+	if s.phase == PhaseAborting && o.Version == s.Spare() {
+		p.replaced = r == Done
+		p.done = r != Refused // the late order may have armed the rank meanwhile
+		return
+	}
 	if s.phase != PhasePreparing {
 		return
 	}
@@ -323,15 +320,12 @@
 	}
 }
 
-func (s *Switch) answerHold(p *rankProgress, o Order, r Result) {
+func (s *Switch) answerHold(o Order, r Result) {
 	switch {
-	case s.phase == PhaseAborting:
-		// A refused hold also means that the pass has begun, after which no rank can be armed for it.
-		p.held = r != Unknown
-		p.bumped = p.bumped || r == Refused
-	case s.phase == PhaseHolding && r == Done && o.Step == s.step:
+	case s.phase != PhaseHolding || o.Step != s.step:
+	case r == Done:
 		s.enter(PhaseArming)
-	case s.phase == PhaseHolding && r == Refused:
+	case r == Refused:
 		s.step = 0 // the pass has begun, or an earlier hold is in force
 	}
 }
@@ -353,11 +347,7 @@
 	p.done = r == Done || r == Refused
 }
 
-func (s *Switch) answerRelease(p *rankProgress, o Order, r Result) {
-	if s.phase == PhaseAborting {
-		p.bumped = p.bumped || r != Unknown
-		return
-	}
+func (s *Switch) answerRelease(o Order, r Result) {
 	if s.phase != PhaseReleasing || o.Rank != s.holder || r == Unknown {
 		return
 	}
--- a/io/tgrank/leader.go
+++ b/io/tgrank/leader.go
@@ -265,7 +265,7 @@
 	if d.Next == nil {
 		return
 	}
-	l.version++
+	l.version += 2 // one for the change, one for undoing it
 	g.next, g.nextVersion = d.Next, l.version
 	holder := 0
 	for i, m := range g.members {
@@ -301,7 +301,10 @@
 		addr := g.members[o.Rank].report.Engine
 		var replicas [][][]int
 		if o.Operation == tgswitch.Prepare {
-			replicas = g.next.Sets
+			replicas = g.present.Sets
+			if o.Version == g.nextVersion {
+				replicas = g.next.Sets
+			}
 		}
 		go func() {
 			r, err := l.Engines.Order(addr, o, term, replicas)
