--- a/core/tgpace/pacer.go
+++ b/core/tgpace/pacer.go
@@ -10,7 +10,8 @@
 const (
 	decisionInterval = 150 * time.Millisecond
 	gapsPerDecision  = 8    // fewer say too little
-	gapTarget        = 0.80 // part of the longest pause on time that the mean pause may reach
+	gapTarget        = 0.80 // part of the longest pause on time that the longest pause seen may reach
+	gapComfort       = 0.65 // part below which the limit grows
 	growthFactor     = 1.06 // of the limit in one decision while it binds
 	shrinkMin        = 0.80 // largest cut of the limit in one decision
 	minLimit         = 2.0
@@ -30,7 +31,7 @@
 type Refusal struct {
 	InFlight   int
 	Limit      float64
-	MeanGap    time.Duration
+	PeakGap    time.Duration
 	RetryAfter time.Duration
 }
 
@@ -38,8 +39,8 @@
 type Pacer struct {
 	binding  bool // the limit refused a stream since the last decision
 	decided  time.Time
-	gapMean  float64 // seconds, of the last decision
-	gapSum   float64
+	gapMax   float64 // seconds, since the last decision
+	gapPeak  float64 // seconds, of the last decision
 	gaps     int
 	inFlight int
 	limit    float64
@@ -86,7 +87,7 @@
 	perPlace := p.stay / max(p.limit, 1)
 	wait := time.Duration((float64(p.refused) + p.rand()) * perPlace * float64(time.Second))
 	return &Refusal{
-		InFlight: p.inFlight, Limit: p.limit, MeanGap: time.Duration(p.gapMean * float64(time.Second)),
+		InFlight: p.inFlight, Limit: p.limit, PeakGap: time.Duration(p.gapPeak * float64(time.Second)),
 		RetryAfter: min(max(wait, retryAfterMin), retryAfterMax),
 	}
 }
@@ -95,7 +96,7 @@
 func (p *Pacer) Gap(d time.Duration, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.gapSum += d.Seconds()
+	p.gapMax = max(p.gapMax, d.Seconds())
 	p.gaps++
 	p.decide(now)
 }
@@ -114,13 +115,13 @@
 	if p.gaps < gapsPerDecision || now.Sub(p.decided) < decisionInterval {
 		return
 	}
-	p.gapMean = p.gapSum / float64(p.gaps)
-	p.gapSum, p.gaps, p.decided = 0, 0, now
-	wanted := gapTarget * p.target.Seconds()
+	p.gapPeak = p.gapMax
+	p.gapMax, p.gaps, p.decided = 0, 0, now
+	target := p.target.Seconds()
 	switch {
-	case p.gapMean > wanted:
-		p.limit = max(minLimit, min(p.limit, float64(p.inFlight)+1)*max(shrinkMin, wanted/p.gapMean))
-	case p.binding || float64(p.inFlight) > 0.8*p.limit:
+	case p.gapPeak > gapTarget*target:
+		p.limit = max(minLimit, min(p.limit, float64(p.inFlight)+1)*max(shrinkMin, gapTarget*target/p.gapPeak))
+	case p.gapPeak < gapComfort*target && (p.binding || float64(p.inFlight) > 0.8*p.limit):
 		p.limit = min(p.limit*growthFactor+0.2, p.maxLimit)
 	}
 	p.binding = false
@@ -130,12 +131,12 @@
 type State struct {
 	InFlight int           `json:"inFlight"`
 	Limit    float64       `json:"limit"`
-	MeanGap  time.Duration `json:"meanGap"`
+	PeakGap  time.Duration `json:"peakGap"`
 }
 
 // State returns the present state.
 func (p *Pacer) State() State {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return State{InFlight: p.inFlight, Limit: p.limit, MeanGap: time.Duration(p.gapMean * float64(time.Second))}
+	return State{InFlight: p.inFlight, Limit: p.limit, PeakGap: time.Duration(p.gapPeak * float64(time.Second))}
 }
--- a/core/tgswitch/switch.go
+++ b/core/tgswitch/switch.go
@@ -21,11 +21,12 @@
 
 const (
 	holdTries     = 4
-	armTries      = 3
-	leadSteps     = 3                      // passes between the newest one that is known and that of the change
-	orderPause    = 120 * time.Millisecond // before an order that had no answer is sent again
+	armTries      = 6
+	leadSteps     = 3                     // passes between the newest one that is known and that of the change
+	lossyLead     = 8                     // instead of leadSteps after orders had no answer, so that repeats are in time
+	orderPause    = 10 * time.Millisecond // before an order that had no answer is sent again
 	prepareFor    = 6 * time.Second
-	prepareRepeat = 600 * time.Millisecond
+	prepareRepeat = 100 * time.Millisecond
 )
 
 // rankProgress is how far one rank is in the present phase.
@@ -45,6 +46,7 @@
 	epoch   int64
 	failed  bool // the change is being undone
 	holder  int  // rank that holds the pass
+	lossy   bool // an order had no answer
 	phase   Phase
 	ranks   []rankProgress
 	reason  string
@@ -181,6 +183,9 @@
 	}
 	if s.step == 0 || newest(ranks) >= s.step {
 		s.step = newest(ranks) + leadSteps
+		if s.lossy {
+			s.step = newest(ranks) + lossyLead
+		}
 	}
 	if s.tries++; s.tries > holdTries {
 		// A hold without an answer may still take effect before its pass begins, so it is released.
@@ -283,6 +288,7 @@
 		s.fail("fenced", PhaseLost)
 		return
 	}
+	s.lossy = s.lossy || r == Unknown
 	switch o.Operation {
 	case Prepare:
 		s.answerPrepare(p, o, r)
--- a/io/tgrank/leader.go
+++ b/io/tgrank/leader.go
@@ -15,12 +15,13 @@
 )
 
 const (
-	joinInterval   = 500 * time.Millisecond
-	idleTick       = 100 * time.Millisecond
-	busyTick       = 10 * time.Millisecond
-	rankStale      = 900 * time.Millisecond // a rank that did not report for so long is not ordered to change
-	strayAfter     = 400 * time.Millisecond // a hold that no change explains is ended after so long
-	versionsOfTerm = 1 << 20                // map versions of one term of a leader
+	joinInterval    = 500 * time.Millisecond
+	idleTick        = 100 * time.Millisecond
+	busyTick        = 10 * time.Millisecond
+	rankStale       = 900 * time.Millisecond // a rank that did not report for so long is not ordered to change
+	strayAfter      = 400 * time.Millisecond // a hold that no change explains is ended after so long
+	skewLogInterval = time.Second
+	versionsOfTerm  = 1 << 20 // map versions of one term of a leader
 )
 
 // Leader is the part of an agent that leads while it is elected.
@@ -262,6 +263,10 @@
 	}
 	g.decided = now
 	d := g.balancer.Decide(g.present, g.demand, now)
+	if now.Sub(g.logged) >= skewLogInterval && d.Before > 0 {
+		g.logged = now
+		l.Log.Line("skew", map[string]any{"after": d.After, "group": g.name, "now": d.Before, "step": g.newest})
+	}
 	if d.Next == nil {
 		return
 	}
@@ -332,6 +337,7 @@
 	engine         tgcatalog.Engine
 	epoch          int64
 	expectBy       time.Time // when all ranks have to report the version in use
+	logged         time.Time // when the skew was last logged
 	members        []member
 	moved          time.Time // when the newest pass was seen to grow
 	name           string
