--- a/core/tgretry/window.go
+++ b/core/tgretry/window.go
@@ -27,11 +27,11 @@
 	return &Window{burst: burst, ratio: ratio, span: max(window/windowSlots, time.Millisecond)}
 }
 
-// SetBurst changes this process's share of the burst.
-func (w *Window) SetBurst(burst float64) {
+// SetShare changes the ratio and this process's share of the burst.
+func (w *Window) SetShare(ratio, burst float64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.burst = burst
+	w.burst, w.ratio = burst, ratio
 }
 
 func (w *Window) advance(now time.Time) int {
--- a/io/tgcommand/platform.go
+++ b/io/tgcommand/platform.go
@@ -1,13 +1,16 @@
 package tgcommand
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"net"
 	"net/netip"
 	"os"
+	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -99,9 +102,50 @@
 	}
 }
 
-// followMembers keeps the peers up to date.
-func (d *platformDaemon) followMembers(ctx context.Context, f *tgfleet.Follower) {
-	f.Run(ctx)
+const settingsInterval = time.Second // between looks at the settings file, which may change without a signal
+
+// watchSettings applies the settings file when it changes or when SIGHUP arrives. A file that cannot be read leaves
+// the settings as they are.
+func (d *platformDaemon) watchSettings(ctx context.Context, apply func(*tgplatform.Settings)) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	path := os.Getenv(tgplatform.SettingsEnv)
+	seen, _ := os.ReadFile(path) // an error shows at the next look
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	for {
+		signalled := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			signalled = true
+		case <-ticker.C:
+		}
+		data, err := os.ReadFile(path)
+		if err == nil && bytes.Equal(data, seen) && !signalled {
+			continue
+		}
+		if err != nil && !signalled {
+			continue // the platform may be replacing the file
+		}
+		seen = data
+		d.reload(data, err, signalled, apply)
+	}
+}
+
+func (d *platformDaemon) reload(data []byte, err error, signalled bool, apply func(*tgplatform.Settings)) {
+	var s *tgplatform.Settings
+	if err == nil {
+		s, err = tgplatform.ParseSettings(data)
+	}
+	if err != nil {
+		d.report.Line("reload", tgreport.Fields{"error": err.Error(), "outcome": "kept", "signalled": signalled})
+		return
+	}
+	apply(s)
+	d.report.Line("reload", tgreport.Fields{"outcome": "applied", "signalled": signalled})
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/io/tgcommand/platform_companion.go
+++ b/io/tgcommand/platform_companion.go
@@ -67,6 +67,8 @@
 	agent := &tgrank.Agent{
 		Conn: conn, Engine: s.EngineAddr, Engines: engines, Leader: leader, Log: p, Pool: s.EnginePool, VM: s.VM,
 	}
+	// What a companion takes from the settings cannot change while it runs; a reload only checks the file.
+	go p.watchSettings(ctx, func(*tgplatform.Settings) {})
 	go p.register(ctx, tgfleet.RoleCompanion) // calls to the store may outlast the daemon's end
 	members := &tgfleet.Follower{
 		Apply: func(changed []tgfold.Record) {
--- a/io/tgcommand/platform_entry.go
+++ b/io/tgcommand/platform_entry.go
@@ -72,11 +72,8 @@
 		operator: tgfold.NewTable(), platformDaemon: d, upstreams: tgfold.NewTable(),
 		view: tgview.NewView(tgplatform.Codec()),
 	}
-	b := d.settings.Bounds
-	e.proxy = tgproxy.NewServer(d.settings.DataCentre, e, tgplatform.Headers(), tgproxy.Limits{
-		ColdOverrun: b.ColdOverrun, ColdSlack: b.ColdSlack, DrainGrace: b.DrainGrace, RetryBurst: b.RetryBurst,
-		RetryRatio: b.RetryRatio, RetryWindow: b.RetryWindow, SpareForDrain: spareForDrain,
-	}, d.report, d.report.Counters)
+	e.proxy = tgproxy.NewServer(d.settings.DataCentre, e, tgplatform.Headers(), proxyLimits(d.settings), d.report,
+		d.report.Counters)
 	e.exchange = &tgfleet.Exchange{
 		InFlight: e.proxy.InFlight, Log: d.report, Operator: e.operator, Peers: d.peers, Upstreams: e.upstreams,
 		VM: d.settings.VM, View: e.view,
@@ -84,6 +81,15 @@
 	return e
 }
 
+// proxyLimits returns the proxy's limits of the settings.
+func proxyLimits(s *tgplatform.Settings) tgproxy.Limits {
+	b := s.Bounds
+	return tgproxy.Limits{
+		ColdOverrun: b.ColdOverrun, ColdSlack: b.ColdSlack, DrainGrace: b.DrainGrace, RetryBurst: b.RetryBurst,
+		RetryRatio: b.RetryRatio, RetryWindow: b.RetryWindow, SpareForDrain: spareForDrain,
+	}
+}
+
 func (e *platformEntry) run(ctx context.Context) error {
 	s := e.settings
 	if !s.CallersAddr.IsValid() || !s.ReadyAddr.IsValid() {
@@ -103,6 +109,7 @@
 	wg.Go(func() { e.logError(serveHTTP(background, s.ReadyAddr, e.handleReady(ctx))) })
 	wg.Go(func() { e.logError(serveHTTP(background, e.peerAddr(), e.handleAdmin)) })
 	wg.Go(func() { e.exchange.Run(background, datagrams) })
+	go e.watchSettings(background, func(s *tgplatform.Settings) { e.proxy.SetLimits(proxyLimits(s)) })
 	go e.register(background, tgfleet.RoleEntry) // calls to the store may outlast the daemon's end
 	go e.follower(tgplatform.TopicOperator, e.operator, operatorWait, 0).Run(background)
 	go e.follower(tgplatform.TopicUpstreams, e.upstreams, upstreamsWait, upstreamsPause).Run(background)
--- a/io/tgproxy/server.go
+++ b/io/tgproxy/server.go
@@ -26,7 +26,7 @@
 	counters  *expvar.Map
 	drainedAt atomic.Int64 // Unix nanoseconds at which idle connections close; 0 while not draining
 	headers   Headers
-	limits    Limits
+	limits    atomic.Pointer[Limits]
 	observer  Observer
 	picker    *tgpick.Picker
 	rand      func() float64
@@ -46,13 +46,18 @@
 
 // NewServer returns a server for a process in the data centre local.
 func NewServer(local string, catalog Catalog, headers Headers, limits Limits, observer Observer, counters *expvar.Map) *Server {
-	return &Server{
+	s := &Server{
 		callers: map[*caller]struct{}{}, catalog: catalog, conns: newConnPool(), counters: counters, headers: headers,
-		limits: limits, observer: observer, pacers: map[string]*tgpace.Pacer{}, picker: tgpick.NewPicker(local),
+		observer: observer, pacers: map[string]*tgpace.Pacer{}, picker: tgpick.NewPicker(local),
 		rand: rand.Float64, usual: map[string]time.Duration{}, windows: map[string]*tgretry.Window{},
 	}
+	s.SetLimits(limits)
+	return s
 }
 
+// SetLimits changes the bounds that all entries keep together.
+func (s *Server) SetLimits(l Limits) { s.limits.Store(&l) }
+
 // Serve accepts connections until ctx ends; then it lets requests finish and returns.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	work, abort := context.WithCancel(context.WithoutCancel(ctx))
@@ -88,7 +93,7 @@
 // drain ends the server: for a moment new connections still arrive, then idle connections close, and requests finish
 // until little of the grace is left.
 func (s *Server) drain(listener net.Listener, abort context.CancelFunc) {
-	start := time.Now()
+	start, limits := time.Now(), s.limits.Load()
 	s.drainedAt.Store(start.Add(newConnectionsFor).UnixNano())
 	time.Sleep(newConnectionsFor)
 	_ = listener.Close() // Serve sees the closed listener
@@ -97,7 +102,7 @@
 		k.closeIdle()
 	}
 	s.mu.Unlock()
-	time.Sleep(time.Until(start.Add(s.limits.DrainGrace - s.limits.SpareForDrain)))
+	time.Sleep(time.Until(start.Add(limits.DrainGrace - limits.SpareForDrain)))
 	abort()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -127,15 +132,16 @@
 
 // window returns the retry budget of a pool.
 func (s *Server) window(pool string) *tgretry.Window {
-	burst := s.limits.RetryBurst / float64(max(1, s.catalog.Entries())) / 2
+	limits := s.limits.Load()
+	burst := limits.RetryBurst / float64(max(1, s.catalog.Entries())) / 2
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	w, ok := s.windows[pool]
 	if !ok {
-		w = tgretry.NewWindow(s.limits.RetryRatio, burst, s.limits.RetryWindow)
+		w = tgretry.NewWindow(limits.RetryRatio, burst, limits.RetryWindow)
 		s.windows[pool] = w
 	}
-	w.SetBurst(burst)
+	w.SetShare(limits.RetryRatio, burst)
 	return w
 }
 
