--- a/core/tgbalance/balance.go
+++ b/core/tgbalance/balance.go
@@ -10,12 +10,12 @@
 )
 
 const (
-	demandMemory = 500 * time.Millisecond // counts lose their weight, to 1/e, in this time
+	demandMemory = 150 * time.Millisecond // counts lose their weight, to 1/e, in this time
 	minTokens    = 2000.0                 // in a set, before its demand is believed
 	copyCost     = 0.004                  // skew that a copy has to save to be worth its price
 	minGain      = 0.12                   // skew that a change has to save
-	copiesOnRank = 4                      // of one change; they delay it, since a rank copies one after the other
-	settleTime   = 250 * time.Millisecond // after a change, until the counts show its passes
+	copiesOnRank = 2                      // of one change; they delay it, since a rank copies one after the other
+	settleTime   = 150 * time.Millisecond // after a change, until the counts show its passes
 )
 
 // Demand estimates how often each expert is chosen at present. It is not safe for concurrent use.
--- a/core/tgswitch/switch.go
+++ b/core/tgswitch/switch.go
@@ -22,7 +22,7 @@
 const (
 	holdTries     = 4
 	armTries      = 6
-	leadSteps     = 3                     // passes between the newest one that is known and that of the change
+	leadSteps     = 2                     // passes between the newest one that is known and that of the change
 	lossyLead     = 8                     // instead of leadSteps after orders had no answer, so that repeats are in time
 	orderPause    = 10 * time.Millisecond // before an order that had no answer is sent again
 	prepareFor    = 6 * time.Second
--- a/io/tgrank/agent.go
+++ b/io/tgrank/agent.go
@@ -64,7 +64,12 @@
 		case e.Beacon != nil:
 			a.takeBeacon(*e.Beacon, from)
 		case e.Report != nil:
+			e.Report.From = from
 			a.Leader.Take(*e.Report)
+		case e.Request != nil:
+			go a.relay(*e.Request, from)
+		case e.Reply != nil:
+			a.Leader.reply(*e.Reply)
 		}
 	}
 }
@@ -192,6 +197,16 @@
 	return sets
 }
 
+// relay passes an order to the engine on this VM. Orders repeat until they are answered, so a lost reply is harmless.
+func (a *Agent) relay(q Request, from netip.AddrPort) {
+	r, err := a.Engines.Order(a.Engine, q.Order, q.Token, q.Replicas)
+	reply := Reply{Number: q.Number, Result: r, Token: q.Token}
+	if err != nil {
+		reply.Error = err.Error()
+	}
+	a.send(envelope{Reply: &reply}, from)
+}
+
 func (a *Agent) send(e envelope, to netip.AddrPort) {
 	data, err := cbor.Marshal(e)
 	if err != nil {
--- a/io/tgrank/leader.go
+++ b/io/tgrank/leader.go
@@ -40,6 +40,8 @@
 	results chan result
 	groups  map[string]*group
 	version int64 // last one of this term
+
+	relays relays
 }
 
 // result is the answer to an order.
@@ -113,7 +115,7 @@
 		busy := false
 		if term != 0 {
 			for _, g := range l.groups {
-				l.step(g, term, now)
+				l.step(a, g, term, now)
 				busy = busy || g.busy()
 			}
 			if busy != fast || now.Sub(beaconAt) >= beaconInterval {
@@ -131,6 +133,7 @@
 
 func (l *Leader) changeTerm(from, to int64) {
 	clear(l.groups)
+	l.relays.clear()
 	l.version = to * versionsOfTerm
 	state := "elected"
 	if to == 0 {
@@ -228,16 +231,16 @@
 }
 
 // step moves a group on.
-func (l *Leader) step(g *group, term int64, now time.Time) {
+func (l *Leader) step(a *Agent, g *group, term int64, now time.Time) {
 	ranks, ready := g.view(now)
 	switch {
 	case g.change != nil:
-		l.send(g, g.change.Due(ranks, now), term)
+		l.send(a, g, g.change.Due(ranks, now), term)
 		if g.change.Ended() {
 			l.endChange(g, now)
 		}
 	case g.recovery != nil:
-		l.send(g, g.recovery.Due(ranks, now), term)
+		l.send(a, g, g.recovery.Due(ranks, now), term)
 		if g.recovery.Ended() {
 			l.Log.Line("recovery", map[string]any{"group": g.name, "outcome": g.recovery.Phase()})
 			g.recovery, g.strayAt = nil, time.Time{}
@@ -300,33 +303,6 @@
 	g.balancer.Changed(now)
 }
 
-// send sends orders without waiting for their answers.
-func (l *Leader) send(g *group, orders []tgswitch.Order, term int64) {
-	for _, o := range orders {
-		addr := g.members[o.Rank].report.Engine
-		var replicas [][][]int
-		if o.Operation == tgswitch.Prepare {
-			replicas = g.present.Sets
-			if o.Version == g.nextVersion {
-				replicas = g.next.Sets
-			}
-		}
-		go func() {
-			r, err := l.Engines.Order(addr, o, term, replicas)
-			if err != nil {
-				l.Log.Line("order", map[string]any{
-					"error": err.Error(), "group": g.name, "operation": o.Operation, "outcome": r, "rank": o.Rank,
-					"step": o.Step, "version": o.Version,
-				})
-			}
-			select {
-			case l.results <- result{group: g.name, order: o, result: r, term: term}:
-			default: // the leader is stopped; nobody waits
-			}
-		}()
-	}
-}
-
 // group is what the leader knows of one group.
 type group struct {
 	balancer       *tgbalance.Balancer
--- a/io/tgrank/message.go
+++ b/io/tgrank/message.go
@@ -21,6 +21,7 @@
 type Report struct {
 	Counts  []uint32       `cbor:"1,keyasint,omitempty"` // choices of each expert since the last counts, set by set
 	Engine  netip.AddrPort `cbor:"2,keyasint"`
+	From    netip.AddrPort `cbor:"-"`                    // set by the receiver
 	Experts [][]int        `cbor:"3,keyasint,omitempty"` // held, by set; belongs to Version of State
 	Group   string         `cbor:"4,keyasint"`
 	Pool    string         `cbor:"5,keyasint"`
@@ -30,14 +31,34 @@
 	VM      string         `cbor:"9,keyasint"`
 }
 
+// Request asks an agent to pass an order to the engine on its VM.
+type Request struct {
+	Group    string         `cbor:"1,keyasint"`
+	Number   uint64         `cbor:"2,keyasint"` // of the request, in a term
+	Order    tgswitch.Order `cbor:"3,keyasint"`
+	Replicas [][][]int      `cbor:"4,keyasint,omitempty"` // experts by set and rank
+	Token    int64          `cbor:"5,keyasint"`
+}
+
+// Reply is the result of a Request.
+type Reply struct {
+	Error  string          `cbor:"1,keyasint,omitempty"`
+	Number uint64          `cbor:"2,keyasint"`
+	Result tgswitch.Result `cbor:"3,keyasint"`
+	Token  int64           `cbor:"4,keyasint"`
+}
+
 // envelope is a datagram; one field is set.
 type envelope struct {
-	Beacon *Beacon `cbor:"1,keyasint,omitempty"`
-	Report *Report `cbor:"2,keyasint,omitempty"`
+	Beacon  *Beacon  `cbor:"1,keyasint,omitempty"`
+	Reply   *Reply   `cbor:"2,keyasint,omitempty"`
+	Report  *Report  `cbor:"3,keyasint,omitempty"`
+	Request *Request `cbor:"4,keyasint,omitempty"`
 }
 
 const (
-	reportInterval = 200 * time.Millisecond
+	reportInterval = 100 * time.Millisecond
+	relayTimeout   = 120 * time.Millisecond // for the reply of an agent
 	fastInterval   = 30 * time.Millisecond
 	beaconInterval = 500 * time.Millisecond
 	leaderFor      = 2 * time.Second // an agent reports to a leader for so long after its last beacon
--- /dev/null
+++ b/io/tgrank/relay.go
@@ -0,0 +1,112 @@
+package tgrank
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"tanagergrade/core/tgswitch"
+)
+
+const relayFresh = 300 * time.Millisecond // an agent that reported within it passes orders on
+
+// errNoReply says that an agent did not reply in time.
+var errNoReply = errors.New("agent did not reply")
+
+// relays are the orders that agents pass on. Calls to the engine on the own VM cost less than calls from another.
+type relays struct {
+	last    uint64
+	mu      sync.Mutex
+	waiting map[uint64]chan Reply
+}
+
+func (r *relays) open() (uint64, chan Reply) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.waiting == nil {
+		r.waiting = map[uint64]chan Reply{}
+	}
+	r.last++
+	c := make(chan Reply, 1)
+	r.waiting[r.last] = c
+	return r.last, c
+}
+
+func (r *relays) close(number uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.waiting, number)
+}
+
+func (r *relays) clear() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	clear(r.waiting)
+}
+
+// reply takes the reply of an agent; one that nobody waits for any more is dropped.
+func (l *Leader) reply(r Reply) {
+	l.relays.mu.Lock()
+	c, ok := l.relays.waiting[r.Number]
+	l.relays.mu.Unlock()
+	if !ok {
+		return
+	}
+	select {
+	case c <- r:
+	default: // a repeated datagram
+	}
+}
+
+// send sends orders without waiting for their answers.
+func (l *Leader) send(a *Agent, g *group, orders []tgswitch.Order, term int64) {
+	for _, o := range orders {
+		m := g.members[o.Rank].report
+		var replicas [][][]int
+		if o.Operation == tgswitch.Prepare {
+			replicas = g.present.Sets
+			if o.Version == g.nextVersion {
+				replicas = g.next.Sets
+			}
+		}
+		group := g.name
+		go func() {
+			r, err := l.order(a, m, o, term, replicas, group)
+			if err != nil {
+				l.Log.Line("order", map[string]any{
+					"error": err.Error(), "group": group, "operation": o.Operation, "outcome": r, "rank": o.Rank,
+					"step": o.Step, "version": o.Version,
+				})
+			}
+			select {
+			case l.results <- result{group: group, order: o, result: r, term: term}:
+			default: // the leader is stopped; nobody waits
+			}
+		}()
+	}
+}
+
+// order sends an order through the agent beside the engine, or to the engine itself if the agent is silent.
+func (l *Leader) order(
+	a *Agent, m Report, o tgswitch.Order, term int64, replicas [][][]int, group string,
+) (tgswitch.Result, error) {
+	if m.From == (netip.AddrPort{}) || time.Since(m.State.Seen) > relayFresh {
+		return l.Engines.Order(m.Engine, o, term, replicas)
+	}
+	number, replies := l.relays.open()
+	defer l.relays.close(number)
+	a.send(envelope{Request: &Request{Group: group, Number: number, Order: o, Replicas: replicas, Token: term}}, m.From)
+	timer := time.NewTimer(relayTimeout)
+	defer timer.Stop()
+	select {
+	case r := <-replies:
+		if r.Error != "" {
+			return r.Result, errors.New(r.Error)
+		}
+		return r.Result, nil
+	case <-timer.C:
+		return tgswitch.Unknown, errNoReply
+	}
+}
