Tell upstreams that left from those that lapsed in an outage

Cause: an entry that the store turned away kept an upstream that had left for 2.2 s more, as if its registration had lapsed. Only removals of most upstreams at the end of an outage count as lapsed now; the first read after an error does not wait, so the end of an outage is known at once. Peers that are cut off no longer confirm each other.

--- a/core/tgview/view.go
+++ b/core/tgview/view.go
@@ -41,6 +41,8 @@
 const (
 	// A registration that lapsed while the store was away returns within about two seconds if its engine lives.
 	lapseGrace = 2200 * time.Millisecond
+	// Registrations last three intervals of renewal, so a shorter outage of the store lets none of them lapse.
+	lapseOutage = 2 * time.Second
 	// A configuration is taken as current for so long after it was last confirmed.
 	currentFor = 1500 * time.Millisecond
 )
@@ -60,8 +62,9 @@
 	pools     atomic.Pointer[map[string][]tgcatalog.Upstream]
 
 	mu        sync.Mutex
+	applied   time.Time // when the upstreams were last read
+	back      time.Time // when the store came back from an outage in which registrations may have lapsed
 	lost      time.Time // when the store was lost; zero while it answers
-	back      time.Time // when it last came back
 	upstreams map[string]entry
 	withdrawn map[string]bool // by data centre
 }
@@ -92,6 +95,10 @@
 	}
 }
 
+// Following reports whether the store tells this process of each change of the operator. A process that only hears
+// from peers must not confirm others, or two that are cut off would confirm each other.
+func (v *View) Following() bool { return v.following.Load() }
+
 // Upstreams returns the upstreams of a pool that may get new work. The result is not to be changed.
 func (v *View) Upstreams(pool string) []tgcatalog.Upstream { return (*v.pools.Load())[pool] }
 
@@ -101,6 +108,9 @@
 	defer v.mu.Unlock()
 	if v.lost.IsZero() {
 		v.lost = now
+		if !v.applied.IsZero() && v.applied.Before(now) {
+			v.lost = v.applied
+		}
 	}
 }
 
@@ -108,9 +118,10 @@
 func (v *View) StoreBack(now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if !v.lost.IsZero() {
-		v.lost, v.back = time.Time{}, now
+	if !v.lost.IsZero() && now.Sub(v.lost) >= lapseOutage {
+		v.back = now
 	}
+	v.lost = time.Time{}
 }
 
 // ApplyOperator takes changed records of the operator.
@@ -163,28 +174,25 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	var changes []Change
+	lapse := v.lapse(records, now)
 	for _, r := range records {
-		if c, ok := v.applyUpstream(r, now); ok {
+		if c, ok := v.applyUpstream(r, lapse, now); ok {
 			changes = append(changes, c)
 		}
 	}
-	for id, e := range v.upstreams {
-		if !e.gone.IsZero() && !now.Before(e.gone) {
-			delete(v.upstreams, id)
-			changes = append(changes, Change{Key: id, Outcome: "lapsed"})
-		}
-	}
+	changes = append(changes, v.expire(now)...)
+	v.applied = now
 	v.publish()
 	return changes
 }
 
 // applyUpstream reports ok if the change is worth a line in the log; renewals are not.
-func (v *View) applyUpstream(r tgfold.Record, now time.Time) (c Change, ok bool) {
+func (v *View) applyUpstream(r tgfold.Record, lapse bool, now time.Time) (c Change, ok bool) {
 	c = Change{Key: r.Key, Offset: r.Offset}
 	old, known := v.upstreams[r.Key]
 	if len(r.Value) == 0 {
 		c.Outcome = "removed"
-		if v.lapses(now) && known && old.State == tgcatalog.StateReady {
+		if lapse && known && old.State == tgcatalog.StateReady {
 			c.Outcome = "removedInOutage"
 			old.gone = now.Add(lapseGrace)
 			v.upstreams[r.Key] = old
@@ -208,9 +216,40 @@
 	return c, !known || old.State != u.State || old.Address != u.Address
 }
 
-// lapses reports whether a removal may only mean that the engine could not renew its registration.
-func (v *View) lapses(now time.Time) bool {
-	return !v.lost.IsZero() || !v.back.IsZero() && now.Sub(v.back) < lapseGrace
+// lapse reports whether removals may only mean that engines could not renew their registrations: they come with the
+// end of an outage and concern most upstreams. A single removal then is an upstream that left meanwhile.
+func (v *View) lapse(records []tgfold.Record, now time.Time) bool {
+	if v.back.IsZero() || now.Sub(v.back) >= lapseGrace {
+		return false
+	}
+	removed := 0
+	for _, r := range records {
+		if e, known := v.upstreams[r.Key]; known && e.gone.IsZero() && len(r.Value) == 0 {
+			removed++
+		}
+	}
+	return 2*removed >= len(v.upstreams)
+}
+
+// Expire drops the upstreams that lapsed in an outage and did not return.
+func (v *View) Expire(now time.Time) []Change {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.expire(now)
+}
+
+func (v *View) expire(now time.Time) []Change {
+	var changes []Change
+	for id, e := range v.upstreams {
+		if !e.gone.IsZero() && !now.Before(e.gone) {
+			delete(v.upstreams, id)
+			changes = append(changes, Change{Key: id, Outcome: "lapsed"})
+		}
+	}
+	if len(changes) > 0 {
+		v.publish()
+	}
+	return changes
 }
 
 // publish makes the list of upstreams that may get new work.
--- a/io/tgcommand/platform_entry.go
+++ b/io/tgcommand/platform_entry.go
@@ -31,9 +31,9 @@
 }
 
 const (
-	operatorWait   = 10 * time.Second // of a read of the operator's topic, which is quiet
-	upstreamsPause = 900 * time.Millisecond
-	upstreamsWait  = 5 * time.Second
+	operatorWait   = 10 * time.Second       // of a read of the operator's topic, which is quiet
+	upstreamsPause = 300 * time.Millisecond // while engines come and go one after the other
+	upstreamsWait  = 10 * time.Second
 	spareForDrain  = 400 * time.Millisecond
 )
 
--- a/io/tgfleet/exchange.go
+++ b/io/tgfleet/exchange.go
@@ -71,9 +71,11 @@
 }
 
 func (x *Exchange) send(conn *net.UDPConn) {
-	_, current := x.View.Config()
+	for _, c := range x.View.Expire(time.Now()) {
+		x.Log.Belief("clock", "upstreams", c)
+	}
 	data, err := cbor.Marshal(Gossip{
-		Confirmed: current, InFlight: x.InFlight(), OperatorEnd: x.Operator.End(), UpstreamsEnd: x.Upstreams.End(),
+		Following: x.View.Following(), InFlight: x.InFlight(), OperatorEnd: x.Operator.End(), UpstreamsEnd: x.Upstreams.End(),
 		VM: x.VM,
 	})
 	if err != nil {
@@ -108,7 +110,7 @@
 // compare confirms the own tables with those of a peer, or pulls the peer's.
 func (x *Exchange) compare(g Gossip, from netip.AddrPort, now time.Time) {
 	end := x.Operator.End()
-	if g.Confirmed && g.OperatorEnd <= end {
+	if g.Following && g.OperatorEnd <= end {
 		x.View.Confirm(now)
 	}
 	x.mu.Lock()
@@ -156,7 +158,7 @@
 	for _, c := range x.View.ApplyUpstreams(x.Upstreams.Replace(t.Upstreams, t.UpstreamsEnd), now) {
 		x.Log.Belief(source, "upstreams", c)
 	}
-	if t.Confirmed {
+	if t.Following {
 		x.View.Confirm(now)
 	}
 }
@@ -164,7 +166,7 @@
 // HandleTables answers a peer that is behind.
 func (x *Exchange) HandleTables(ctx *fasthttp.RequestCtx) {
 	var t Tables
-	_, t.Confirmed = x.View.Config()
+	t.Following = x.View.Following()
 	t.Operator, t.OperatorEnd = x.Operator.Records()
 	t.Upstreams, t.UpstreamsEnd = x.Upstreams.Records()
 	data, err := cbor.Marshal(t)
--- a/io/tgfleet/follower.go
+++ b/io/tgfleet/follower.go
@@ -43,7 +43,11 @@
 		var changed []tgfold.Record
 		found := false
 		if listed {
-			changed, found, err = f.read()
+			wait := f.Wait
+			if !answering {
+				wait = 0 // so that an answer tells at once that the store is back
+			}
+			changed, found, err = f.read(wait)
 		} else {
 			changed, err = f.list(ctx)
 		}
@@ -79,8 +83,8 @@
 	return f.Table.Replace(records, end), nil
 }
 
-func (f *Follower) read() (changed []tgfold.Record, found bool, err error) {
-	records, next, err := f.Store.Read(f.Topic, f.Table.End(), f.Wait)
+func (f *Follower) read(wait time.Duration) (changed []tgfold.Record, found bool, err error) {
+	records, next, err := f.Store.Read(f.Topic, f.Table.End(), wait)
 	if err != nil {
 		return nil, false, err
 	}
--- a/io/tgfleet/message.go
+++ b/io/tgfleet/message.go
@@ -44,7 +44,7 @@
 
 // Gossip is the datagram that entries send each other.
 type Gossip struct {
-	Confirmed    bool   `cbor:"1,keyasint"` // the sender's operator records are known to be complete
+	Following    bool   `cbor:"1,keyasint"` // the store tells the sender of each change of the operator
 	InFlight     int    `cbor:"2,keyasint"` // streams
 	OperatorEnd  int64  `cbor:"3,keyasint"`
 	UpstreamsEnd int64  `cbor:"4,keyasint"`
@@ -53,7 +53,7 @@
 
 // Tables is the answer to a peer that asks for the tables.
 type Tables struct {
-	Confirmed    bool            `cbor:"1,keyasint"`
+	Following    bool            `cbor:"1,keyasint"`
 	Operator     []tgfold.Record `cbor:"2,keyasint"`
 	OperatorEnd  int64           `cbor:"3,keyasint"`
 	Upstreams    []tgfold.Record `cbor:"4,keyasint"`
