--- /dev/null
+++ b/core/tgswitch/explore_test.go
@@ -0,0 +1,202 @@
+package tgswitch
+
+import (
+	"flag"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var seeds = flag.Int("seeds", 60, "random runs of the exploration")
+
+// modelLeader drives changes and recoveries like the leader of a group does.
+type modelLeader struct {
+	change   *Switch
+	changes  int
+	frozen   time.Time // until then it does nothing
+	id       int
+	lost     bool
+	recovery *Recovery
+	strayAt  time.Time
+	token    int64
+	version  int64
+}
+
+// flight is an order under way, or its answer.
+type flight struct {
+	answer bool
+	at     time.Time
+	from   *modelLeader
+	order  Order
+	result Result
+	target any // the change or recovery that waits for the answer
+}
+
+const (
+	modelTick  = 5 * time.Millisecond
+	modelRanks = 4
+)
+
+// exploration is one random run.
+type exploration struct {
+	flights []flight
+	group   *modelGroup
+	late    float64 // share of orders without an answer that are carried out late
+	leaders []*modelLeader
+	lost    float64 // share of orders or answers that are lost
+	now     time.Time
+	rand    *rand.Rand
+}
+
+func (x *exploration) send(l *modelLeader, target any, orders []Order) {
+	for _, o := range orders {
+		at := x.now.Add(time.Duration(1+x.rand.IntN(15)) * time.Millisecond)
+		f := flight{at: at, from: l, order: o, target: target}
+		switch p := x.rand.Float64(); {
+		case p < x.late: // no answer, and the order is carried out seconds later
+			late := f
+			late.target = nil
+			late.at = x.now.Add(2*time.Second + time.Duration(x.rand.IntN(10000))*time.Millisecond)
+			x.flights = append(x.flights, late)
+			f.answer, f.result, f.at = true, Unknown, x.now.Add(80*time.Millisecond)
+		case p < x.late+x.lost/2: // the order is lost
+			f.answer, f.result, f.at = true, Unknown, x.now.Add(80*time.Millisecond)
+		case p < x.late+x.lost: // the answer is lost
+			done := f
+			done.target = nil
+			x.flights = append(x.flights, done)
+			f.answer, f.result, f.at = true, Unknown, x.now.Add(80*time.Millisecond)
+		}
+		x.flights = append(x.flights, f)
+	}
+}
+
+func (x *exploration) deliver() {
+	var rest, due []flight
+	for _, f := range x.flights {
+		if f.at.After(x.now) {
+			rest = append(rest, f)
+		} else {
+			due = append(due, f)
+		}
+	}
+	x.flights = rest
+	for _, f := range due {
+		if f.answer {
+			x.answer(f)
+			continue
+		}
+		r := x.group.take(f.order, f.from.token, f.from.id, x.now, x.rand)
+		if f.target != nil {
+			f.answer, f.result = true, r
+			f.at = x.now.Add(time.Duration(1+x.rand.IntN(10)) * time.Millisecond)
+			x.flights = append(x.flights, f)
+		}
+	}
+}
+
+func (x *exploration) answer(f flight) {
+	l := f.from
+	if x.now.Before(l.frozen) { // it reads the answer when it wakes
+		f.at = l.frozen
+		x.flights = append(x.flights, f)
+		return
+	}
+	switch {
+	case f.target == any(l.change) && l.change != nil:
+		l.change.Answer(f.order, f.result, x.now)
+	case f.target == any(l.recovery) && l.recovery != nil:
+		l.recovery.Answer(f.order, f.result, x.now)
+	}
+	l.lost = l.lost || f.result == Fenced
+}
+
+func (x *exploration) lead(l *modelLeader) {
+	if l.lost || x.now.Before(l.frozen) {
+		return
+	}
+	ranks := x.group.states(x.now)
+	switch {
+	case l.change != nil:
+		x.send(l, l.change, l.change.Due(ranks, x.now))
+		if l.change.Ended() {
+			l.changes++
+			l.lost = l.lost || l.change.Phase() == PhaseLost
+			l.change = nil
+		}
+	case l.recovery != nil:
+		x.send(l, l.recovery, l.recovery.Due(ranks, x.now))
+		if l.recovery.Ended() {
+			l.lost = l.lost || l.recovery.Phase() == RecoveryLost
+			l.recovery, l.strayAt = nil, time.Time{}
+		}
+	case Needed(ranks):
+		if l.strayAt.IsZero() {
+			l.strayAt = x.now
+		}
+		if x.now.Sub(l.strayAt) > 400*time.Millisecond {
+			l.recovery = NewRecovery(len(ranks), x.group.epoch)
+		}
+	case !Armed(ranks) && x.rand.IntN(20) == 0:
+		l.strayAt = time.Time{}
+		l.version += 2
+		l.change = NewSwitch(len(ranks), x.group.epoch, l.version, x.rand.IntN(len(ranks)), x.now)
+	}
+}
+
+// disturb freezes and replaces leaders, forms the group anew and lets it idle.
+func (x *exploration) disturb() {
+	switch x.rand.IntN(1200) {
+	case 0, 1:
+		token := int64(len(x.leaders) + 1)
+		x.leaders = append(x.leaders, &modelLeader{id: len(x.leaders), token: token, version: token << 20})
+	case 2, 3:
+		l := x.leaders[x.rand.IntN(len(x.leaders))]
+		l.frozen = x.now.Add(time.Duration(x.rand.IntN(4000)) * time.Millisecond)
+	case 4:
+		x.group.restart(x.now)
+	case 5, 6, 7:
+		x.group.idle = !x.group.idle
+	}
+}
+
+func explore(seed uint64, late, lost float64, length time.Duration) *exploration {
+	x := &exploration{late: late, lost: lost, now: time.Unix(1000, 0), rand: rand.New(rand.NewPCG(seed, 1))}
+	x.group = newModelGroup(modelRanks, x.now)
+	x.leaders = []*modelLeader{{token: 1, version: 1 << 20}}
+	for end := x.now.Add(length); x.now.Before(end) && x.group.mixed == ""; x.now = x.now.Add(modelTick) {
+		x.disturb()
+		x.deliver()
+		for _, l := range x.leaders {
+			x.lead(l)
+		}
+		x.group.run(x.now, modelTick, x.rand)
+	}
+	return x
+}
+
+// Guards against a pass that begins while two ranks have different maps: orders and answers that are lost, orders that
+// are carried out seconds later, leaders that freeze and are replaced, groups that idle or form anew.
+func TestNoPassWithTwoMaps(t *testing.T) {
+	for name, c := range map[string]struct{ late, lost float64 }{
+		"calm":    {},
+		"late":    {late: 0.1},
+		"lateOft": {late: 0.35},
+		"lossy":   {lost: 0.2},
+		"both":    {late: 0.2, lost: 0.2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			changes := 0
+			for seed := range uint64(*seeds) { //nolint:gosec // a small number
+				x := explore(seed, c.late, c.lost, 30*time.Second)
+				assert.Equal(t, x.group.mixed, "", "seed %d", seed)
+				for _, l := range x.leaders {
+					changes += l.changes
+				}
+			}
+			assert.Assert(t, changes > *seeds, "only %d changes", changes)
+		})
+	}
+}
--- a/core/tgswitch/recovery.go
+++ b/core/tgswitch/recovery.go
@@ -9,6 +9,7 @@
 const (
 	RecoveryDisarming RecoveryPhase = "disarming"
 	RecoveryEnded     RecoveryPhase = "ended"
+	RecoveryHolding   RecoveryPhase = "holding" // ranks are disarmed only while the pass they are armed for is held
 	RecoveryFencing   RecoveryPhase = "fencing" // all ranks refuse earlier controllers from here on
 	RecoveryLost      RecoveryPhase = "lost"
 	RecoveryReading   RecoveryPhase = "reading"
@@ -23,12 +24,24 @@
 	phase   RecoveryPhase
 	ranks   []rankProgress
 	answers []time.Time // of disarming
+	step    int64       // first pass that a rank is armed for
 }
 
-// Needed reports whether the ranks' states call for a recovery.
+// Needed reports whether the ranks' states call for a recovery. Ranks that are all armed for the same pass, which is
+// not held, change without help.
 func Needed(ranks []Rank) bool {
 	for _, r := range ranks {
-		if r.Held != 0 || r.ArmedVersion != 0 {
+		if r.Held != 0 || r.ArmedVersion != ranks[0].ArmedVersion || r.ArmedStep != ranks[0].ArmedStep {
+			return true
+		}
+	}
+	return false
+}
+
+// Armed reports whether a rank is armed.
+func Armed(ranks []Rank) bool {
+	for _, r := range ranks {
+		if r.ArmedVersion != 0 {
 			return true
 		}
 	}
@@ -60,6 +73,8 @@
 		return v.fence(now)
 	case RecoveryReading:
 		return v.read(ranks, now)
+	case RecoveryHolding:
+		return v.hold(ranks, now)
 	case RecoveryDisarming:
 		return v.disarm(ranks, now)
 	case RecoveryReleasing:
@@ -96,24 +111,47 @@
 }
 
 func (v *Recovery) read(ranks []Rank, now time.Time) []Order {
-	armed := 0
-	held := false
+	same := true
+	v.step = 0
 	for _, r := range ranks {
 		if !r.Seen.After(v.fenced) {
 			return nil
 		}
-		held = held || r.Held != 0 && r.Held == ranks[0].ArmedStep
-		if r.ArmedVersion != 0 && r.ArmedVersion == ranks[0].ArmedVersion && r.ArmedStep == ranks[0].ArmedStep {
-			armed++
+		same = same && r.ArmedVersion == ranks[0].ArmedVersion && r.ArmedStep == ranks[0].ArmedStep
+		if r.ArmedVersion != 0 && (v.step == 0 || r.ArmedStep < v.step) {
+			v.step = r.ArmedStep
 		}
 	}
 	clear(v.ranks)
-	if armed == len(ranks) && held {
+	if same {
 		v.phase = RecoveryReleasing
 		return v.release(ranks, now)
 	}
-	v.phase = RecoveryDisarming
-	return v.disarm(ranks, now)
+	v.phase = RecoveryHolding
+	return v.hold(ranks, now)
+}
+
+// hold keeps the group from beginning the first pass that a rank is armed for.
+func (v *Recovery) hold(ranks []Rank, now time.Time) []Order {
+	free := -1
+	for i, r := range ranks {
+		if r.Held != 0 && r.Held <= v.step && r.Held > newest(ranks) {
+			v.phase = RecoveryDisarming
+			clear(v.ranks)
+			return v.disarm(ranks, now)
+		}
+		if r.Held == 0 && free < 0 {
+			free = i
+		}
+	}
+	if newest(ranks) >= v.step {
+		v.phase, v.fenced = RecoveryReading, now // too late for this pass: look again
+		return nil
+	}
+	if free < 0 || !v.ranks[free].idle(now, orderPause) {
+		return nil
+	}
+	return []Order{v.send(Hold, free, v.step, 0, now)}
 }
 
 func (v *Recovery) disarm(ranks []Rank, now time.Time) []Order {
--- a/core/tgswitch/switch.go
+++ b/core/tgswitch/switch.go
@@ -16,6 +16,7 @@
 	PhaseLost      Phase = "lost"      // another controller has taken over
 	PhasePreparing Phase = "preparing" // the ranks load the experts that are new to them
 	PhaseReleasing Phase = "releasing" // the change is decided; the hold ends
+	PhaseSettling  Phase = "settling"  // the pass of the change has not begun yet
 	PhaseSucceeded Phase = "succeeded"
 )
 
@@ -27,6 +28,7 @@
 	orderPause    = 10 * time.Millisecond // before an order that had no answer is sent again
 	prepareFor    = 6 * time.Second
 	prepareRepeat = 100 * time.Millisecond
+	settleFor     = 2 * time.Second // an idle group begins no pass; its ranks stay armed
 )
 
 // rankProgress is how far one rank is in the present phase.
@@ -43,17 +45,18 @@
 // Switch is one change of a group's map, from the order to load experts to the pass that first uses them. It only says
 // which orders are due; its owner sends them and reports the answers. It is not safe for concurrent use.
 type Switch struct {
-	epoch   int64
-	failed  bool // the change is being undone
-	holder  int  // rank that holds the pass
-	lossy   bool // an order had no answer
-	phase   Phase
-	ranks   []rankProgress
-	reason  string
-	started time.Time
-	step    int64
-	tries   int // of holds
-	version int64
+	epoch    int64
+	failed   bool // the change is being undone
+	holder   int  // rank that holds the pass
+	lossy    bool // an order had no answer
+	phase    Phase
+	ranks    []rankProgress
+	reason   string
+	released time.Time
+	started  time.Time
+	step     int64
+	tries    int // of holds
+	version  int64
 }
 
 // NewSwitch returns a change of a group of n ranks in an epoch to the map of a version; the rank holder holds the pass.
@@ -107,9 +110,21 @@
 		return s.abort(ranks, now)
 	case PhaseReleasing:
 		return s.release(ranks, now)
+	case PhaseSettling:
+		s.settle(ranks, now)
 	default:
-		return nil
 	}
+	return nil
+}
+
+// settle ends the change when all ranks use the new map.
+func (s *Switch) settle(ranks []Rank, now time.Time) {
+	for _, r := range ranks {
+		if r.Version != s.version && now.Sub(s.released) < settleFor {
+			return
+		}
+	}
+	s.phase = PhaseSucceeded
 }
 
 func (s *Switch) sameEpoch(ranks []Rank) bool {
@@ -299,7 +314,7 @@
 	case Disarm:
 		s.answerDisarm(p, r)
 	case Release:
-		s.answerRelease(o, r)
+		s.answerRelease(o, r, now)
 	}
 }
 
@@ -353,11 +368,11 @@
 	p.done = r == Done || r == Refused
 }
 
-func (s *Switch) answerRelease(o Order, r Result) {
+func (s *Switch) answerRelease(o Order, r Result, now time.Time) {
 	if s.phase != PhaseReleasing || o.Rank != s.holder || r == Unknown {
 		return
 	}
-	s.phase = PhaseSucceeded
+	s.phase, s.released = PhaseSettling, now
 	if s.failed {
 		s.phase = PhaseFailed
 	}
--- a/io/tgrank/agent.go
+++ b/io/tgrank/agent.go
@@ -133,6 +133,7 @@
 
 // report sends the state of the rank to the leader.
 func (a *Agent) report(leader netip.AddrPort, b Beacon, withCounts bool) {
+	read := time.Now()
 	s, err := a.Engines.State(a.Engine)
 	if err != nil || s.Ranks == 0 {
 		if !a.lost {
@@ -157,6 +158,7 @@
 	if b.Want {
 		r.Experts = a.held(s.State.Version)
 	}
+	r.Age = time.Since(read)
 	if b.VM == a.VM {
 		a.Leader.Take(r)
 		return
--- a/io/tgrank/leader.go
+++ b/io/tgrank/leader.go
@@ -21,7 +21,8 @@
 	rankStale       = 900 * time.Millisecond // a rank that did not report for so long is not ordered to change
 	strayAfter      = 400 * time.Millisecond // a hold that no change explains is ended after so long
 	skewLogInterval = time.Second
-	versionsOfTerm  = 1 << 20 // map versions of one term of a leader
+	transitTime     = 5 * time.Millisecond // of a report, at most in the usual case
+	versionsOfTerm  = 1 << 20              // map versions of one term of a leader
 )
 
 // Leader is the part of an agent that leads while it is elected.
@@ -261,7 +262,7 @@
 }
 
 func (l *Leader) decide(g *group, ranks []tgswitch.Rank, now time.Time) {
-	if g.present == nil || !g.moving(now) || now.Sub(g.decided) < reportInterval {
+	if g.present == nil || tgswitch.Armed(ranks) || !g.moving(now) || now.Sub(g.decided) < reportInterval {
 		return
 	}
 	g.decided = now
@@ -356,7 +357,7 @@
 		}
 	}
 	m := &g.members[r.Rank]
-	r.State.Seen = now
+	r.State.Seen = now.Add(-r.Age - transitTime)
 	m.report = r
 	if r.Experts != nil {
 		m.experts, m.version = r.Experts, r.State.Version
--- a/io/tgrank/message.go
+++ b/io/tgrank/message.go
@@ -19,6 +19,7 @@
 
 // Report is the state of a rank.
 type Report struct {
+	Age     time.Duration  `cbor:"10,keyasint"`          // of State when the report was sent
 	Counts  []uint32       `cbor:"1,keyasint,omitempty"` // choices of each expert since the last counts, set by set
 	Engine  netip.AddrPort `cbor:"2,keyasint"`
 	From    netip.AddrPort `cbor:"-"`                    // set by the receiver
