--- a/core/tgexpert/replication.go
+++ b/core/tgexpert/replication.go
@@ -161,6 +161,7 @@
 type replicaSearch struct {
 	done      bool
 	held      [][]int // by rank, shared with the result
+	holders   [][]int // ranks, by expert
 	limits    ReplicationLimits
 	load      []float64
 	mean      float64
@@ -172,8 +173,14 @@
 }
 
 func newReplicaSearch(old, next *Replication, set int, tokens []float64, limits ReplicationLimits, newOnRank []int) *replicaSearch {
+	holders := make([][]int, next.Experts)
+	for r, held := range next.Sets[set] {
+		for _, e := range held {
+			holders[e] = append(holders[e], r)
+		}
+	}
 	return &replicaSearch{
-		held: next.Sets[set], limits: limits, load: next.rankLoads(set, tokens), mean: sum(tokens) / float64(old.Ranks),
+		held: next.Sets[set], holders: holders, limits: limits, load: next.rankLoads(set, tokens), mean: sum(tokens) / float64(old.Ranks),
 		newInSet: make([]int, old.Ranks), newOnRank: newOnRank, old: old.Sets[set], replicas: next.replicas(set),
 		tokens: tokens,
 	}
@@ -201,7 +208,7 @@
 	}
 	best, bestGain := replicaChange{}, 0.0
 	found := false
-	power := q.power()
+	_, power := q.measure()
 	for _, c := range q.changes(worst) {
 		price := 0.0
 		if q.copies(c) {
@@ -209,7 +216,8 @@
 		}
 		q.apply(c)
 		// Several ranks may share the top; the power mean shows progress below it.
-		gain := top - slices.Max(q.load) + powerGain*(power-q.power())*q.mean - price
+		newTop, newPower := q.measure()
+		gain := top - newTop + powerGain*(power-newPower)*q.mean - price
 		q.revert(c)
 		if gain > bestGain {
 			best, bestGain, found = c, gain, true
@@ -226,15 +234,16 @@
 // powerGain weighs a lower power mean against a lower top.
 const powerGain = 0.5
 
-// power returns the power mean of the ranks' loads over their mean.
-func (q *replicaSearch) power() float64 {
+// measure returns the largest load and the power mean of the loads over their mean.
+func (q *replicaSearch) measure() (top, power float64) {
 	s := 0.0
 	for _, l := range q.load {
+		top = max(top, l)
 		x := l / q.mean
 		x *= x * x
 		s += x * x
 	}
-	return math.Pow(s/float64(len(q.load)), 1.0/loadPower)
+	return top, math.Pow(s/float64(len(q.load)), 1.0/loadPower)
 }
 
 // changes lists what may take load off a rank.
@@ -332,16 +341,25 @@
 }
 
 func (q *replicaSearch) add(rank, e int) {
-	q.setReplicas(e, 1, func() { q.held[rank] = append(q.held[rank], e) })
+	q.setReplicas(e, 1, func() {
+		q.held[rank] = append(q.held[rank], e)
+		q.holders[e] = append(q.holders[e], rank)
+	})
 }
 
 func (q *replicaSearch) drop(rank, e int) {
 	q.setReplicas(e, -1, func() {
-		i := slices.Index(q.held[rank], e)
-		q.held[rank] = slices.Delete(q.held[rank], i, i+1)
+		q.held[rank] = without(q.held[rank], e)
+		q.holders[e] = without(q.holders[e], rank)
 	})
 }
 
+// without removes a value that the list holds once.
+func without(list []int, v int) []int {
+	i := slices.Index(list, v)
+	return slices.Delete(list, i, i+1)
+}
+
 // setReplicas changes who holds an expert and moves its load.
 func (q *replicaSearch) setReplicas(e, by int, edit func()) {
 	q.spread(e, -1)
@@ -355,9 +373,7 @@
 		return
 	}
 	share := sign * q.share(e)
-	for r, held := range q.held {
-		if slices.Contains(held, e) {
-			q.load[r] += share
-		}
+	for _, r := range q.holders[e] {
+		q.load[r] += share
 	}
 }
--- a/io/tgcommand/platform.go
+++ b/io/tgcommand/platform.go
@@ -17,6 +17,7 @@
 	"github.com/spf13/cobra"
 	"github.com/valyala/fasthttp"
 
+	"tanagergrade/core/tgfold"
 	"tanagergrade/io/tgfleet"
 	"tanagergrade/io/tgproxy"
 	"tanagergrade/io/tgreport"
@@ -102,6 +103,26 @@
 	}
 }
 
+const (
+	membersPause = 2 * time.Second // while many daemons start at the same time
+	membersWait  = 25 * time.Second
+)
+
+// memberFollower returns the follower of the daemons' registrations.
+func (d *platformDaemon) memberFollower() *tgfleet.Follower {
+	topic := tgplatform.TopicMembers
+	return &tgfleet.Follower{
+		Apply: func(changed []tgfold.Record) {
+			for _, err := range d.peers.Apply(changed, time.Now()) {
+				d.report.Dependency("members", "malformed", err)
+			}
+		},
+		Back:  func() { d.report.Dependency("store "+topic, "answers", nil) },
+		Lost:  func(err error) { d.report.Dependency("store "+topic, "lost", err) },
+		Pause: membersPause, Store: d.store, Table: tgfold.NewTable(), Topic: topic, Wait: membersWait,
+	}
+}
+
 const settingsInterval = time.Second // between looks at the settings file, which may change without a signal
 
 // watchSettings applies the settings file when it changes or when SIGHUP arrives. A file that cannot be read leaves
--- a/io/tgcommand/platform_companion.go
+++ b/io/tgcommand/platform_companion.go
@@ -11,7 +11,6 @@
 	"github.com/spf13/cobra"
 
 	"tanagergrade/core/tgcatalog"
-	"tanagergrade/core/tgfold"
 	"tanagergrade/core/tgview"
 	"tanagergrade/io/tgfleet"
 	"tanagergrade/io/tgrank"
@@ -35,6 +34,8 @@
 type platformCompanion struct {
 	*platformDaemon
 
+	unfollow context.CancelFunc // of the leader's goroutine
+
 	mu       sync.Mutex
 	profiles map[string]tgcatalog.Engine // by pool
 	readAt   time.Time
@@ -62,6 +63,7 @@
 	engines := tgplatform.NewEngines(dialStore)
 	leader := tgrank.NewLeader()
 	leader.Companions = p.companions
+	leader.Leading = func(leads bool) { p.followMembers(ctx, leads) }
 	leader.Election = &tgplatform.Election{Store: p.store, TTL: max(electionTTL, s.StoreTTLMin)}
 	leader.Engines, leader.Log, leader.Profile, leader.VM = engines, p, p.profile, s.VM
 	agent := &tgrank.Agent{
@@ -70,17 +72,6 @@
 	// What a companion takes from the settings cannot change while it runs; a reload only checks the file.
 	go p.watchSettings(ctx, func(*tgplatform.Settings) {})
 	go p.register(ctx, tgfleet.RoleCompanion) // calls to the store may outlast the daemon's end
-	members := &tgfleet.Follower{
-		Apply: func(changed []tgfold.Record) {
-			for _, err := range p.peers.Apply(changed, time.Now()) {
-				p.Dependency("members", "malformed", err)
-			}
-		},
-		Back:  func() { p.Dependency("store "+tgplatform.TopicMembers, "answers", nil) },
-		Lost:  func(err error) { p.Dependency("store "+tgplatform.TopicMembers, "lost", err) },
-		Store: p.store, Table: tgfold.NewTable(), Topic: tgplatform.TopicMembers, Wait: operatorWait,
-	}
-	go members.Run(ctx)
 	var wg conc.WaitGroup
 	wg.Go(func() { agent.Run(ctx) })
 	wg.Wait()
@@ -88,6 +79,19 @@
 	return nil
 }
 
+// followMembers keeps the list of companions up to date while this daemon leads; the others have no use for it.
+func (p *platformCompanion) followMembers(ctx context.Context, leads bool) {
+	if p.unfollow != nil {
+		p.unfollow()
+		p.unfollow = nil
+	}
+	if !leads {
+		return
+	}
+	ctx, p.unfollow = context.WithCancel(ctx)
+	go p.memberFollower().Run(ctx)
+}
+
 // Line implements tgrank.Log.
 func (p *platformCompanion) Line(message string, fields map[string]any) {
 	p.report.Line(message, fields)
--- a/io/tgcommand/platform_entry.go
+++ b/io/tgcommand/platform_entry.go
@@ -31,9 +31,9 @@
 }
 
 const (
-	operatorWait   = 10 * time.Second       // of a read of the operator's topic, which is quiet
+	operatorWait   = 25 * time.Second       // of a read of the operator's topic, which is quiet
 	upstreamsPause = 300 * time.Millisecond // while engines come and go one after the other
-	upstreamsWait  = 10 * time.Second
+	upstreamsWait  = 25 * time.Second
 	spareForDrain  = 400 * time.Millisecond
 )
 
@@ -113,7 +113,7 @@
 	go e.register(background, tgfleet.RoleEntry) // calls to the store may outlast the daemon's end
 	go e.follower(tgplatform.TopicOperator, e.operator, operatorWait, 0).Run(background)
 	go e.follower(tgplatform.TopicUpstreams, e.upstreams, upstreamsWait, upstreamsPause).Run(background)
-	go e.follower(tgplatform.TopicMembers, tgfold.NewTable(), operatorWait, 0).Run(background)
+	go e.memberFollower().Run(background)
 	err = e.proxy.Serve(ctx, callers)
 	cancel()
 	wg.Wait()
@@ -156,12 +156,6 @@
 			e.view.StoreBack(time.Now())
 			back()
 		}
-	default:
-		f.Apply = func(changed []tgfold.Record) {
-			for _, err := range e.peers.Apply(changed, time.Now()) {
-				e.report.Dependency("members", "malformed", err)
-			}
-		}
 	}
 	return f
 }
--- a/io/tgrank/agent.go
+++ b/io/tgrank/agent.go
@@ -38,6 +38,7 @@
 // Run works until ctx ends.
 func (a *Agent) Run(ctx context.Context) {
 	a.wake = make(chan struct{}, 1)
+	a.heard = time.Now()                                          // a leader, if there is one, is heard of before this daemon is a candidate
 	stop := context.AfterFunc(ctx, func() { _ = a.Conn.Close() }) // ends receive
 	defer stop()
 	var wg conc.WaitGroup
@@ -100,6 +101,13 @@
 	}
 }
 
+// quiet returns how long no leader was heard of.
+func (a *Agent) quiet() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return time.Since(a.heard)
+}
+
 func (a *Agent) reportLoop(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -114,7 +122,7 @@
 		now := time.Now()
 		a.mu.Lock()
 		beacon, leader := a.beacon, a.leader
-		known := now.Sub(a.heard) < leaderFor
+		known := beacon.Token != 0 && now.Sub(a.heard) < leaderFor
 		a.mu.Unlock()
 		interval := reportInterval
 		if beacon.Fast {
--- a/io/tgrank/leader.go
+++ b/io/tgrank/leader.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sourcegraph/conc"
 
 	"tanagergrade/core/tgbalance"
@@ -16,6 +17,8 @@
 
 const (
 	joinInterval    = 500 * time.Millisecond
+	candidateAfter  = 1200 * time.Millisecond // without a beacon, before a daemon takes part in the election
+	candidateSpread = time.Second             // by which the daemons differ in that
 	idleTick        = 100 * time.Millisecond
 	busyTick        = 10 * time.Millisecond
 	rankStale       = 900 * time.Millisecond // a rank that did not report for so long is not ordered to change
@@ -28,6 +31,7 @@
 // Leader is the part of an agent that leads while it is elected.
 type Leader struct {
 	Companions func() []netip.AddrPort // addresses of all agents
+	Leading    func(leads bool)        // called when a term begins or ends
 	Election   Election
 	Engines    Engines
 	Log        Log
@@ -87,7 +91,7 @@
 func (l *Leader) Run(ctx context.Context, a *Agent) {
 	var wg conc.WaitGroup
 	defer wg.Wait()
-	wg.Go(func() { l.campaign(ctx) })
+	wg.Go(func() { l.campaign(ctx, a) })
 	var beaconAt time.Time
 	tick := time.NewTimer(idleTick)
 	defer tick.Stop()
@@ -140,6 +144,7 @@
 	if to == 0 {
 		state = "replaced"
 	}
+	l.Leading(to != 0)
 	l.Log.Line("term", map[string]any{"from": from, "state": state, "token": to})
 }
 
@@ -155,10 +160,25 @@
 	}
 }
 
-// campaign keeps the daemon in the election.
-func (l *Leader) campaign(ctx context.Context) {
+// campaign takes part in the election while this daemon leads or hears of no leader.
+func (l *Leader) campaign(ctx context.Context, a *Agent) {
+	// The member may still stand in the group from before a restart, with the token of that process. Only after it has
+	// left is a new token sure to be higher.
+	for ctx.Err() == nil {
+		err := l.Election.Leave(l.VM)
+		if err == nil {
+			break
+		}
+		l.Log.Dependency("election", "leaveFailed", err)
+		pause(ctx, joinInterval)
+	}
 	last, failing := int64(0), false
+	wait := candidateAfter + time.Duration(xxhash.Sum64String(l.VM)%uint64(candidateSpread))
 	for ctx.Err() == nil {
+		if l.Token() == 0 && a.quiet() < wait {
+			pause(ctx, joinInterval/2)
+			continue
+		}
 		s, err := l.Election.Join(l.VM, last)
 		switch {
 		case err != nil:
@@ -175,6 +195,9 @@
 		}
 		pause(ctx, joinInterval)
 	}
+	if l.Token() == 0 {
+		return
+	}
 	if err := l.Election.Leave(l.VM); err != nil {
 		l.Log.Dependency("election", "leaveFailed", err)
 	}
