--- a/core/tgbalance/balance.go
+++ b/core/tgbalance/balance.go
@@ -10,61 +10,79 @@
 )
 
 const (
-	demandMemory = 150 * time.Millisecond // counts lose their weight, to 1/e, in this time
+	fastMemory   = 120 * time.Millisecond // counts lose their weight, to 1/e, in this time
+	slowMemory   = 900 * time.Millisecond // the same while the demand does not change
+	shiftShare   = 0.10                   // share of the choices that moved to other experts when demand has changed
 	minTokens    = 2000.0                 // in a set, before its demand is believed
 	copyCost     = 0.004                  // skew that a copy has to save to be worth its price
-	minGain      = 0.12                   // skew that a change has to save
+	minGain      = 0.20                   // skew that a change has to save
 	copiesOnRank = 2                      // of one change; they delay it, since a rank copies one after the other
 	settleTime   = 150 * time.Millisecond // after a change, until the counts show its passes
 )
 
-// Demand estimates how often each expert is chosen at present. It is not safe for concurrent use.
+// Demand estimates how often each expert is chosen at present. While the demand is steady the estimate is a long
+// average, whose noise is small; when it changes, the estimate starts anew from the latest counts. It is not safe for
+// concurrent use.
 type Demand struct {
-	loads   tgexpert.Loads
+	fast    tgexpert.Loads
+	slow    tgexpert.Loads
 	updated time.Time
 }
 
 // NewDemand returns an estimate without observations.
-func NewDemand(sets, experts int) *Demand { return &Demand{loads: tgexpert.NewLoads(sets, experts)} }
+func NewDemand(sets, experts int) *Demand {
+	return &Demand{fast: tgexpert.NewLoads(sets, experts), slow: tgexpert.NewLoads(sets, experts)}
+}
 
 // Add takes how often experts were chosen, set by set, since the last report of a rank.
 func (d *Demand) Add(counts []uint32, now time.Time) {
-	if len(counts) != len(d.loads.Tokens) {
+	if len(counts) != len(d.fast.Tokens) {
 		return
 	}
-	d.fade(now)
+	if !d.updated.IsZero() {
+		age := now.Sub(d.updated)
+		fade(d.fast, age, fastMemory)
+		fade(d.slow, age, slowMemory)
+	}
+	d.updated = now
 	for i, n := range counts {
-		d.loads.Tokens[i] += float64(n)
+		d.fast.Tokens[i] += float64(n)
+		d.slow.Tokens[i] += float64(n)
 	}
 }
 
-func (d *Demand) fade(now time.Time) {
-	if !d.updated.IsZero() {
-		f := math.Exp(-now.Sub(d.updated).Seconds() / demandMemory.Seconds())
-		for i := range d.loads.Tokens {
-			d.loads.Tokens[i] *= f
+func fade(l tgexpert.Loads, age, memory time.Duration) {
+	f := math.Exp(-age.Seconds() / memory.Seconds())
+	for i := range l.Tokens {
+		l.Tokens[i] *= f
+	}
+}
+
+// settle drops the long average of the sets whose demand has changed.
+func (d *Demand) settle() {
+	for s := range d.fast.Layers {
+		fast, slow := d.fast.Layer(s), d.slow.Layer(s)
+		if tgexpert.Distance(fast, slow) > shiftShare {
+			copy(slow, fast)
 		}
 	}
-	d.updated = now
 }
 
-// Known reports whether there are enough observations to act on.
-func (d *Demand) Known() bool {
-	for s := range d.loads.Layers {
+// Loads returns the estimate, or false if there are too few observations to act on. The estimate is not to be changed.
+func (d *Demand) Loads() (tgexpert.Loads, bool) {
+	d.settle()
+	for s := range d.fast.Layers {
 		total := 0.0
-		for _, v := range d.loads.Layer(s) {
+		for _, v := range d.fast.Layer(s) {
 			total += v
 		}
 		if total < minTokens {
-			return false
+			return d.slow, false
 		}
 	}
-	return true
+	return d.slow, true
 }
 
-// Loads returns the estimate; it is not to be changed.
-func (d *Demand) Loads() tgexpert.Loads { return d.loads }
-
 // Decision is the result of weighing a new placement.
 type Decision struct {
 	After       float64 // skew
@@ -94,10 +112,11 @@
 
 // Decide weighs a new placement for the demand.
 func (b *Balancer) Decide(present *tgexpert.Replication, d *Demand, now time.Time) Decision {
-	if now.Before(b.settled) || !d.Known() {
+	loads, known := d.Loads()
+	if !known || now.Before(b.settled) {
 		return Decision{}
 	}
-	next, before, after := present.Improve(d.Loads(), tgexpert.ReplicationLimits{
+	next, before, after := present.Improve(loads, tgexpert.ReplicationLimits{
 		CopyCost: copyCost, NewPerRank: copiesOnRank, NewPerSet: b.limits.NewPerSet, Places: b.limits.Places,
 	})
 	decision := Decision{After: after, Before: before}
--- a/core/tgexpert/estimator.go
+++ b/core/tgexpert/estimator.go
@@ -51,7 +51,7 @@
 	}
 	e.age[layer]++
 	// A window that agrees with the one before but not with the average follows a swap.
-	if distance(w, fast) > swapDistance && distance(last, fast) > swapDistance && distance(w, last) < swapDistance {
+	if Distance(w, fast) > swapDistance && Distance(last, fast) > swapDistance && Distance(w, last) < swapDistance {
 		if age := float64(e.age[layer]); e.persist[layer] == initialPersist {
 			e.persist[layer] = max(age, flapWindows) // one swap is no pattern
 		} else {
@@ -65,12 +65,12 @@
 		clear(e.trend.Layer(layer))
 		return
 	}
-	odd := distance(w, fast) > swapDistance && distance(last, fast) < swapDistance
+	odd := Distance(w, fast) > swapDistance && Distance(last, fast) < swapDistance
 	if odd {
 		return
 	}
 	trend := e.trend.Layer(layer)
-	steady := distance(w, last) < swapDistance
+	steady := Distance(w, last) < swapDistance
 	for i := range fast {
 		before := fast[i]
 		fast[i] += fastWeight * (w[i] - fast[i])
@@ -89,7 +89,7 @@
 func (e *Estimator) Current() Loads {
 	l := e.Lasting()
 	for layer := range l.Layers {
-		if last := e.last.Layer(layer); distance(last, e.fast.Layer(layer)) > swapDistance {
+		if last := e.last.Layer(layer); Distance(last, e.fast.Layer(layer)) > swapDistance {
 			copy(l.Layer(layer), last)
 		}
 	}
@@ -116,8 +116,8 @@
 // Windows returns the number of windows observed.
 func (e *Estimator) Windows() int { return e.windows }
 
-// distance returns the share of load that lies on other experts in a than in b.
-func distance(a, b []float64) float64 {
+// Distance returns the share of load that lies on other experts in a than in b.
+func Distance(a, b []float64) float64 {
 	sumA, sumB := sum(a), sum(b)
 	if sumA == 0 || sumB == 0 {
 		return 0
