--- a/core/tgpace/pacer.go
+++ b/core/tgpace/pacer.go
@@ -10,8 +10,8 @@
 const (
 	decisionInterval = 150 * time.Millisecond
 	gapsPerDecision  = 8    // fewer say too little
-	gapTarget        = 0.80 // part of the longest pause on time that the longest pause seen may reach
-	gapComfort       = 0.65 // part below which the limit grows
+	gapTarget        = 0.90 // part of the longest pause on time that the longest pause seen may reach
+	gapComfort       = 0.75 // part below which the limit grows
 	growthFactor     = 1.06 // of the limit in one decision while it binds
 	shrinkMin        = 0.80 // largest cut of the limit in one decision
 	minLimit         = 2.0
