--- a/core/tgcatalog/catalog.go
+++ b/core/tgcatalog/catalog.go
@@ -71,7 +71,8 @@
 	ExpertsPerRank   int     // places of a rank in each set
 	FormTime         time.Duration
 	LinkBitsPerS     float64
-	NewExpertsPerSet int // most experts of a set that one preparation may add to a rank
+	NewExpertsPerSet int           // most experts of a set that one preparation may add to a rank
+	ReportLag        time.Duration // age of what an engine tells other VMs of its state
 	Sets             int
 	Slots            int
 	StepTime         time.Duration // of a step without requests
--- a/core/tgpick/picker.go
+++ b/core/tgpick/picker.go
@@ -13,9 +13,10 @@
 const (
 	failureBackoffMin = 500 * time.Millisecond
 	failureBackoffMax = 4 * time.Second
-	failureMemory     = 0.8 // weight of the past in the share of failed attempts
-	failureShareMax   = 0.3 // an upstream that fails more of its attempts is left out for a while
-	failuresMin       = 2   // in a row, or the share above, before an upstream that answers is left out
+	failureMemory     = 0.8              // weight of the past in the share of failed attempts
+	failureShareMax   = 0.3              // an upstream that fails more of its attempts is left out for a while
+	failuresMin       = 2                // in a row, or the share above, before an upstream that answers is left out
+	goneFor           = 10 * time.Second // an upstream whose address another one has does not return
 	forgetAfter       = 30 * time.Second
 	latencyMemory     = 0.9  // weight of the past in the latency
 	localGain         = 0.35 // load by which an upstream in another data centre has to be lower
@@ -31,6 +32,7 @@
 	OutcomeBroken    Outcome = "broken"    // answered with an error of its own, or the answer was spoilt
 	OutcomeCancelled Outcome = "cancelled" // nothing is known
 	OutcomeFull      Outcome = "full"      // it refused because it is full
+	OutcomeGone      Outcome = "gone"      // another incarnation has its address
 	OutcomeLost      Outcome = "lost"      // it could not be reached or broke off
 )
 
@@ -222,6 +224,8 @@
 		if o == OutcomeLost && latency == 0 || s.inRow >= failuresMin || s.failures > failureShareMax {
 			s.leaveOut(now)
 		}
+	case OutcomeGone:
+		s.out = now.Add(goneFor)
 	case OutcomeCancelled, OutcomeFull:
 	}
 }
--- a/core/tgview/view.go
+++ b/core/tgview/view.go
@@ -211,11 +211,24 @@
 		c.Outcome = "olderIncarnation"
 		return c, true
 	}
+	v.replaceAt(u)
 	v.upstreams[r.Key] = entry{Upstream: u}
 	c.Outcome = string(u.State)
 	return c, !known || old.State != u.State || old.Address != u.Address
 }
 
+// replaceAt drops the upstreams that had the address of a new one before it: only one incarnation serves at an address.
+func (v *View) replaceAt(u tgcatalog.Upstream) {
+	if _, known := v.upstreams[u.ID]; known {
+		return
+	}
+	for id, e := range v.upstreams {
+		if e.Address == u.Address && e.Started.Before(u.Started) {
+			delete(v.upstreams, id)
+		}
+	}
+}
+
 // lapse reports whether removals may only mean that engines could not renew their registrations: they come with the
 // end of an outage and concern most upstreams. A single removal then is an upstream that left meanwhile.
 func (v *View) lapse(records []tgfold.Record, now time.Time) bool {
--- a/io/tgcommand/platform_companion.go
+++ b/io/tgcommand/platform_companion.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"sync"
 	"time"
 
@@ -28,7 +27,7 @@
 	}
 }
 
-const electionTTL = 1500 * time.Millisecond // a leader that stopped is replaced after about so long
+const electionTTL = 1000 * time.Millisecond // a leader that stopped is replaced after about so long
 
 // platformCompanion is a companion daemon on the platform.
 type platformCompanion struct {
@@ -62,10 +61,10 @@
 	}
 	engines := tgplatform.NewEngines(dialStore)
 	leader := tgrank.NewLeader()
-	leader.Companions = p.companions
+	leader.Peers = p.companions
 	leader.Leading = func(leads bool) { p.followMembers(ctx, leads) }
 	leader.Election = &tgplatform.Election{Store: p.store, TTL: max(electionTTL, s.StoreTTLMin)}
-	leader.Engines, leader.Log, leader.Profile, leader.VM = engines, p, p.profile, s.VM
+	leader.Engines, leader.Log, leader.Pool, leader.Profile, leader.VM = engines, p, s.EnginePool, p.profile, s.VM
 	agent := &tgrank.Agent{
 		Conn: conn, Engine: s.EngineAddr, Engines: engines, Leader: leader, Log: p, Pool: s.EnginePool, VM: s.VM,
 	}
@@ -102,12 +101,12 @@
 	p.report.Dependency(name, state, err)
 }
 
-func (p *platformCompanion) companions() []netip.AddrPort {
-	var addrs []netip.AddrPort
+func (p *platformCompanion) companions() []tgrank.Peer {
+	var peers []tgrank.Peer
 	for _, m := range p.peers.List(tgfleet.RoleCompanion, time.Now()) {
-		addrs = append(addrs, m.Address)
+		peers = append(peers, tgrank.Peer{Address: m.Address, Engine: m.Engine, VM: m.VM})
 	}
-	return addrs
+	return peers
 }
 
 const profilePause = time.Second // between reads of the configuration for a pool that it lacks
--- a/io/tgproxy/exchange.go
+++ b/io/tgproxy/exchange.go
@@ -42,12 +42,12 @@
 }
 
 const (
-	smallRequest   = 16 << 10 // a request up to this size is written at once
-	staleAnswers   = 3        // answers to earlier requests that are skipped on a connection
-	statusConflict = 421
-	statusFull     = 503
-	statusTooMany  = 429
-	timeoutCause   = 408
+	smallRequest      = 16 << 10 // a request up to this size is written at once
+	staleAnswers      = 3        // answers to earlier requests that are skipped on a connection
+	statusMisdirected = 421
+	statusFull        = 503
+	statusTooMany     = 429
+	timeoutCause      = 408
 )
 
 // open sends a request and reads the head of its answer.
@@ -121,7 +121,7 @@
 	signed := r.Header.Get(c.headers.Signature) != ""
 	notRun := r.Header.Get(c.headers.NotRun) != ""
 	switch {
-	case r.Status == statusConflict, notRun && (r.Status >= 400):
+	case r.Status == statusMisdirected, notRun && (r.Status >= 400):
 		x.kind = answerNotRun
 		x.detail = "status " + strconv.Itoa(r.Status)
 		if at := r.Header.Get(c.headers.EngineAtFault); at != "" {
--- a/io/tgproxy/forward.go
+++ b/io/tgproxy/forward.go
@@ -115,6 +115,9 @@
 		}
 	case answerNotRun:
 		outcome, v = tgpick.OutcomeFull, verdictRetry
+		if x.response.Status == statusMisdirected {
+			outcome = tgpick.OutcomeGone
+		}
 	case answerUnsent:
 		outcome, v = tgpick.OutcomeLost, verdictUnsent
 	case answerCanceled:
@@ -173,7 +176,7 @@
 // replaced, since the upstream did not say so.
 func (k *caller) deliverFailure(a *answer, c *call, x *exchange) verdict {
 	switch x.response.Status {
-	case timeoutCause, statusConflict, statusTooMany, statusFull:
+	case timeoutCause, statusMisdirected, statusTooMany, statusFull:
 		return verdictStop
 	}
 	body, err := x.body.ReadAll(maxAnswer)
--- a/io/tgrank/leader.go
+++ b/io/tgrank/leader.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	joinInterval    = 500 * time.Millisecond
-	candidateAfter  = 1200 * time.Millisecond // without a beacon, before a daemon takes part in the election
-	candidateSpread = time.Second             // by which the daemons differ in that
+	joinInterval    = 300 * time.Millisecond
+	candidateAfter  = 800 * time.Millisecond // without a beacon, before a daemon takes part in the election
+	candidateSpread = 400 * time.Millisecond // by which the daemons differ in that
 	idleTick        = 100 * time.Millisecond
 	busyTick        = 10 * time.Millisecond
 	rankStale       = 900 * time.Millisecond // a rank that did not report for so long is not ordered to change
@@ -30,13 +30,14 @@
 
 // Leader is the part of an agent that leads while it is elected.
 type Leader struct {
-	Companions func() []netip.AddrPort // addresses of all agents
-	Leading    func(leads bool)        // called when a term begins or ends
-	Election   Election
-	Engines    Engines
-	Log        Log
-	Profile    func(pool string) (tgcatalog.Engine, bool) // reads the cost model of a pool's engines
-	VM         string
+	Peers    func() []Peer    // all agents but the own one
+	Leading  func(leads bool) // called when a term begins or ends
+	Election Election
+	Engines  Engines
+	Log      Log
+	Pool     string                                     // of the engine on this VM, and of those it shares groups with
+	Profile  func(pool string) (tgcatalog.Engine, bool) // reads the cost model of a pool's engines
+	VM       string
 
 	mu      sync.Mutex
 	token   int64 // of the own term; 0 while another leads
@@ -44,7 +45,10 @@
 	reports chan Report
 	results chan result
 	groups  map[string]*group
-	version int64 // last one of this term
+	version int64                // last one of this term
+	began   time.Time            // of the term
+	heard   map[string]time.Time // when each agent last reported
+	polled  map[string]time.Time // when each engine was last asked in its agent's place
 
 	relays relays
 }
@@ -59,7 +63,7 @@
 
 // NewLeader returns a leader that is not elected yet.
 func NewLeader() *Leader {
-	return &Leader{groups: map[string]*group{}, reports: make(chan Report, 256), results: make(chan result, 256)}
+	return &Leader{groups: map[string]*group{}, heard: map[string]time.Time{}, polled: map[string]time.Time{}, reports: make(chan Report, 256), results: make(chan result, 256)}
 }
 
 // Take takes a report of a rank; reports that come too fast are dropped.
@@ -119,6 +123,7 @@
 		}
 		busy := false
 		if term != 0 {
+			l.pollSilent(now)
 			for _, g := range l.groups {
 				l.step(a, g, term, now)
 				busy = busy || g.busy()
@@ -138,6 +143,8 @@
 
 func (l *Leader) changeTerm(from, to int64) {
 	clear(l.groups)
+	clear(l.heard)
+	l.began = time.Now()
 	l.relays.clear()
 	l.version = to * versionsOfTerm
 	state := "elected"
@@ -155,8 +162,8 @@
 	}
 	b := Beacon{Fast: fast, Token: term, VM: l.VM, Want: want}
 	a.takeBeacon(b, netip.AddrPort{})
-	for _, addr := range l.Companions() {
-		a.send(envelope{Beacon: &b}, addr)
+	for _, p := range l.Peers() {
+		a.send(envelope{Beacon: &b}, p.Address)
 	}
 }
 
@@ -203,14 +210,12 @@
 	}
 }
 
-// elect takes the standing that the store reported. A term keeps its token while it lasts.
+// elect takes the standing that the store reported. A term keeps its token, and it ends only when another daemon leads
+// with a higher one: the store may name a member that has given up, and then nobody would lead.
 func (l *Leader) elect(s Session) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	switch {
-	case !s.Leads:
-		l.token = 0
-	case l.token == 0 && s.Token > l.highest:
+	if s.Leads && l.token == 0 && s.Token > l.highest {
 		l.token, l.highest = s.Token, s.Token
 	}
 }
@@ -225,13 +230,16 @@
 }
 
 func (l *Leader) takeReport(r Report) {
+	if r.From != (netip.AddrPort{}) {
+		l.heard[r.VM] = time.Now()
+	}
 	g, ok := l.groups[r.Group]
 	if !ok {
 		engine, known := l.Profile(r.Pool)
 		if !known || !engine.HasExperts() {
 			return
 		}
-		g = newGroup(r.Group, r.Pool, r.Ranks, engine)
+		g = newGroup(r.Group, l.VM, r.Ranks, engine)
 		l.groups[r.Group] = g
 	}
 	g.take(r, time.Now())
@@ -347,6 +355,7 @@
 	present        *tgexpert.Replication // nil if not known
 	presentVersion int64
 	recovery       *tgswitch.Recovery
+	self           string // VM of the leader
 	strayAt        time.Time
 }
 
@@ -356,10 +365,10 @@
 	version int64 // of experts
 }
 
-func newGroup(name, _ string, ranks int, e tgcatalog.Engine) *group {
+func newGroup(name, self string, ranks int, e tgcatalog.Engine) *group {
 	return &group{
 		balancer: tgbalance.NewBalancer(tgbalance.Limits{NewPerSet: e.NewExpertsPerSet, Places: e.ExpertsPerRank}),
-		demand:   tgbalance.NewDemand(e.Sets, e.Experts), engine: e, members: make([]member, ranks), name: name,
+		demand:   tgbalance.NewDemand(e.Sets, e.Experts), engine: e, members: make([]member, ranks), name: name, self: self,
 	}
 }
 
@@ -380,6 +389,9 @@
 		}
 	}
 	m := &g.members[r.Rank]
+	if r.From == (netip.AddrPort{}) && r.VM != g.self {
+		r.Age += g.engine.ReportLag // engines show other VMs an older state
+	}
 	r.State.Seen = now.Add(-r.Age - transitTime)
 	m.report = r
 	if r.Experts != nil {
--- a/io/tgrank/message.go
+++ b/io/tgrank/message.go
@@ -9,6 +9,13 @@
 	"tanagergrade/core/tgswitch"
 )
 
+// Peer is another agent.
+type Peer struct {
+	Address netip.AddrPort
+	Engine  netip.AddrPort // on the agent's VM
+	VM      string
+}
+
 // Beacon is what the leader sends to all agents.
 type Beacon struct {
 	Fast  bool   `cbor:"1,keyasint"` // a change is under way: report the state often
@@ -61,6 +68,6 @@
 	reportInterval = 100 * time.Millisecond
 	relayTimeout   = 120 * time.Millisecond // for the reply of an agent
 	fastInterval   = 30 * time.Millisecond
-	beaconInterval = 500 * time.Millisecond
+	beaconInterval = 300 * time.Millisecond
 	leaderFor      = 2 * time.Second // an agent reports to a leader for so long after its last beacon
 )
--- a/io/tgrank/relay.go
+++ b/io/tgrank/relay.go
@@ -92,7 +92,7 @@
 func (l *Leader) order(
 	a *Agent, m Report, o tgswitch.Order, term int64, replicas [][][]int, group string,
 ) (tgswitch.Result, error) {
-	if m.From == (netip.AddrPort{}) || time.Since(m.State.Seen) > relayFresh {
+	if m.VM == l.VM || m.From == (netip.AddrPort{}) || time.Since(m.State.Seen) > relayFresh {
 		return l.Engines.Order(m.Engine, o, term, replicas)
 	}
 	number, replies := l.relays.open()
@@ -110,3 +110,34 @@
 		return tgswitch.Unknown, errNoReply
 	}
 }
+
+const (
+	silentAfter  = 400 * time.Millisecond // an agent that did not report for so long is taken as down
+	pollInterval = 200 * time.Millisecond
+)
+
+// pollSilent asks the engines whose agents are silent, so that a group whose pass is held does not wait for an agent.
+func (l *Leader) pollSilent(now time.Time) {
+	if now.Sub(l.began) < silentAfter {
+		return
+	}
+	for _, p := range l.Peers() {
+		if now.Sub(l.heard[p.VM]) < silentAfter || now.Sub(l.polled[p.VM]) < pollInterval {
+			continue
+		}
+		l.polled[p.VM] = now
+		go l.poll(p)
+	}
+}
+
+func (l *Leader) poll(p Peer) {
+	read := time.Now()
+	s, err := l.Engines.State(p.Engine)
+	if err != nil || s.Ranks == 0 {
+		return // the engine is down with its agent, and the group with it
+	}
+	l.Take(Report{
+		Age: time.Since(read), Engine: p.Engine, Group: s.Group, Pool: l.Pool, Rank: s.Rank, Ranks: s.Ranks, State: s.State,
+		VM: p.VM,
+	})
+}
