--- a/core/tgpace/pacer.go
+++ b/core/tgpace/pacer.go
@@ -8,17 +8,17 @@
 )
 
 const (
-	decisionInterval = 150 * time.Millisecond
-	gapsPerDecision  = 8    // fewer say too little
-	gapTarget        = 0.90 // part of the longest pause on time that the longest pause seen may reach
-	gapComfort       = 0.75 // part below which the limit grows
-	growthFactor     = 1.06 // of the limit in one decision while it binds
-	shrinkMin        = 0.80 // largest cut of the limit in one decision
-	minLimit         = 2.0
-	returnHeadroom   = 1.2 // callers who come back after a refusal may go this far beyond the limit
-	retryAfterMin    = 150 * time.Millisecond
-	retryAfterMax    = 2 * time.Second
-	turnoverMemory   = 0.9 // weight of the past in the mean time that a stream takes
+	decisionInterval   = 150 * time.Millisecond
+	gapsPerDecision    = 8    // fewer say too little
+	gapTarget          = 0.90 // part of the longest pause on time that the longest pause seen may reach
+	gapComfort         = 0.75 // part below which the limit grows
+	growthFactor       = 1.06 // of the limit in one decision while it binds
+	shrinkMin          = 0.80 // largest cut of the limit in one decision
+	minLimit           = 2.0
+	returnHeadroom     = 1.2 // callers who come back after a refusal may go this far beyond the limit
+	shortestRetryAfter = 150 * time.Millisecond
+	longestRetryAfter  = 2 * time.Second
+	turnoverMemory     = 0.9 // weight of the past in the mean time that a stream takes
 )
 
 // Ticket is a place of a stream; Done returns it.
@@ -88,7 +88,7 @@
 	wait := time.Duration((float64(p.refused) + p.rand()) * perPlace * float64(time.Second))
 	return &Refusal{
 		InFlight: p.inFlight, Limit: p.limit, PeakGap: time.Duration(p.gapPeak * float64(time.Second)),
-		RetryAfter: min(max(wait, retryAfterMin), retryAfterMax),
+		RetryAfter: min(max(wait, shortestRetryAfter), longestRetryAfter),
 	}
 }
 
--- a/core/tgpick/picker.go
+++ b/core/tgpick/picker.go
@@ -11,16 +11,16 @@
 )
 
 const (
-	failureBackoffMin = 500 * time.Millisecond
-	failureBackoffMax = 4 * time.Second
-	failureMemory     = 0.8              // weight of the past in the share of failed attempts
-	failureShareMax   = 0.3              // an upstream that fails more of its attempts is left out for a while
-	failuresMin       = 2                // in a row, or the share above, before an upstream that answers is left out
-	goneFor           = 10 * time.Second // an upstream whose address another one has does not return
-	forgetAfter       = 30 * time.Second
-	latencyMemory     = 0.9  // weight of the past in the latency
-	localGain         = 0.35 // load by which an upstream in another data centre has to be lower
-	slowShare         = 3.0  // latency over that of the fastest upstream that counts fully
+	shortestBackoff = 500 * time.Millisecond
+	longestBackoff  = 4 * time.Second
+	failureMemory   = 0.8              // weight of the past in the share of failed attempts
+	failureShareMax = 0.3              // an upstream that fails more of its attempts is left out for a while
+	failuresMin     = 2                // in a row, or the share above, before an upstream that answers is left out
+	goneFor         = 10 * time.Second // an upstream whose address another one has does not return
+	forgetAfter     = 30 * time.Second
+	latencyMemory   = 0.9  // weight of the past in the latency
+	localGain       = 0.35 // load by which an upstream in another data centre has to be lower
+	slowShare       = 3.0  // latency over that of the fastest upstream that counts fully
 )
 
 // Outcome is what an attempt showed of its upstream.
@@ -234,7 +234,7 @@
 	if now.Before(s.out) {
 		return
 	}
-	s.backoff = min(max(2*s.backoff, failureBackoffMin), failureBackoffMax)
+	s.backoff = min(max(2*s.backoff, shortestBackoff), longestBackoff)
 	s.out = now.Add(s.backoff)
 	s.latency = 0
 }
--- a/core/tgview/view.go
+++ b/core/tgview/view.go
@@ -128,7 +128,7 @@
 func (v *View) ApplyOperator(records []tgfold.Record) []Change {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	var changes []Change
+	changes := make([]Change, 0, len(records))
 	for _, r := range records {
 		c := Change{Key: r.Key, Offset: r.Offset}
 		switch kind, dc := v.codec.Operator(r.Key); kind {
--- a/core/tgview/view_test.go
+++ b/core/tgview/view_test.go
@@ -40,7 +40,7 @@
 }
 
 func renewals(from int64, ids ...string) []tgfold.Record {
-	var records []tgfold.Record
+	records := make([]tgfold.Record, 0, len(ids))
 	for i, id := range ids {
 		records = append(records, tgfold.Record{Key: id, Offset: from + int64(i), Value: []byte("ready a")})
 	}
--- a/io/tgcommand/platform_companion.go
+++ b/io/tgcommand/platform_companion.go
@@ -102,8 +102,9 @@
 }
 
 func (p *platformCompanion) companions() []tgrank.Peer {
-	var peers []tgrank.Peer
-	for _, m := range p.peers.List(tgfleet.RoleCompanion, time.Now()) {
+	members := p.peers.List(tgfleet.RoleCompanion, time.Now())
+	peers := make([]tgrank.Peer, 0, len(members))
+	for _, m := range members {
 		peers = append(peers, tgrank.Peer{Address: m.Address, Engine: m.Engine, VM: m.VM})
 	}
 	return peers
--- a/io/tgcommand/platform_entry.go
+++ b/io/tgcommand/platform_entry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -43,7 +42,6 @@
 	exchange  *tgfleet.Exchange
 	operator  *tgfold.Table
 	proxy     *tgproxy.Server
-	ready     atomic.Bool
 	upstreams *tgfold.Table
 	view      *tgview.View
 }
--- a/io/tgfleet/exchange.go
+++ b/io/tgfleet/exchange.go
@@ -22,10 +22,12 @@
 	pullTimeout      = 800 * time.Millisecond
 	pullBehindFor    = 300 * time.Millisecond // the store usually brings a change sooner
 	upstreamsStale   = 1200 * time.Millisecond
-	TablesPath       = "/tables" // of the admin server
 	socketRetryPause = 50 * time.Millisecond
 )
 
+// TablesPath is where the admin server answers peers that are behind.
+const TablesPath = "/tables"
+
 // Exchange keeps the tables of entries equal: each tells the others how far its tables reach, and one that is behind
 // and does not hear from the store asks for them.
 type Exchange struct {
--- a/io/tgproxy/conns.go
+++ b/io/tgproxy/conns.go
@@ -64,7 +64,7 @@
 	return &connPool{dialer: Dialer(), idle: map[netip.AddrPort][]*upstreamConn{}, open: map[netip.AddrPort]int{}}
 }
 
-// get returns an idle connection or a new one, of at most most connections to the address.
+// get returns an idle connection or a new one; the address has at most the given number of them.
 func (p *connPool) get(ctx context.Context, addr netip.AddrPort, most int) (*upstreamConn, error) {
 	for {
 		c := p.takeIdle(addr)
--- a/io/tgproxy/exchange.go
+++ b/io/tgproxy/exchange.go
@@ -28,7 +28,6 @@
 
 // exchange is one attempt at one upstream.
 type exchange struct {
-	addr      string
 	body      *tghttp.Body
 	conn      *upstreamConn
 	detail    string
--- /dev/null
+++ b/io/tgproxy/harness_test.go
@@ -0,0 +1,190 @@
+package tgproxy_test
+
+import (
+	"bufio"
+	"context"
+	"expvar"
+	"fmt"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tanagergrade/core/tgcatalog"
+	"tanagergrade/io/tghttp"
+	"tanagergrade/io/tgproxy"
+	tgplatform "tanagergrade/platform"
+	"tanagergrade/platform/tgemulator"
+)
+
+// testCatalog is a catalog that tests change.
+type testCatalog struct {
+	config    *tgcatalog.Config
+	current   bool
+	entries   int
+	mu        sync.Mutex
+	upstreams []tgcatalog.Upstream
+}
+
+// Config implements tgproxy.Catalog.
+func (c *testCatalog) Config() (*tgcatalog.Config, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.config, c.current
+}
+
+// Entries implements tgproxy.Catalog.
+func (c *testCatalog) Entries() int { return c.entries }
+
+// Upstreams implements tgproxy.Catalog.
+func (c *testCatalog) Upstreams(string) []tgcatalog.Upstream {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.upstreams
+}
+
+// events collects the events of a proxy.
+type events struct {
+	mu   sync.Mutex
+	list []tgproxy.Event
+}
+
+// Attempt implements tgproxy.Observer.
+func (o *events) Attempt(tgproxy.Event) {}
+
+// Request implements tgproxy.Observer.
+func (o *events) Request(e tgproxy.Event) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.list = append(o.list, e)
+}
+
+// bench is a proxy before engines.
+type bench struct {
+	addr    string
+	catalog *testCatalog
+	engines []*tgemulator.Engine
+	events  *events
+	proxy   *tgproxy.Server
+	stop    context.CancelFunc
+	done    chan struct{}
+}
+
+const (
+	accountKey   = "key-of-account"
+	hostOfRoutes = "test.example"
+)
+
+func testRoutes() []tgcatalog.Route {
+	target := []tgcatalog.Target{{Pool: "pool", Weight: 1}}
+	route := tgcatalog.Route{
+		Host: hostOfRoutes, Latency: 100 * time.Millisecond, MaxAttempts: 2, Targets: target, Timeout: 2 * time.Second,
+	}
+	once, stream, twice := route, route, route
+	once.Kind, once.Name, once.PathPrefix = tgcatalog.KindNonIdempotent, "once", "/once/"
+	twice.Kind, twice.Name, twice.PathPrefix = tgcatalog.KindIdempotent, "twice", "/twice/"
+	stream.Kind, stream.Name, stream.PathPrefix = tgcatalog.KindStreaming, "stream", "/stream/"
+	stream.GapTarget, stream.Resumable = 500*time.Millisecond, true
+	return []tgcatalog.Route{once, stream, twice}
+}
+
+func newBench(t *testing.T, engines int) *bench {
+	t.Helper()
+	cfg := tgcatalog.NewConfig(1, testRoutes())
+	cfg.HasKeys = true
+	cfg.Accounts[accountKey] = tgcatalog.Account{Name: "account"}
+	cfg.Limits = tgcatalog.Limits{
+		BodyBytes: 1 << 20, HeaderBytes: 8 << 10, HeaderTimeout: time.Second, IdleTimeout: 5 * time.Second,
+	}
+	cfg.Pools = map[string]tgcatalog.Pool{"pool": {MaxConnections: 100, Name: "pool"}}
+	b := &bench{catalog: &testCatalog{config: cfg, current: true, entries: 1}, events: &events{}, done: make(chan struct{})}
+	for i := range engines {
+		e := tgemulator.NewEngine(fmt.Sprintf("e%d", i))
+		l := listen(t)
+		go func() { _ = e.Serve(l) }() // ends with the listener
+		b.engines = append(b.engines, e)
+		b.catalog.upstreams = append(b.catalog.upstreams, tgcatalog.Upstream{
+			Address: netip.MustParseAddrPort(l.Addr().String()), ID: e.ID, Pool: "pool", State: tgcatalog.StateReady,
+		})
+	}
+	b.proxy = tgproxy.NewServer("dc", b.catalog, tgplatform.Headers(), tgproxy.Limits{
+		DrainGrace: 5 * time.Second, RetryBurst: 1000, RetryRatio: 0.2, RetryWindow: 10 * time.Second,
+		SpareForDrain: 500 * time.Millisecond,
+	}, b.events, new(expvar.Map).Init())
+	l := listen(t)
+	b.addr = l.Addr().String()
+	ctx, stop := context.WithCancel(t.Context())
+	b.stop = stop
+	go func() {
+		defer close(b.done)
+		assert.Check(t, b.proxy.Serve(ctx, l))
+	}()
+	return b
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	var lc net.ListenConfig
+	l, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
+// runs returns how often all engines ran an attempt.
+func (b *bench) runs(id string) int {
+	n := 0
+	for _, e := range b.engines {
+		n += e.Runs(id)
+	}
+	return n
+}
+
+// client is a connection of a caller.
+type client struct {
+	net.Conn
+	br *bufio.Reader
+	t  *testing.T
+}
+
+func (b *bench) dial(t *testing.T) *client {
+	t.Helper()
+	var d net.Dialer
+	conn, err := d.DialContext(t.Context(), "tcp", b.addr)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return &client{Conn: conn, br: bufio.NewReader(conn), t: t}
+}
+
+// request returns the bytes of a request; extra are header lines.
+func request(method, path, id, body string, extra ...string) string {
+	lines := append([]string{
+		method + " " + path + " HTTP/1.1", "Host: " + hostOfRoutes, "Tanagergrade-Attempt-Id: " + id,
+		"Tanagergrade-Key: " + accountKey,
+	}, extra...)
+	if body != "" {
+		lines = append(lines, fmt.Sprintf("Content-Length: %d", len(body)))
+	}
+	return strings.Join(lines, "\r\n") + "\r\n\r\n" + body
+}
+
+func (c *client) send(text string) {
+	c.t.Helper()
+	_, err := c.Write([]byte(text))
+	assert.NilError(c.t, err)
+}
+
+// receive reads an answer; complete says whether its body was whole.
+func (c *client) receive() (r *tghttp.Response, body string, complete bool) {
+	c.t.Helper()
+	assert.NilError(c.t, c.SetReadDeadline(time.Now().Add(10*time.Second)))
+	r, err := tghttp.ReadResponse(c.br, "GET")
+	assert.NilError(c.t, err)
+	b := tghttp.NewBody(c.br, r.Framing, r.Length)
+	data, _ := b.ReadAll(1 << 20) // complete tells
+	return r, string(data), b.Complete()
+}
--- /dev/null
+++ b/io/tgproxy/proxy_test.go
@@ -0,0 +1,275 @@
+package tgproxy_test
+
+import (
+	"io"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tanagergrade/core/tgcatalog"
+	"tanagergrade/platform/tgemulator"
+)
+
+const streamHeader = "Tanagergrade-Token-Usage: 100,10"
+
+const wholeStream = "id: 1\ndata: event 1\n\nid: 2\ndata: event 2\n\nid: 3\ndata: event 3\n\n"
+
+// Guards against answers that are not the engine's whole answer, requests that run twice, and refusals that say that a
+// request has not run though it may have.
+func TestAnswersUnderFaults(t *testing.T) {
+	const (
+		hello = "hello"
+		once  = "/once/x"
+		twice = "/twice/x"
+		strm  = "/stream/x"
+	)
+	for name, c := range map[string]struct {
+		body   string // prefix of the answer's body
+		faults []tgemulator.Fault
+		path   string
+		runs   int
+		status int
+	}{
+		"onceCrash":        {faults: f(tgemulator.FaultCrash), path: once, status: 502},
+		"onceError":        {body: "error", faults: f(tgemulator.FaultError), path: once, runs: 1, status: 500},
+		"onceFull":         {faults: f(tgemulator.FaultFull, tgemulator.FaultFull), path: once, status: 503},
+		"onceFullThenOK":   {body: hello, faults: f(tgemulator.FaultFull), path: once, runs: 1, status: 200},
+		"onceGarbage":      {faults: f(tgemulator.FaultGarbage), path: once, runs: 1, status: 502},
+		"onceHang":         {faults: f(tgemulator.FaultHang), path: once, runs: 1, status: 504},
+		"onceLost":         {faults: f(tgemulator.FaultLost), path: once, runs: 1, status: 502},
+		"onceOK":           {body: hello, path: once, runs: 1, status: 200},
+		"onceOther":        {body: hello, faults: f(tgemulator.FaultOther), path: once, runs: 1, status: 200},
+		"onceShort":        {faults: f(tgemulator.FaultShort), path: once, runs: 1, status: 502},
+		"onceUnframed":     {body: hello, faults: f(tgemulator.FaultUnframed), path: once, runs: 1, status: 200},
+		"onceUnsigned":     {faults: f(tgemulator.FaultUnsigned), path: once, runs: 1, status: 502},
+		"streamBreak":      {body: wholeStream, faults: f(tgemulator.FaultBreak), path: strm, runs: 2, status: 200},
+		"streamFullThenOK": {body: wholeStream, faults: f(tgemulator.FaultFull), path: strm, runs: 1, status: 200},
+		"streamLost":       {body: wholeStream, faults: f(tgemulator.FaultLost), path: strm, runs: 2, status: 200},
+		"streamOK":         {body: wholeStream, path: strm, runs: 1, status: 200},
+		"twiceCrash":       {body: hello, faults: f(tgemulator.FaultCrash), path: twice, runs: 1, status: 200},
+		"twiceError":       {body: hello, faults: f(tgemulator.FaultError), path: twice, runs: 2, status: 200},
+		"twiceErrors":      {body: "error", faults: f(tgemulator.FaultError, tgemulator.FaultError), path: twice, runs: 2, status: 500},
+		"twiceExtra":       {body: hello, faults: f(tgemulator.FaultExtra), path: twice, runs: 1, status: 200},
+		"twiceGarbage":     {body: hello, faults: f(tgemulator.FaultGarbage), path: twice, runs: 2, status: 200},
+		"twiceLost":        {body: hello, faults: f(tgemulator.FaultLost), path: twice, runs: 2, status: 200},
+		"twiceLostTwice":   {faults: f(tgemulator.FaultLost, tgemulator.FaultLost), path: twice, runs: 2, status: 502},
+		"twiceShort":       {body: hello, faults: f(tgemulator.FaultShort), path: twice, runs: 2, status: 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newBench(t, 2)
+			// The faults hit the first attempts, whichever engines get them.
+			shared := make(chan tgemulator.Fault, len(c.faults))
+			for _, fault := range c.faults {
+				shared <- fault
+			}
+			for _, e := range b.engines {
+				e.Script = shared
+			}
+			client := b.dial(t)
+			extra := []string{"Tanagergrade-Deadline-Ms: 1500"}
+			if c.path == strm {
+				extra = append(extra, streamHeader)
+			}
+			client.send(request("POST", c.path, "a1", "{}", extra...))
+			r, body, complete := client.receive()
+			assert.Equal(t, r.Status, c.status)
+			assert.Equal(t, b.runs("a1"), c.runs)
+			assert.Assert(t, complete)
+			if c.status == 200 {
+				assert.Assert(t, strings.HasPrefix(body, c.body), body)
+				assert.Assert(t, r.Header.Get("Tanagergrade-Response-Signature") != "")
+			}
+			if c.status >= 502 {
+				assert.Equal(t, r.Header.Get("Tanagergrade-Response-Signature"), "")
+			}
+		})
+	}
+}
+
+func f(faults ...tgemulator.Fault) []tgemulator.Fault { return faults }
+
+// Guards against an answer to an earlier request on a kept connection that reaches the next caller.
+func TestLateSecondAnswerReachesNobody(t *testing.T) {
+	b := newBench(t, 1)
+	b.engines[0].Fail(tgemulator.FaultExtra)
+	client := b.dial(t)
+	for i := range 5 {
+		id := "a" + strconv.Itoa(i)
+		client.send(request("GET", "/twice/x", id, ""))
+		r, _, _ := client.receive()
+		assert.Equal(t, r.Status, 200)
+		assert.Equal(t, r.Header.Get("Tanagergrade-Attempt-Id"), id)
+	}
+}
+
+// Guards against headers of callers that reach an engine where the proxy's own belong, and against changed requests.
+func TestForwardedRequest(t *testing.T) {
+	b := newBench(t, 1)
+	client := b.dial(t)
+	client.send(request("POST", "/once/A%2fb?q=%20&Q", "a1", "body", "Tanagergrade-Tenant: forged", "X-Odd: Va lue",
+		"Tanagergrade-Target-Instance: forged", "Tanagergrade-Deadline-Ms: 1500", "Connection: X-Hop", "X-Hop: 1"))
+	r, _, _ := client.receive()
+	assert.Equal(t, r.Status, 200)
+	h := b.engines[0].Requests()[0]
+	for name, want := range map[string]string{
+		"Tanagergrade-Attempt-Id": "a1", "Tanagergrade-Key": "", "Tanagergrade-Target-Instance": "e0",
+		"Tanagergrade-Tenant": "account", "X-Hop": "", "X-Odd": "Va lue",
+	} {
+		assert.Equal(t, h.Get(name), want, name)
+	}
+	assert.Equal(t, h.Count("Tanagergrade-Tenant"), 1)
+	left, err := strconv.Atoi(h.Get("Tanagergrade-Deadline-Ms"))
+	assert.NilError(t, err)
+	assert.Assert(t, left > 1000 && left <= 1500, "%d", left)
+}
+
+// Guards against refusals of what a configuration allows: a process that may lack the newest one says 503.
+func TestUnknownRouteAndKey(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(*testCatalog)
+		key    string
+		path   string
+		status int
+	}{
+		"key":                {change: func(*testCatalog) {}, key: "other", path: "/twice/x", status: 401},
+		"keyNotCurrent":      {change: func(c *testCatalog) { c.current = false }, key: "other", path: "/twice/x", status: 503},
+		"noConfiguration":    {change: func(c *testCatalog) { c.config = nil }, key: accountKey, path: "/twice/x", status: 503},
+		"noUpstream":         {change: func(c *testCatalog) { c.upstreams = nil }, key: accountKey, path: "/twice/x", status: 503},
+		"route":              {change: func(*testCatalog) {}, key: accountKey, path: "/none/x", status: 404},
+		"routeNotCurrent":    {change: func(c *testCatalog) { c.current = false }, key: accountKey, path: "/none/x", status: 503},
+		"knownWhenNotFollow": {change: func(c *testCatalog) { c.current = false }, key: accountKey, path: "/twice/x", status: 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newBench(t, 1)
+			b.catalog.mu.Lock()
+			c.change(b.catalog)
+			b.catalog.mu.Unlock()
+			client := b.dial(t)
+			text := strings.ReplaceAll(request("GET", c.path, "a1", ""), accountKey, c.key)
+			client.send(text)
+			r, _, _ := client.receive()
+			assert.Equal(t, r.Status, c.status)
+			if c.status == 503 {
+				assert.Assert(t, r.Header.Get("Retry-After") != "")
+			}
+		})
+	}
+}
+
+// Guards against requests that two readers could frame differently and against heads and bodies without bounds.
+func TestMalformedRequests(t *testing.T) {
+	head := "POST /once/x HTTP/1.1\r\nHost: " + hostOfRoutes + "\r\n"
+	for name, c := range map[string]struct {
+		status int
+		text   string
+	}{
+		"bareLF":          {400, "POST /once/x HTTP/1.1\nHost: a\n\n"},
+		"bothFramings":    {400, head + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
+		"chunkSize":       {400, head + "Transfer-Encoding: chunked\r\n\r\nx\r\n"},
+		"foldedHeader":    {400, head + "X: a\r\n b\r\n\r\n"},
+		"headerTooLarge":  {431, head + "X: " + strings.Repeat("a", 9<<10) + "\r\n\r\n"},
+		"lengthNegative":  {400, head + "Content-Length: -1\r\n\r\n"},
+		"lengthTwice":     {400, head + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab"},
+		"noHost":          {400, "POST /once/x HTTP/1.1\r\n\r\n"},
+		"spaceInName":     {400, head + "X : a\r\n\r\n"},
+		"targetAbsolute":  {400, "POST http://a/ HTTP/1.1\r\nHost: a\r\n\r\n"},
+		"tooLongBody":     {413, head + "Content-Length: 9999999\r\n\r\n"},
+		"transferUnknown": {501, head + "Transfer-Encoding: gzip\r\n\r\n"},
+		"twoHosts":        {400, "POST /once/x HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n"},
+		"version":         {400, "POST /once/x HTTP/2.0\r\nHost: a\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newBench(t, 1)
+			client := b.dial(t)
+			client.send(c.text)
+			r, _, _ := client.receive()
+			assert.Equal(t, r.Status, c.status)
+			_, err := client.br.ReadByte()
+			assert.Equal(t, err, io.EOF)
+			assert.Equal(t, len(b.engines[0].AllRuns()), 0)
+		})
+	}
+}
+
+// Guards against engines that work on for a caller who has left.
+func TestCallerWhoLeavesCancels(t *testing.T) {
+	b := newBench(t, 1)
+	b.engines[0].Work = 5 * time.Second
+	client := b.dial(t)
+	client.send(request("GET", "/twice/x", "a1", ""))
+	waitFor(t, func() bool { return b.engines[0].Runs("a1") == 1 })
+	assert.NilError(t, client.Close())
+	waitFor(t, func() bool {
+		b.events.mu.Lock()
+		defer b.events.mu.Unlock()
+		return len(b.events.list) == 1 && b.events.list[0].Outcome == "cancelled"
+	})
+}
+
+// Guards against a caller that waits longer than the operator allows.
+func TestRouteTimeout(t *testing.T) {
+	b := newBench(t, 1)
+	routes := testRoutes()
+	for i := range routes {
+		routes[i].Timeout = 200 * time.Millisecond
+	}
+	cfg := tgcatalog.NewConfig(2, routes)
+	cfg.Limits = b.catalog.config.Limits
+	b.catalog.mu.Lock()
+	b.catalog.config = cfg
+	b.catalog.mu.Unlock()
+	b.engines[0].FailAlways(tgemulator.FaultHang)
+	client := b.dial(t)
+	start := time.Now()
+	client.send(request("GET", "/twice/x", "a1", ""))
+	r, _, _ := client.receive()
+	assert.Equal(t, r.Status, 504)
+	assert.Assert(t, time.Since(start) < time.Second)
+}
+
+// Guards against requests that a planned stop cuts off: those in progress and those that arrive on open connections.
+func TestDrain(t *testing.T) {
+	b := newBench(t, 1)
+	b.engines[0].Interval = 300 * time.Millisecond
+	streaming, idle := b.dial(t), b.dial(t)
+	streaming.send(request("POST", "/stream/x", "a1", "{}", streamHeader))
+	idle.send(request("GET", "/twice/x", "a2", ""))
+	_, _, complete := idle.receive()
+	assert.Assert(t, complete)
+	waitFor(t, func() bool { return b.engines[0].Runs("a1") == 1 })
+	b.stop()
+	time.Sleep(100 * time.Millisecond)
+	idle.send(request("GET", "/twice/x", "a3", ""))
+	r, _, complete := idle.receive()
+	assert.Assert(t, complete && r.Status == 200)
+	assert.Equal(t, r.Header.Get("Connection"), "close")
+	late := b.dial(t) // the platform may not have noticed yet
+	late.send(request("GET", "/twice/x", "a4", ""))
+	r, _, _ = late.receive()
+	assert.Equal(t, r.Status, 200)
+	_, body, complete := streaming.receive()
+	assert.Assert(t, complete)
+	assert.Equal(t, body, wholeStream)
+	select {
+	case <-b.done:
+	case <-time.After(6 * time.Second):
+		t.Fatal("the server did not stop")
+	}
+}
+
+func waitFor(t *testing.T, ok func() bool) {
+	t.Helper()
+	for range 500 {
+		if ok() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("condition did not come true")
+}
--- /dev/null
+++ b/io/tgrank/group.go
@@ -0,0 +1,134 @@
+package tgrank
+
+import (
+	"net/netip"
+	"time"
+
+	"tanagergrade/core/tgbalance"
+	"tanagergrade/core/tgcatalog"
+	"tanagergrade/core/tgexpert"
+	"tanagergrade/core/tgswitch"
+)
+
+// group is what the leader knows of one group.
+type group struct {
+	balancer       *tgbalance.Balancer
+	began          time.Time
+	change         *tgswitch.Switch
+	decided        time.Time
+	demand         *tgbalance.Demand
+	engine         tgcatalog.Engine
+	epoch          int64
+	expectBy       time.Time // when all ranks have to report the version in use
+	logged         time.Time // when the skew was last logged
+	members        []member
+	moved          time.Time // when the newest pass was seen to grow
+	name           string
+	newest         int64 // pass
+	next           *tgexpert.Replication
+	nextVersion    int64
+	present        *tgexpert.Replication // nil if not known
+	presentVersion int64
+	recovery       *tgswitch.Recovery
+	self           string // VM of the leader
+	strayAt        time.Time
+}
+
+type member struct {
+	experts [][]int
+	report  Report
+	version int64 // of experts
+}
+
+func newGroup(name, self string, ranks int, e tgcatalog.Engine) *group {
+	return &group{
+		balancer: tgbalance.NewBalancer(tgbalance.Limits{NewPerSet: e.NewExpertsPerSet, Places: e.ExpertsPerRank}),
+		demand:   tgbalance.NewDemand(e.Sets, e.Experts), engine: e, members: make([]member, ranks), name: name, self: self,
+	}
+}
+
+func (g *group) busy() bool { return g.change != nil || g.recovery != nil }
+
+// take notes a report.
+func (g *group) take(r Report, now time.Time) {
+	if r.Rank < 0 || r.Rank >= len(g.members) || r.Ranks != len(g.members) {
+		return
+	}
+	if r.State.Epoch < g.epoch {
+		return // sent before the group formed anew
+	}
+	if r.State.Epoch > g.epoch {
+		g.epoch, g.newest, g.present = r.State.Epoch, 0, nil
+		for i := range g.members {
+			g.members[i].experts = nil
+		}
+	}
+	m := &g.members[r.Rank]
+	if r.From == (netip.AddrPort{}) && r.VM != g.self {
+		r.Age += g.engine.ReportLag // engines show other VMs an older state
+	}
+	r.State.Seen = now.Add(-r.Age - transitTime)
+	m.report = r
+	if r.Experts != nil {
+		m.experts, m.version = r.Experts, r.State.Version
+	}
+	if len(r.Counts) > 0 {
+		g.demand.Add(r.Counts, now)
+	}
+	if r.State.Step > g.newest {
+		g.newest, g.moved = r.State.Step, now
+	}
+}
+
+// view returns the states of all ranks and whether all of them are known, fresh and in an open group.
+func (g *group) view(now time.Time) ([]tgswitch.Rank, bool) {
+	ranks := make([]tgswitch.Rank, len(g.members))
+	ready := true
+	for i, m := range g.members {
+		ranks[i] = m.report.State
+		if m.report.State.Seen.IsZero() || now.Sub(m.report.State.Seen) > rankStale || !m.report.State.Open ||
+			m.report.State.Epoch != g.epoch {
+			ready = false
+		}
+	}
+	if ready {
+		g.learn(ranks, now)
+	}
+	return ranks, ready
+}
+
+// learn finds out which replication is in use.
+func (g *group) learn(ranks []tgswitch.Rank, now time.Time) {
+	version := ranks[0].Version
+	for _, r := range ranks {
+		if r.Version != version {
+			return // a change is just taking effect
+		}
+	}
+	if g.present != nil {
+		if version != g.presentVersion && now.After(g.expectBy) {
+			g.present = nil
+		}
+		return
+	}
+	if version == 0 {
+		g.present = tgexpert.NewReplication(g.engine.Sets, g.engine.Experts, len(g.members))
+		g.presentVersion = 0
+		return
+	}
+	p := tgexpert.NewReplication(g.engine.Sets, g.engine.Experts, len(g.members))
+	for rank, m := range g.members {
+		if m.experts == nil || m.version != version || len(m.experts) != g.engine.Sets {
+			return
+		}
+		for set := range p.Sets {
+			p.Sets[set][rank] = append([]int(nil), m.experts[set]...)
+		}
+	}
+	if p.Valid(g.engine.ExpertsPerRank) {
+		g.present, g.presentVersion = p, version
+	}
+}
+
+// moving reports whether the group makes passes; an order for a pass of an idle group could wait for long.
+func (g *group) moving(now time.Time) bool { return now.Sub(g.moved) < rankStale }
--- a/io/tgrank/leader.go
+++ b/io/tgrank/leader.go
@@ -9,9 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sourcegraph/conc"
 
-	"tanagergrade/core/tgbalance"
 	"tanagergrade/core/tgcatalog"
-	"tanagergrade/core/tgexpert"
 	"tanagergrade/core/tgswitch"
 )
 
@@ -30,25 +28,31 @@
 
 // Leader is the part of an agent that leads while it is elected.
 type Leader struct {
-	Peers    func() []Peer    // all agents but the own one
-	Leading  func(leads bool) // called when a term begins or ends
 	Election Election
 	Engines  Engines
+	Leading  func(leads bool) // called when a term begins or ends
 	Log      Log
+	Peers    func() []Peer                              // all agents but the own one
 	Pool     string                                     // of the engine on this VM, and of those it shares groups with
 	Profile  func(pool string) (tgcatalog.Engine, bool) // reads the cost model of a pool's engines
 	VM       string
 
 	mu      sync.Mutex
-	token   int64 // of the own term; 0 while another leads
 	highest int64 // token seen so far
+	token   int64 // of the own term; 0 while another leads
+
 	reports chan Report
 	results chan result
-	groups  map[string]*group
-	version int64                // last one of this term
-	began   time.Time            // of the term
-	heard   map[string]time.Time // when each agent last reported
-	polled  map[string]time.Time // when each engine was last asked in its agent's place
+
+	// The fields below belong to the goroutine of Run.
+	beaconAt time.Time
+	began    time.Time // of the term
+	fast     bool      // agents were asked to report often
+	groups   map[string]*group
+	heard    map[string]time.Time // when each agent last reported
+	polled   map[string]time.Time // when each engine was last asked in its agent's place
+	term     int64                // token that the groups belong to
+	version  int64                // last one of this term
 
 	relays relays
 }
@@ -96,51 +100,52 @@
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	wg.Go(func() { l.campaign(ctx, a) })
-	var beaconAt time.Time
 	tick := time.NewTimer(idleTick)
 	defer tick.Stop()
-	term := int64(0)
-	fast := false
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case r := <-l.reports:
-			if term != 0 {
+			if l.term != 0 {
 				l.takeReport(r)
 			}
 			continue
 		case r := <-l.results:
-			if term != 0 && r.term == term {
+			if l.term != 0 && r.term == l.term {
 				l.takeResult(r)
 			}
 		case <-tick.C:
 		}
-		now := time.Now()
-		if token := l.Token(); token != term {
-			l.changeTerm(term, token)
-			term, beaconAt = token, time.Time{}
+		if l.work(a, time.Now()) {
+			tick.Reset(busyTick)
+		} else {
+			tick.Reset(idleTick)
 		}
-		busy := false
-		if term != 0 {
-			l.pollSilent(now)
-			for _, g := range l.groups {
-				l.step(a, g, term, now)
-				busy = busy || g.busy()
-			}
-			if busy != fast || now.Sub(beaconAt) >= beaconInterval {
-				fast, beaconAt = busy, now
-				l.sendBeacons(a, term, busy)
-			}
-		}
-		next := idleTick
-		if busy {
-			next = busyTick
-		}
-		tick.Reset(next)
 	}
 }
 
+// work moves all groups on and reports whether one of them is changing.
+func (l *Leader) work(a *Agent, now time.Time) (busy bool) {
+	if token := l.Token(); token != l.term {
+		l.changeTerm(l.term, token)
+		l.term, l.beaconAt = token, time.Time{}
+	}
+	if l.term == 0 {
+		return false
+	}
+	l.pollSilent(now)
+	for _, g := range l.groups {
+		l.step(a, g, l.term, now)
+		busy = busy || g.busy()
+	}
+	if busy != l.fast || now.Sub(l.beaconAt) >= beaconInterval {
+		l.fast, l.beaconAt = busy, now
+		l.sendBeacons(a, l.term, busy)
+	}
+	return busy
+}
+
 func (l *Leader) changeTerm(from, to int64) {
 	clear(l.groups)
 	clear(l.heard)
@@ -334,126 +339,3 @@
 	g.change = nil
 	g.balancer.Changed(now)
 }
-
-// group is what the leader knows of one group.
-type group struct {
-	balancer       *tgbalance.Balancer
-	began          time.Time
-	change         *tgswitch.Switch
-	decided        time.Time
-	demand         *tgbalance.Demand
-	engine         tgcatalog.Engine
-	epoch          int64
-	expectBy       time.Time // when all ranks have to report the version in use
-	logged         time.Time // when the skew was last logged
-	members        []member
-	moved          time.Time // when the newest pass was seen to grow
-	name           string
-	newest         int64 // pass
-	next           *tgexpert.Replication
-	nextVersion    int64
-	present        *tgexpert.Replication // nil if not known
-	presentVersion int64
-	recovery       *tgswitch.Recovery
-	self           string // VM of the leader
-	strayAt        time.Time
-}
-
-type member struct {
-	experts [][]int
-	report  Report
-	version int64 // of experts
-}
-
-func newGroup(name, self string, ranks int, e tgcatalog.Engine) *group {
-	return &group{
-		balancer: tgbalance.NewBalancer(tgbalance.Limits{NewPerSet: e.NewExpertsPerSet, Places: e.ExpertsPerRank}),
-		demand:   tgbalance.NewDemand(e.Sets, e.Experts), engine: e, members: make([]member, ranks), name: name, self: self,
-	}
-}
-
-func (g *group) busy() bool { return g.change != nil || g.recovery != nil }
-
-// take notes a report.
-func (g *group) take(r Report, now time.Time) {
-	if r.Rank < 0 || r.Rank >= len(g.members) || r.Ranks != len(g.members) {
-		return
-	}
-	if r.State.Epoch < g.epoch {
-		return // sent before the group formed anew
-	}
-	if r.State.Epoch > g.epoch {
-		g.epoch, g.newest, g.present = r.State.Epoch, 0, nil
-		for i := range g.members {
-			g.members[i].experts = nil
-		}
-	}
-	m := &g.members[r.Rank]
-	if r.From == (netip.AddrPort{}) && r.VM != g.self {
-		r.Age += g.engine.ReportLag // engines show other VMs an older state
-	}
-	r.State.Seen = now.Add(-r.Age - transitTime)
-	m.report = r
-	if r.Experts != nil {
-		m.experts, m.version = r.Experts, r.State.Version
-	}
-	if len(r.Counts) > 0 {
-		g.demand.Add(r.Counts, now)
-	}
-	if r.State.Step > g.newest {
-		g.newest, g.moved = r.State.Step, now
-	}
-}
-
-// view returns the states of all ranks and whether all of them are known, fresh and in an open group.
-func (g *group) view(now time.Time) ([]tgswitch.Rank, bool) {
-	ranks := make([]tgswitch.Rank, len(g.members))
-	ready := true
-	for i, m := range g.members {
-		ranks[i] = m.report.State
-		if m.report.State.Seen.IsZero() || now.Sub(m.report.State.Seen) > rankStale || !m.report.State.Open ||
-			m.report.State.Epoch != g.epoch {
-			ready = false
-		}
-	}
-	if ready {
-		g.learn(ranks, now)
-	}
-	return ranks, ready
-}
-
-// learn finds out which replication is in use.
-func (g *group) learn(ranks []tgswitch.Rank, now time.Time) {
-	version := ranks[0].Version
-	for _, r := range ranks {
-		if r.Version != version {
-			return // a change is just taking effect
-		}
-	}
-	if g.present != nil {
-		if version != g.presentVersion && now.After(g.expectBy) {
-			g.present = nil
-		}
-		return
-	}
-	if version == 0 {
-		g.present = tgexpert.NewReplication(g.engine.Sets, g.engine.Experts, len(g.members))
-		g.presentVersion = 0
-		return
-	}
-	p := tgexpert.NewReplication(g.engine.Sets, g.engine.Experts, len(g.members))
-	for rank, m := range g.members {
-		if m.experts == nil || m.version != version || len(m.experts) != g.engine.Sets {
-			return
-		}
-		for set := range p.Sets {
-			p.Sets[set][rank] = append([]int(nil), m.experts[set]...)
-		}
-	}
-	if p.Valid(g.engine.ExpertsPerRank) {
-		g.present, g.presentVersion = p, version
-	}
-}
-
-// moving reports whether the group makes passes; an order for a pass of an idle group could wait for long.
-func (g *group) moving(now time.Time) bool { return now.Sub(g.moved) < rankStale }
