Reset the connection of an attempt that is given up

Cause: a closed connection still delivers what is on its way. Unit tests replay the load of the limit, the retry budget, the cold rate and the tables.

--- /dev/null
+++ b/core/tgfold/table_test.go
@@ -0,0 +1,77 @@
+package tgfold
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func show(t *Table) string {
+	records, _ := t.Records()
+	var parts []string
+	for _, r := range records {
+		if len(r.Value) > 0 {
+			parts = append(parts, fmt.Sprintf("%s=%s", r.Key, r.Value))
+		}
+	}
+	slices.Sort(parts)
+	return strings.Join(parts, " ")
+}
+
+func put(key, value string, offset int64) Record {
+	return Record{Key: key, Offset: offset, Value: []byte(value)}
+}
+
+// Guards against a listing or a read that is older than what the table has and takes it back.
+func TestStaleSourcesAreIgnored(t *testing.T) {
+	for name, c := range map[string]struct {
+		end  int64
+		list []Record
+		want string
+	}{
+		"absentKeyRemoved": {end: 10, list: []Record{put("a", "1", 1)}, want: "a=1"},
+		"newer":            {end: 10, list: []Record{put("a", "2", 9), put("b", "1", 2)}, want: "a=2 b=1"},
+		"olderListing":     {end: 2, list: []Record{put("a", "0", 0)}, want: "a=1 b=1"},
+		"olderRecord":      {end: 10, list: []Record{put("a", "0", 0), put("b", "1", 2)}, want: "a=1 b=1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := NewTable()
+			table.Apply([]Record{put("a", "1", 1), put("b", "1", 2)}, 3)
+			table.Replace(c.list, c.end)
+			assert.Equal(t, show(table), c.want)
+		})
+	}
+}
+
+// Guards against tables of two daemons that differ after they have exchanged their records, in either order.
+func TestTablesConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		keys := []string{"a", "b", "c"}
+		var log []Record
+		for i := range rapid.IntRange(1, 20).Draw(t, "length") {
+			r := Record{Key: rapid.SampledFrom(keys).Draw(t, "key"), Offset: int64(i)}
+			if rapid.Bool().Draw(t, "put") {
+				r.Value = fmt.Appendf(nil, "v%d", i)
+			}
+			log = append(log, r)
+		}
+		tables := []*Table{NewTable(), NewTable()}
+		for _, table := range tables {
+			n := rapid.IntRange(0, len(log)).Draw(t, "read")
+			table.Apply(log[:n], int64(n))
+		}
+		for range 2 {
+			for i, table := range tables {
+				records, end := tables[1-i].Records()
+				table.Replace(records, end)
+			}
+		}
+		if a, b := show(tables[0]), show(tables[1]); a != b {
+			t.Fatalf("%q and %q", a, b)
+		}
+	})
+}
--- /dev/null
+++ b/core/tgpace/pacer_test.go
@@ -0,0 +1,120 @@
+package tgpace
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// stream is one stream of the replay.
+type stream struct {
+	late   bool // a pause was too long
+	left   int  // events
+	entry  int
+	ticket *Ticket
+}
+
+// replay runs entries before a group whose passes take fixed + perStream x streams x skew and returns the share of
+// arrivals that were served without a pause that is too long, and the share served at all.
+func replay(perSecond float64, skew func(time.Duration) float64, paced bool) (onTime, served float64) {
+	const (
+		entries = 5
+		events  = 24
+		fixed   = 18 * time.Millisecond
+		per     = 300 * time.Microsecond
+		target  = 120 * time.Millisecond
+	)
+	r := rand.New(rand.NewPCG(3, 4))
+	start := time.Unix(1000, 0)
+	pacers := make([]*Pacer, entries)
+	for i := range pacers {
+		pacers[i] = NewPacer(20, 144, target, r.Float64)
+	}
+	var running []*stream
+	arrived, whole, good := 0, 0, 0
+	for at := time.Duration(0); at < 60*time.Second || len(running) > 0; {
+		pass := fixed + time.Duration(float64(per)*float64(len(running))*skew(at))
+		at += pass
+		now := start.Add(at)
+		for n := perSecond * pass.Seconds(); at < 60*time.Second && n > 0 && (n >= 1 || r.Float64() < n); n-- {
+			arrived++
+			entry := r.IntN(entries)
+			s := &stream{entry: entry, left: events}
+			if paced {
+				ticket, refusal := pacers[entry].Admit(false, now)
+				if refusal != nil {
+					continue
+				}
+				s.ticket = ticket
+			}
+			running = append(running, s)
+		}
+		rest := running[:0]
+		for _, s := range running {
+			s.late = s.late || s.left < events && pass > target
+			pacers[s.entry].Gap(pass, now)
+			if s.left--; s.left > 0 {
+				rest = append(rest, s)
+				continue
+			}
+			whole++
+			if !s.late {
+				good++
+			}
+			if s.ticket != nil {
+				s.ticket.Done(now)
+			}
+		}
+		running = rest
+	}
+	return float64(good) / float64(arrived), float64(whole) / float64(arrived)
+}
+
+// Guards against an overload that makes all streams late: with too many arrivals for the group, the limit keeps the
+// passes short enough that most of what fits is on time, and without it nothing is.
+func TestOverloadServesWhatFits(t *testing.T) {
+	steady := func(time.Duration) float64 { return 2.5 }
+	without, _ := replay(90, steady, false)
+	with, served := replay(90, steady, true)
+	t.Logf("on time: %.2f without a limit, %.2f with it; served %.2f", without, with, served)
+	assert.Assert(t, without < 0.1)
+	// A pass at the target carries 136 streams, which take 24 passes: 47 streams a second of 90.
+	assert.Assert(t, with > 0.6*47/90, "%.2f", with)
+}
+
+// Guards against refusals while the group has room.
+func TestLightLoadIsNotRefused(t *testing.T) {
+	with, served := replay(30, func(time.Duration) float64 { return 1.1 }, true)
+	assert.Assert(t, with > 0.99 && served > 0.97, "%.3f %.3f", with, served)
+}
+
+// Guards against a limit that stays low after a spike of the skew has ended.
+func TestLimitRecoversAfterSpike(t *testing.T) {
+	spike := func(at time.Duration) float64 {
+		if at > 10*time.Second && at < 12*time.Second {
+			return 4
+		}
+		return 1.1
+	}
+	_, served := replay(50, spike, true)
+	assert.Assert(t, served > 0.9, "%.3f", served)
+}
+
+// Guards against callers that are told to come back all at once or later than a place is expected.
+func TestRetryAfterSpreads(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := NewPacer(2, 2, 120*time.Millisecond, func() float64 { return 0 })
+	for range 2 {
+		_, refusal := p.Admit(false, now)
+		assert.Assert(t, refusal == nil)
+	}
+	last := time.Duration(0)
+	for range 3 {
+		_, refusal := p.Admit(false, now)
+		assert.Assert(t, refusal.RetryAfter > last || refusal.RetryAfter == longestRetryAfter)
+		last = refusal.RetryAfter
+	}
+	assert.Assert(t, last <= longestRetryAfter)
+}
--- /dev/null
+++ b/core/tgpick/picker_test.go
@@ -0,0 +1,89 @@
+package tgpick
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tanagergrade/core/tgcatalog"
+)
+
+func upstreams(ids ...string) []tgcatalog.Upstream {
+	list := make([]tgcatalog.Upstream, 0, len(ids))
+	for _, id := range ids {
+		list = append(list, tgcatalog.Upstream{DataCentre: "a", ID: id, Pool: "p", State: tgcatalog.StateReady})
+	}
+	return list
+}
+
+var epoch = time.Unix(1000, 0)
+
+func newTestPicker() *Picker { return NewPicker("a", WithRand(func() float64 { return 0.5 })) }
+
+// Guards against one upstream that gets more work than others because requests differ in size.
+func TestWorkIsSpread(t *testing.T) {
+	p := newTestPicker()
+	load := map[string]float64{}
+	for i := range 300 {
+		work := 1.0
+		if i%3 == 0 {
+			work = 4
+		}
+		c, _ := p.Pick(upstreams("e1", "e2", "e3", "e4"), Request{Work: work}, epoch)
+		load[c.Upstream.ID] += work
+	}
+	for id, l := range load {
+		assert.Assert(t, l >= 145 && l <= 155, "%s has %f of 600", id, l)
+	}
+}
+
+// Guards against a cold upstream that gets more requests in a second than this process's share of what it bears.
+func TestColdRate(t *testing.T) {
+	p := newTestPicker()
+	sent := 0
+	for i := range 1000 {
+		c, reason := p.Pick(upstreams("e1"), Request{ColdRate: 6, Work: 1}, epoch.Add(time.Duration(i)*10*time.Millisecond))
+		if c == nil {
+			assert.Equal(t, reason, ReasonCold)
+			continue
+		}
+		c.Done(OutcomeAnswered, time.Millisecond, epoch)
+		sent++
+	}
+	assert.Assert(t, sent >= 55 && sent <= 63, "%d requests in 10 s", sent)
+}
+
+// Guards against upstreams that get work although they cannot be reached, fail, or had the request before.
+func TestLeftOut(t *testing.T) {
+	for name, c := range map[string]struct {
+		outcome Outcome
+		times   int
+		usable  bool
+	}{
+		"answered":  {outcome: OutcomeAnswered, times: 5, usable: true},
+		"brokenOft": {outcome: OutcomeBroken, times: 2},
+		"brokenOne": {outcome: OutcomeBroken, times: 1, usable: true},
+		"full":      {outcome: OutcomeFull, times: 5, usable: true},
+		"gone":      {outcome: OutcomeGone, times: 1},
+		"lost":      {outcome: OutcomeLost, times: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newTestPicker()
+			for range c.times {
+				choice, _ := p.Pick(upstreams("e1"), Request{Work: 1}, epoch)
+				choice.Done(c.outcome, 0, epoch)
+			}
+			choice, reason := p.Pick(upstreams("e1"), Request{Work: 1}, epoch)
+			assert.Equal(t, choice != nil, c.usable)
+			if !c.usable {
+				assert.Equal(t, reason, ReasonUnhealthy)
+			}
+			choice, _ = p.Pick(upstreams("e1"), Request{Work: 1}, epoch.Add(time.Minute))
+			assert.Assert(t, choice != nil)
+		})
+	}
+	p := newTestPicker()
+	choice, _ := p.Pick(upstreams("e1", "e2"), Request{Tried: map[string]bool{"e1": true}, Work: 1}, epoch)
+	assert.Equal(t, choice.Upstream.ID, "e2")
+}
--- /dev/null
+++ b/core/tgretry/window_test.go
@@ -0,0 +1,55 @@
+package tgretry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against repeats of several processes that together exceed the budget in some window, when all engines fail
+// at once: each process repeats as often as it may, with bursts of requests and pauses.
+func TestWindowsOfAllProcessesKeepBudget(t *testing.T) {
+	const (
+		burst     = 90.0
+		processes = 6
+		ratio     = 0.2
+		seconds   = 60
+		step      = 10 * time.Millisecond
+		window    = 10 * time.Second
+	)
+	r := rand.New(rand.NewPCG(1, 2))
+	start := time.Unix(1000, 0)
+	windows := make([]*Window, processes)
+	for i := range windows {
+		windows[i] = NewWindow(ratio, burst/processes/2, window)
+	}
+	steps := int(seconds * time.Second / step)
+	sent, repeats := make([]int, steps), make([]int, steps)
+	for i := range steps {
+		now := start.Add(time.Duration(i) * step)
+		for p, w := range windows {
+			if i/500%2 == 0 && r.IntN(10) == 0 {
+				w.Sent(now)
+				sent[i]++
+			}
+			if r.IntN(processes) == p && w.Repeat(now) {
+				repeats[i]++
+			}
+		}
+	}
+	width := int(window / step)
+	sum := func(counts []int, end int) (n int) {
+		for _, v := range counts[max(0, end-width):max(0, end)] {
+			n += v
+		}
+		return n
+	}
+	for end := 1; end <= steps; end++ {
+		requests := max(sum(sent, end), sum(sent, end-width/2), sum(sent, end-width))
+		assert.Assert(t, float64(sum(repeats, end)) <= ratio*float64(requests)+burst,
+			"%d repeats for %d requests at step %d", sum(repeats, end), requests, end)
+	}
+	assert.Assert(t, sum(repeats, steps) > 0)
+}
--- a/io/tgproxy/conns.go
+++ b/io/tgproxy/conns.go
@@ -187,6 +187,15 @@
 
 // discard closes a connection.
 func (p *connPool) discard(addr netip.AddrPort, c *upstreamConn) {
-	_ = c.Close() // nothing is lost with a connection that is not used any more
+	c.abort()
 	p.release(addr)
 }
+
+// abort closes the connection and drops what has not left this VM, so that a request does not reach the upstream after
+// it was given up.
+func (c *upstreamConn) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only if the connection has ended
+	}
+	_ = c.Close() // nothing is lost with a connection that is not used any more
+}
--- a/io/tgproxy/exchange.go
+++ b/io/tgproxy/exchange.go
@@ -62,7 +62,7 @@
 		return x
 	}
 	x.conn = conn
-	x.stop = context.AfterFunc(ctx, func() { _ = conn.Close() }) // ends reads and writes in progress
+	x.stop = context.AfterFunc(ctx, conn.abort) // ends reads and writes in progress
 	x.send(head, c.body)
 	x.readHead(c)
 	x.firstByte = time.Since(start)
--- a/io/tgproxy/proxy_test.go
+++ b/io/tgproxy/proxy_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"io"
+	"net/netip"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -273,3 +275,36 @@
 	}
 	t.Fatal("condition did not come true")
 }
+
+// Guards against a request that reaches an engine after its caller has left: what is still on its way when an attempt
+// is cancelled must be dropped, so the connection is reset and not closed. Found as GONE on a day with engines that
+// were cut off for some seconds.
+func TestCancelledAttemptIsReset(t *testing.T) {
+	b := newBench(t, 0)
+	l := listen(t)
+	ended := make(chan error, 1)
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			ended <- err
+			return
+		}
+		_, err = io.Copy(io.Discard, conn)
+		ended <- err
+	}()
+	b.catalog.mu.Lock()
+	b.catalog.upstreams = []tgcatalog.Upstream{{
+		Address: netip.MustParseAddrPort(l.Addr().String()), ID: "e0", Pool: "pool", State: tgcatalog.StateReady,
+	}}
+	b.catalog.mu.Unlock()
+	client := b.dial(t)
+	client.send(request("GET", "/twice/x", "a1", ""))
+	time.Sleep(100 * time.Millisecond)
+	assert.NilError(t, client.Close())
+	select {
+	case err := <-ended:
+		assert.ErrorIs(t, err, syscall.ECONNRESET)
+	case <-time.After(5 * time.Second):
+		t.Fatal("the connection stays open")
+	}
+}
