--- /dev/null
+++ b/io/tghttp/fuzz_test.go
@@ -0,0 +1,52 @@
+package tghttp
+
+import (
+	"bufio"
+	"bytes"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against heads that are read differently from how they were written, and against panics.
+func FuzzReadRequest(f *testing.F) {
+	f.Add([]byte("POST /a?b HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nab"))
+	f.Add([]byte("GET / HTTP/1.0\r\n\r\n"))
+	f.Add([]byte("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		br := bufio.NewReader(bytes.NewReader(data))
+		r, err := ReadRequest(br, 4096)
+		if err != nil {
+			return
+		}
+		b := AppendRequestLine(nil, r.Method, r.Target)
+		for _, field := range r.Header {
+			b = AppendField(b, field.Name, field.Value)
+		}
+		again, err := ReadRequest(bufio.NewReader(bytes.NewReader(append(b, "\r\n"...))), 8192)
+		if r.Minor == 0 {
+			return // written as HTTP/1.1, which needs a Host header
+		}
+		assert.NilError(t, err)
+		assert.DeepEqual(t, again, r)
+		body, _ := NewBody(br, r.Framing, r.Length).ReadAll(1 << 16) // any error is fine
+		assert.Assert(t, len(body) <= 1<<16)
+	})
+}
+
+// Guards against engines' answers that end the process or whose body grows without bound.
+func FuzzReadResponse(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab"))
+	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\nabc"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		br := bufio.NewReader(bytes.NewReader(data))
+		r, err := ReadResponse(br, "GET")
+		if err != nil {
+			return
+		}
+		assert.Assert(t, r.Status >= 200 && r.Status <= 999)
+		body, _ := NewBody(br, r.Framing, r.Length).ReadAll(1 << 16) // any error is fine
+		assert.Assert(t, len(body) <= 1<<16)
+	})
+}
