Recover a held group without the VM of the former leader

The leader's rank is now armed after all others, another rank holds, and every term begins with a recovery that fences all ranks; a change of the former leader that is not armed everywhere else is undone without its rank.

--- a/core/tgswitch/explore_test.go
+++ b/core/tgswitch/explore_test.go
@@ -13,15 +13,17 @@
 
 // modelLeader drives changes and recoveries like the leader of a group does.
 type modelLeader struct {
-	change   *Switch
-	changes  int
-	frozen   time.Time // until then it does nothing
-	id       int
-	lost     bool
-	recovery *Recovery
-	strayAt  time.Time
-	token    int64
-	version  int64
+	change    *Switch
+	changes   int
+	frozen    time.Time // until then it does nothing
+	id        int
+	lost      bool
+	rank      int   // on the leader's VM
+	recovered int64 // epoch of the last recovery
+	recovery  *Recovery
+	strayAt   time.Time
+	token     int64
+	version   int64
 }
 
 // flight is an order under way, or its answer.
@@ -88,6 +90,11 @@
 			x.answer(f)
 			continue
 		}
+		if cut := x.group.ranks[f.order.Rank].cutUntil; x.now.Before(cut) { // it arrives when the VM wakes
+			f.at = cut
+			x.flights = append(x.flights, f)
+			continue
+		}
 		r := x.group.take(f.order, f.from.token, f.from.id, x.now, x.rand)
 		if f.target != nil {
 			f.answer, f.result = true, r
@@ -118,6 +125,10 @@
 		return
 	}
 	ranks := x.group.states(x.now)
+	ready := true
+	for _, r := range ranks {
+		ready = ready && x.now.Sub(r.Seen) < 900*time.Millisecond
+	}
 	switch {
 	case l.change != nil:
 		x.send(l, l.change, l.change.Due(ranks, x.now))
@@ -132,29 +143,45 @@
 			l.lost = l.lost || l.recovery.Phase() == RecoveryLost
 			l.recovery, l.strayAt = nil, time.Time{}
 		}
+	case l.recovered == 0:
+		l.recover(x, len(ranks))
 	case Needed(ranks):
 		if l.strayAt.IsZero() {
 			l.strayAt = x.now
 		}
 		if x.now.Sub(l.strayAt) > 400*time.Millisecond {
-			l.recovery = NewRecovery(len(ranks), x.group.epoch)
+			l.recover(x, len(ranks))
 		}
-	case !Armed(ranks) && x.rand.IntN(20) == 0:
+	case ready && !Armed(ranks) && x.rand.IntN(20) == 0:
 		l.strayAt = time.Time{}
 		l.version += 2
-		l.change = NewSwitch(len(ranks), x.group.epoch, l.version, x.rand.IntN(len(ranks)), x.now)
+		l.change = NewSwitch(len(ranks), x.group.epoch, l.version, l.rank, x.now)
 	}
 }
 
+// recover begins a recovery; the leader may not know its predecessor.
+func (l *modelLeader) recover(x *exploration, n int) {
+	former := Former{Rank: -1}
+	if l.id > 0 && x.rand.IntN(4) > 0 {
+		former = Former{Rank: x.leaders[l.id-1].rank, Token: x.leaders[l.id-1].token}
+	}
+	l.recovery, l.recovered = NewRecovery(n, x.group.epoch, former), x.group.epoch
+}
+
 // disturb freezes and replaces leaders, forms the group anew and lets it idle.
 func (x *exploration) disturb() {
 	switch x.rand.IntN(1200) {
 	case 0, 1:
 		token := int64(len(x.leaders) + 1)
-		x.leaders = append(x.leaders, &modelLeader{id: len(x.leaders), token: token, version: token << 20})
+		x.leaders = append(x.leaders, &modelLeader{
+			id: len(x.leaders), rank: x.rand.IntN(modelRanks), token: token, version: token << 20,
+		})
 	case 2, 3:
 		l := x.leaders[x.rand.IntN(len(x.leaders))]
 		l.frozen = x.now.Add(time.Duration(x.rand.IntN(4000)) * time.Millisecond)
+		if x.rand.IntN(2) == 0 { // its VM with it
+			x.group.ranks[l.rank].cutUntil = l.frozen
+		}
 	case 4:
 		x.group.restart(x.now)
 	case 5, 6, 7:
--- a/core/tgswitch/model_test.go
+++ b/core/tgswitch/model_test.go
@@ -11,6 +11,7 @@
 	armedStep    int64
 	armedVersion int64
 	content      map[int64]int // who made each version that was prepared
+	cutUntil     time.Time     // orders and reports wait until then
 	fence        int64
 	held         int64
 	highest      int64 // version
@@ -23,6 +24,7 @@
 type modelGroup struct {
 	epoch  int64
 	idle   bool
+	last   []Rank // states at the last report
 	mixed  string // set when a pass begins with different maps
 	next   time.Time
 	ranks  []modelRank
@@ -31,7 +33,7 @@
 }
 
 func newModelGroup(n int, now time.Time) *modelGroup {
-	g := &modelGroup{epoch: 1, next: now, ranks: make([]modelRank, n)}
+	g := &modelGroup{epoch: 1, last: make([]Rank, n), next: now, ranks: make([]modelRank, n)}
 	for i := range g.ranks {
 		g.ranks[i].content = map[int64]int{}
 	}
@@ -44,7 +46,7 @@
 	g.step = 0
 	g.next = now.Add(600 * time.Millisecond)
 	for i := range g.ranks {
-		g.ranks[i] = modelRank{content: map[int64]int{}}
+		g.ranks[i] = modelRank{content: map[int64]int{}, cutUntil: g.ranks[i].cutUntil}
 	}
 }
 
@@ -129,6 +131,10 @@
 func (g *modelGroup) states(now time.Time) []Rank {
 	states := make([]Rank, len(g.ranks))
 	for i, k := range g.ranks {
+		if now.Before(k.cutUntil) {
+			states[i] = g.last[i]
+			continue
+		}
 		s := Rank{
 			ArmedStep: k.armedStep, ArmedVersion: k.armedVersion, Epoch: g.epoch, Held: k.held, Open: true, Seen: now,
 			Step: g.step, Version: k.version,
@@ -138,5 +144,6 @@
 		}
 		states[i] = s
 	}
+	g.last = states
 	return states
 }
--- a/core/tgswitch/recovery.go
+++ b/core/tgswitch/recovery.go
@@ -1,6 +1,9 @@
 package tgswitch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // RecoveryPhase is what a recovery is doing.
 type RecoveryPhase string
@@ -19,8 +22,10 @@
 // Recovery ends what an earlier controller left behind: a pass that is held, or ranks that are armed. A change that all
 // ranks are armed for is completed, any other is undone.
 type Recovery struct {
+	absent  bool // the rank of the former controller cannot be reached and is known not to be armed
 	epoch   int64
 	fenced  time.Time
+	former  Former
 	phase   RecoveryPhase
 	ranks   []rankProgress
 	answers []time.Time // of disarming
@@ -48,10 +53,22 @@
 	return false
 }
 
-// NewRecovery returns a recovery of a group of n ranks.
-func NewRecovery(n int, epoch int64) *Recovery {
+// Former is the controller before the present one. Its VM may have stopped, and its rank with it.
+type Former struct {
+	Rank  int // on its VM; negative if it is not known
+	Token int64
+}
+
+const versionBits = 20 // of a version; the token of its controller stands above them
+
+// FirstVersion returns the lowest version that a controller with a token uses.
+func FirstVersion(token int64) int64 { return token << versionBits }
+
+// NewRecovery returns a recovery of a group of n ranks. Each controller begins with one, so that no rank takes orders of
+// an earlier one any more.
+func NewRecovery(n int, epoch int64, former Former) *Recovery {
 	return &Recovery{
-		answers: make([]time.Time, n), epoch: epoch, phase: RecoveryFencing, ranks: make([]rankProgress, n),
+		answers: make([]time.Time, n), epoch: epoch, former: former, phase: RecoveryFencing, ranks: make([]rankProgress, n),
 	}
 }
 
@@ -99,7 +116,7 @@
 		if v.ranks[i].done {
 			continue
 		}
-		all = false
+		all = all && i == v.former.Rank
 		if v.ranks[i].idle(now, orderPause) {
 			due = append(due, v.send(Release, i, 0, 0, now))
 		}
@@ -111,12 +128,13 @@
 }
 
 func (v *Recovery) read(ranks []Rank, now time.Time) []Order {
+	ranks = v.known(ranks)
+	if ranks == nil {
+		return nil
+	}
 	same := true
 	v.step = 0
 	for _, r := range ranks {
-		if !r.Seen.After(v.fenced) {
-			return nil
-		}
 		same = same && r.ArmedVersion == ranks[0].ArmedVersion && r.ArmedStep == ranks[0].ArmedStep
 		if r.ArmedVersion != 0 && (v.step == 0 || r.ArmedStep < v.step) {
 			v.step = r.ArmedStep
@@ -131,8 +149,48 @@
 	return v.hold(ranks, now)
 }
 
+// known returns the ranks' states since the fence, or nil if they are not known yet. The rank of the former controller
+// need not be reached if other ranks show a change of that controller and are not all armed: it arms its own rank after
+// all others, and its change began only after its rank was fenced against earlier ones.
+func (v *Recovery) known(ranks []Rank) []Rank {
+	armed, others, seen := 0, 0, false
+	for i, r := range ranks {
+		if i == v.former.Rank {
+			continue
+		}
+		if !r.Seen.After(v.fenced) {
+			return nil
+		}
+		others++
+		if r.ArmedVersion != 0 {
+			armed++
+		}
+		seen = seen || r.ArmedVersion>>versionBits == v.former.Token || r.Prepared>>versionBits == v.former.Token
+	}
+	if v.former.Rank < 0 || v.ranks[v.former.Rank].done && ranks[v.former.Rank].Seen.After(v.fenced) {
+		return ranks
+	}
+	if !seen || armed == others {
+		return nil
+	}
+	v.absent = true
+	return v.present(ranks)
+}
+
+// present returns the ranks' states; the rank of a former controller that cannot be reached counts as not armed.
+func (v *Recovery) present(ranks []Rank) []Rank {
+	if !v.absent {
+		return ranks
+	}
+	ranks = slices.Clone(ranks)
+	former := &ranks[v.former.Rank]
+	former.ArmedStep, former.ArmedVersion, former.Held = 0, 0, 0
+	return ranks
+}
+
 // hold keeps the group from beginning the first pass that a rank is armed for.
 func (v *Recovery) hold(ranks []Rank, now time.Time) []Order {
+	ranks = v.present(ranks)
 	free := -1
 	for i, r := range ranks {
 		if r.Held != 0 && r.Held <= v.step && r.Held > newest(ranks) {
@@ -140,7 +198,7 @@
 			clear(v.ranks)
 			return v.disarm(ranks, now)
 		}
-		if r.Held == 0 && free < 0 {
+		if r.Held == 0 && free < 0 && i != v.former.Rank {
 			free = i
 		}
 	}
@@ -156,10 +214,11 @@
 
 func (v *Recovery) disarm(ranks []Rank, now time.Time) []Order {
 	var due []Order
+	ranks = v.present(ranks)
 	all := true
 	for i, r := range ranks {
 		p := &v.ranks[i]
-		if r.ArmedVersion == 0 && r.Seen.After(v.answers[i]) {
+		if r.ArmedVersion == 0 && (r.Seen.After(v.answers[i]) || v.absent && i == v.former.Rank) {
 			continue
 		}
 		all = false
@@ -177,6 +236,7 @@
 
 func (v *Recovery) release(ranks []Rank, now time.Time) []Order {
 	var due []Order
+	ranks = v.present(ranks)
 	all := true
 	for i, r := range ranks {
 		p := &v.ranks[i]
--- a/core/tgswitch/switch.go
+++ b/core/tgswitch/switch.go
@@ -49,6 +49,7 @@
 	failed   bool // the change is being undone
 	holder   int  // rank that holds the pass
 	lossy    bool // an order had no answer
+	own      int  // rank that is armed last
 	phase    Phase
 	ranks    []rankProgress
 	reason   string
@@ -59,10 +60,13 @@
 	version  int64
 }
 
-// NewSwitch returns a change of a group of n ranks in an epoch to the map of a version; the rank holder holds the pass.
-func NewSwitch(n int, epoch, version int64, holder int, now time.Time) *Switch {
+// NewSwitch returns a change of a group of n ranks in an epoch to the map of a version. The rank own, on the VM of the
+// controller, is armed after all others, and another rank holds the pass: if that VM stops in the middle of a change,
+// its rank is known not to be armed unless all others are, and the hold can be ended without it.
+func NewSwitch(n int, epoch, version int64, own int, now time.Time) *Switch {
 	return &Switch{
-		epoch: epoch, holder: holder, phase: PhasePreparing, ranks: make([]rankProgress, n), started: now, version: version,
+		epoch: epoch, holder: (own + 1) % n, own: own, phase: PhasePreparing, ranks: make([]rankProgress, n), started: now,
+		version: version,
 	}
 }
 
@@ -213,17 +217,16 @@
 
 func (s *Switch) arm(ranks []Rank, now time.Time) []Order {
 	var due []Order
-	all := true
+	all, others := true, true
 	for i := range s.ranks {
 		p := &s.ranks[i]
-		if ranks[i].ArmedVersion == s.version && ranks[i].ArmedStep == s.step {
-			p.done = true
-		}
-		if p.done {
-			continue
-		}
-		all = false
-		if !p.idle(now, orderPause) {
+		p.done = p.done || ranks[i].ArmedVersion == s.version && ranks[i].ArmedStep == s.step
+		others = others && (p.done || i == s.own)
+		all = all && p.done
+	}
+	for i := range s.ranks {
+		p := &s.ranks[i]
+		if p.done || i == s.own && !others || !p.idle(now, orderPause) {
 			continue
 		}
 		if p.tries >= armTries {
--- a/io/tgrank/agent.go
+++ b/io/tgrank/agent.go
@@ -101,6 +101,13 @@
 	}
 }
 
+// lastLeader returns the beacon of the leader that was heard of last.
+func (a *Agent) lastLeader() Beacon {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.beacon
+}
+
 // quiet returns how long no leader was heard of.
 func (a *Agent) quiet() time.Duration {
 	a.mu.Lock()
--- a/io/tgrank/group.go
+++ b/io/tgrank/group.go
@@ -19,6 +19,7 @@
 	demand         *tgbalance.Demand
 	engine         tgcatalog.Engine
 	epoch          int64
+	firstSeen      time.Time // first report
 	expectBy       time.Time // when all ranks have to report the version in use
 	logged         time.Time // when the skew was last logged
 	members        []member
@@ -29,6 +30,7 @@
 	nextVersion    int64
 	present        *tgexpert.Replication // nil if not known
 	presentVersion int64
+	recovered      bool // a recovery of this term has begun
 	recovery       *tgswitch.Recovery
 	self           string // VM of the leader
 	strayAt        time.Time
@@ -63,6 +65,9 @@
 			g.members[i].experts = nil
 		}
 	}
+	if g.firstSeen.IsZero() {
+		g.firstSeen = now
+	}
 	m := &g.members[r.Rank]
 	if r.From == (netip.AddrPort{}) && r.VM != g.self {
 		r.Age += g.engine.ReportLag // engines show other VMs an older state
@@ -80,6 +85,30 @@
 	}
 }
 
+// held reports whether a rank is known to hold a pass.
+func (g *group) held() bool {
+	for _, m := range g.members {
+		if m.report.State.Held != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// missing returns the one rank that never reported, or -1.
+func (g *group) missing() int {
+	missing := -1
+	for i, m := range g.members {
+		if m.report.State.Seen.IsZero() {
+			if missing >= 0 {
+				return -1
+			}
+			missing = i
+		}
+	}
+	return missing
+}
+
 // view returns the states of all ranks and whether all of them are known, fresh and in an open group.
 func (g *group) view(now time.Time) ([]tgswitch.Rank, bool) {
 	ranks := make([]tgswitch.Rank, len(g.members))
--- a/io/tgrank/leader.go
+++ b/io/tgrank/leader.go
@@ -23,7 +23,6 @@
 	strayAfter      = 400 * time.Millisecond // a hold that no change explains is ended after so long
 	skewLogInterval = time.Second
 	transitTime     = 5 * time.Millisecond // of a report, at most in the usual case
-	versionsOfTerm  = 1 << 20              // map versions of one term of a leader
 )
 
 // Leader is the part of an agent that leads while it is elected.
@@ -48,6 +47,7 @@
 	beaconAt time.Time
 	began    time.Time // of the term
 	fast     bool      // agents were asked to report often
+	former   Beacon    // of the leader before this term
 	groups   map[string]*group
 	heard    map[string]time.Time // when each agent last reported
 	polled   map[string]time.Time // when each engine was last asked in its agent's place
@@ -128,7 +128,7 @@
 // work moves all groups on and reports whether one of them is changing.
 func (l *Leader) work(a *Agent, now time.Time) (busy bool) {
 	if token := l.Token(); token != l.term {
-		l.changeTerm(l.term, token)
+		l.changeTerm(a, l.term, token)
 		l.term, l.beaconAt = token, time.Time{}
 	}
 	if l.term == 0 {
@@ -146,12 +146,12 @@
 	return busy
 }
 
-func (l *Leader) changeTerm(from, to int64) {
+func (l *Leader) changeTerm(a *Agent, from, to int64) {
 	clear(l.groups)
 	clear(l.heard)
-	l.began = time.Now()
+	l.began, l.former = time.Now(), a.lastLeader()
 	l.relays.clear()
-	l.version = to * versionsOfTerm
+	l.version = tgswitch.FirstVersion(to)
 	state := "elected"
 	if to == 0 {
 		state = "replaced"
@@ -282,14 +282,15 @@
 			l.Log.Line("recovery", map[string]any{"group": g.name, "outcome": g.recovery.Phase()})
 			g.recovery, g.strayAt = nil, time.Time{}
 		}
-	case !ready:
+	case !g.recovered && !g.firstSeen.IsZero() && now.Sub(g.firstSeen) >= silentAfter:
+		l.recover(g, len(ranks))
+	case !g.recovered, !ready && !(g.held() && now.Sub(g.firstSeen) >= silentAfter):
 	case tgswitch.Needed(ranks):
 		if g.strayAt.IsZero() {
 			g.strayAt = now
 		}
 		if now.Sub(g.strayAt) >= strayAfter {
-			l.Log.Line("recovery", map[string]any{"group": g.name, "outcome": "begun"})
-			g.recovery = tgswitch.NewRecovery(len(ranks), g.epoch)
+			l.recover(g, len(ranks))
 		}
 	default:
 		g.strayAt = time.Time{}
@@ -297,6 +298,22 @@
 	}
 }
 
+// recover ends what an earlier leader left behind.
+func (l *Leader) recover(g *group, n int) {
+	former := tgswitch.Former{Rank: -1}
+	for i, m := range g.members {
+		if l.former.VM != "" && m.report.VM == l.former.VM {
+			former = tgswitch.Former{Rank: i, Token: l.former.Token}
+		}
+	}
+	if former.Rank < 0 && l.former.VM != "" {
+		former = tgswitch.Former{Rank: g.missing(), Token: l.former.Token}
+	}
+	l.Log.Line("recovery", map[string]any{"former": l.former.VM, "formerRank": former.Rank, "group": g.name, "outcome": "begun"})
+	g.recovered = true
+	g.recovery = tgswitch.NewRecovery(n, g.epoch, former)
+}
+
 func (l *Leader) decide(g *group, ranks []tgswitch.Rank, now time.Time) {
 	if g.present == nil || tgswitch.Armed(ranks) || !g.moving(now) || now.Sub(g.decided) < reportInterval {
 		return
@@ -312,13 +329,13 @@
 	}
 	l.version += 2 // one for the change, one for undoing it
 	g.next, g.nextVersion = d.Next, l.version
-	holder := 0
+	own := 0
 	for i, m := range g.members {
 		if m.report.VM == l.VM {
-			holder = i // orders to the own engine cost nothing
+			own = i
 		}
 	}
-	g.change = tgswitch.NewSwitch(len(ranks), g.epoch, l.version, holder, now)
+	g.change = tgswitch.NewSwitch(len(ranks), g.epoch, l.version, own, now)
 	g.began = now
 	l.Log.Line("change", map[string]any{
 		"after": d.After, "before": d.Before, "copies": d.Copies, "copiesOnOne": d.CopiesOnOne, "epoch": g.epoch,
