--- /dev/null
+++ b/io/tgfleet/fleet_test.go
@@ -0,0 +1,225 @@
+package tgfleet_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"gotest.tools/v3/assert"
+
+	"tanagergrade/core/tgfold"
+	"tanagergrade/core/tgview"
+	"tanagergrade/io/tgfleet"
+	tgplatform "tanagergrade/platform"
+	"tanagergrade/platform/tgemulator"
+)
+
+func config(version string) []byte {
+	return []byte(`{"version":` + version + `,"routes":[],"services":[],"limits":{}}`)
+}
+
+func startStore(t *testing.T) (*tgemulator.Store, *tgplatform.Store) {
+	t.Helper()
+	store := tgemulator.NewStore()
+	var lc net.ListenConfig
+	l, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() { _ = store.Serve(l) }() // ends with the listener
+	return store, tgplatform.NewStore(netip.MustParseAddrPort(l.Addr().String()), fasthttp.Dial)
+}
+
+// silentLog drops what it gets.
+type silentLog struct{}
+
+// Belief implements tgfleet.Log.
+func (silentLog) Belief(string, string, tgview.Change) {}
+
+// Dependency implements tgfleet.Log.
+func (silentLog) Dependency(string, string, error) {}
+
+// follow runs a follower of the operator's topic and returns its view.
+func follow(t *testing.T, store tgfleet.Store) (*tgview.View, *tgfold.Table) {
+	t.Helper()
+	view, table := tgview.NewView(tgplatform.Codec()), tgfold.NewTable()
+	f := &tgfleet.Follower{
+		Apply: func(changed []tgfold.Record) {
+			view.ApplyOperator(changed)
+			view.SetFollowing(true)
+		},
+		Back: func() {}, Lost: func(error) { view.SetFollowing(false) }, Store: store, Table: table,
+		Topic: tgplatform.TopicOperator, Wait: 500 * time.Millisecond,
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	wg.Go(func() { f.Run(ctx) })
+	t.Cleanup(func() {
+		stop()
+		wg.Wait()
+	})
+	return view, table
+}
+
+func waitFor(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for range 1000 {
+		if ok() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("%s did not happen", what)
+}
+
+func version(v *tgview.View) int64 {
+	cfg, _ := v.Config()
+	if cfg == nil {
+		return 0
+	}
+	return cfg.Version
+}
+
+// Guards against a configuration that a process misses because the store failed in some way before, while or after it
+// was written.
+func TestFollowerUnderFaults(t *testing.T) {
+	for name, fault := range map[string]tgemulator.StoreFault{
+		"busy": tgemulator.StoreBusy, "many": tgemulator.StoreMany, "reset": tgemulator.StoreReset,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			store, client := startStore(t)
+			store.Put(tgplatform.TopicOperator, "config", config("3"))
+			view, _ := follow(t, client)
+			waitFor(t, "version 3", func() bool { return version(view) == 3 })
+			store.SetFault(fault, 0)
+			waitFor(t, "the loss", func() bool { return !view.Following() })
+			store.Put(tgplatform.TopicOperator, "config", config("4"))
+			store.SetFault(tgemulator.StoreSound, 0)
+			waitFor(t, "version 4", func() bool { return version(view) == 4 && view.Following() })
+		})
+	}
+	t.Run("historyTrimmed", func(t *testing.T) {
+		t.Parallel()
+		store, client := startStore(t)
+		store.Put(tgplatform.TopicOperator, "config", config("3"))
+		store.Put(tgplatform.TopicOperator, "evacuate/a", []byte("{}"))
+		view, _ := follow(t, client)
+		waitFor(t, "the withdrawal", func() bool { return len(view.State().Withdrawn) == 1 })
+		store.SetFault(tgemulator.StoreBusy, 0)
+		waitFor(t, "the loss", func() bool { return !view.Following() })
+		store.Put(tgplatform.TopicOperator, "config", config("5"))
+		store.Put(tgplatform.TopicOperator, "evacuate/a", nil)
+		store.Trim(tgplatform.TopicOperator)
+		store.SetFault(tgemulator.StoreSound, 0)
+		waitFor(t, "version 5", func() bool { return version(view) == 5 })
+		waitFor(t, "the end of the withdrawal", func() bool { return len(view.State().Withdrawn) == 0 })
+	})
+}
+
+// Guards against registrations of daemons that are lost or doubled when the answers of the store are lost.
+func TestPutIsRepeatable(t *testing.T) {
+	store, client := startStore(t)
+	m := tgfleet.Member{Address: netip.MustParseAddrPort("127.0.0.1:1"), Role: tgfleet.RoleEntry}
+	value, err := m.Encode()
+	assert.NilError(t, err)
+	store.SetFault(tgemulator.StoreLost, 0)
+	assert.Assert(t, client.Put(tgplatform.TopicMembers, "vm", value) != nil)
+	store.SetFault(tgemulator.StoreSound, 0)
+	assert.NilError(t, client.Put(tgplatform.TopicMembers, "vm", value))
+	records, _, err := client.Newest(t.Context(), tgplatform.TopicMembers)
+	assert.NilError(t, err)
+	assert.Equal(t, len(records), 1)
+	back, err := tgfleet.DecodeMember(records[0])
+	assert.NilError(t, err)
+	assert.Equal(t, back.Address, m.Address)
+	assert.Equal(t, back.VM, "vm")
+}
+
+// Guards against two leaders with one token: the generation grows with each change of the owner, and a member that left
+// gets a new one.
+func TestElection(t *testing.T) {
+	_, client := startStore(t)
+	e := &tgplatform.Election{Store: client, TTL: 300 * time.Millisecond}
+	a, err := e.Join("a", 0)
+	assert.NilError(t, err)
+	assert.Assert(t, a.Leads)
+	assert.NilError(t, e.Leave("a"))
+	again, err := e.Join("a", 0)
+	assert.NilError(t, err)
+	assert.Assert(t, again.Leads && again.Token > a.Token)
+	time.Sleep(400 * time.Millisecond)
+	b, err := e.Join("b", 0)
+	assert.NilError(t, err)
+	assert.Assert(t, b.Leads && b.Token > again.Token)
+	assert.NilError(t, e.Leave("never joined"))
+}
+
+// entry is the part of an entry that exchanges tables with others.
+type entry struct {
+	exchange *tgfleet.Exchange
+	peers    *tgfleet.Peers
+}
+
+func startEntry(t *testing.T, vm string, view *tgview.View, operator *tgfold.Table) *entry {
+	t.Helper()
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	assert.NilError(t, err)
+	e := &entry{peers: tgfleet.NewPeers(vm)}
+	e.exchange = &tgfleet.Exchange{
+		InFlight: func() int { return 0 }, Log: silentLog{}, Operator: operator, Peers: e.peers,
+		Upstreams: tgfold.NewTable(), VM: vm, View: view,
+	}
+	addr := conn.LocalAddr().String()
+	var lc net.ListenConfig
+	l, err := lc.Listen(t.Context(), "tcp", addr)
+	assert.NilError(t, err)
+	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) { e.exchange.HandleTables(ctx) }}
+	go func() { _ = server.Serve(l) }() // ends with the listener
+	ctx, stop := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	wg.Go(func() { e.exchange.Run(ctx, conn) })
+	t.Cleanup(func() {
+		stop()
+		_ = l.Close()
+		wg.Wait()
+	})
+	e.peers.Heard("self", netip.MustParseAddrPort(addr), tgfleet.RoleEntry, time.Now())
+	return e
+}
+
+func (e *entry) know(other *entry) {
+	for _, m := range other.peers.List(tgfleet.RoleEntry, time.Now()) {
+		if m.VM == "self" {
+			e.peers.Heard("other", m.Address, tgfleet.RoleEntry, time.Now())
+		}
+	}
+}
+
+// Guards against an entry that the store turns away and that goes on with keys, routes and data centres that the
+// operator has taken away, and against two cut-off entries that confirm each other.
+func TestEntryLearnsFromPeers(t *testing.T) {
+	store, client := startStore(t)
+	store.Put(tgplatform.TopicOperator, "config", config("3"))
+	view, table := follow(t, client)
+	waitFor(t, "version 3", func() bool { return version(view) == 3 })
+	served := startEntry(t, "served", view, table)
+	cutView, cutTable := tgview.NewView(tgplatform.Codec()), tgfold.NewTable()
+	cut := startEntry(t, "cut", cutView, cutTable)
+	cut.know(served)
+	served.know(cut)
+	waitFor(t, "version 3 at the peer", func() bool { return version(cutView) == 3 })
+	store.Put(tgplatform.TopicOperator, "config", config("4"))
+	store.Put(tgplatform.TopicOperator, "evacuate/a", []byte("{}"))
+	waitFor(t, "version 4 at the peer", func() bool { return version(cutView) == 4 && len(cutView.State().Withdrawn) == 1 })
+	waitFor(t, "the confirmation", func() bool { _, current := cutView.Config(); return current })
+	store.SetFault(tgemulator.StoreBusy, 0)
+	waitFor(t, "doubt at both", func() bool {
+		_, a := view.Config()
+		_, b := cutView.Config()
+		return !a && !b
+	})
+}
--- a/io/tgproxy/forward.go
+++ b/io/tgproxy/forward.go
@@ -33,6 +33,11 @@
 func (k *caller) run(a *answer, c *call) {
 	s := k.server
 	upstreams := s.catalog.Upstreams(c.pool)
+	outage := s.outage(c.pool)
+	if now := time.Now(); !outage.Allow(now) {
+		k.exhausted(a, c, "the pool runs nothing at present", outage.RetryAfter(now))
+		return
+	}
 	if !k.admit(a, c, len(upstreams)) {
 		return
 	}
@@ -70,6 +75,10 @@
 				continue
 			}
 		}
+		if verdict == verdictOutage {
+			k.exhausted(a, c, c.detail, outage.RetryAfter(time.Now()))
+			return
+		}
 		if c.attempts >= c.route.MaxAttempts || verdict != verdictRetry {
 			k.exhausted(a, c, c.detail, retryFullBase+time.Duration(s.rand()*float64(retryFullSpread)))
 			return
@@ -87,6 +96,7 @@
 
 const (
 	verdictDone   verdict = "done"
+	verdictOutage verdict = "outage" // no upstream of the pool runs anything
 	verdictRetry  verdict = "retry"  // another upstream may have it
 	verdictStop   verdict = "stop"   // no other upstream may have it
 	verdictUnsent verdict = "unsent" // it did not reach the upstream
@@ -107,6 +117,7 @@
 	outcome, v := tgpick.OutcomeAnswered, verdictDone
 	switch x.kind {
 	case answerOK:
+		s.outage(c.pool).Recovered()
 		outcome, v = k.deliver(a, c, x)
 	case answerFailed:
 		outcome = tgpick.OutcomeBroken
@@ -117,6 +128,9 @@
 		outcome, v = tgpick.OutcomeFull, verdictRetry
 		if x.response.Status == statusMisdirected {
 			outcome = tgpick.OutcomeGone
+		} else if x.response.Header.Get(s.headers.EngineAtFault) != "" {
+			s.outage(c.pool).Failed(time.Now())
+			v = verdictOutage
 		}
 	case answerUnsent:
 		outcome, v = tgpick.OutcomeLost, verdictUnsent
@@ -132,7 +146,7 @@
 	now := time.Now()
 	choice.Done(outcome, x.firstByte, now)
 	if v != verdictDone {
-		s.observer.Attempt(c.event(string(x.kind), 0, now))
+		s.observer.Attempt(c.event(string(outcome), 0, now))
 	}
 	return v
 }
@@ -231,6 +245,14 @@
 	now := time.Now()
 	left := now.Before(c.ends.Add(-minTimeToSend)) && a.ctx.Err() != nil
 	switch {
+	case left:
+		c.detail = "the caller left"
+	case c.sent:
+		c.detail = "the time is over while the upstream is at work"
+	default:
+		c.detail = "the time is over before an upstream could be tried: " + c.detail
+	}
+	switch {
 	case left:
 		k.breakOff(a, c, outcomeCancelled)
 	case a.started:
--- a/io/tgproxy/handle.go
+++ b/io/tgproxy/handle.go
@@ -100,7 +100,7 @@
 	c.detail = "limit"
 	now := time.Now()
 	e := c.event(outcomeRefused, http.StatusServiceUnavailable, now)
-	e.InFlight, e.Limit, e.RetryAfter = refusal.InFlight, refusal.Limit, refusal.RetryAfter
+	e.InFlight, e.Limit, e.PeakGap, e.RetryAfter = refusal.InFlight, refusal.Limit, refusal.PeakGap, refusal.RetryAfter
 	s.observer.Request(e)
 	a.keep = k.write(refusalBytes(e.Status, c.id, e.RetryAfter, a.keep, &s.headers)) == nil && a.keep
 	return false
--- a/io/tgproxy/options.go
+++ b/io/tgproxy/options.go
@@ -54,6 +54,7 @@
 	ID            string
 	InFlight      int
 	Outcome       string
+	PeakGap       time.Duration // longest pause between events that the limit rests on
 	Limit         float64
 	Pool          string
 	RetryAfter    time.Duration
--- a/io/tgproxy/server.go
+++ b/io/tgproxy/server.go
@@ -33,6 +33,7 @@
 
 	mu      sync.Mutex
 	callers map[*caller]struct{}
+	outages map[string]*tgpace.Outage  // by pool
 	pacers  map[string]*tgpace.Pacer   // by pool
 	usual   map[string]time.Duration   // longest deadline seen, by route
 	windows map[string]*tgretry.Window // by pool
@@ -48,7 +49,7 @@
 func NewServer(local string, catalog Catalog, headers Headers, limits Limits, observer Observer, counters *expvar.Map) *Server {
 	s := &Server{
 		callers: map[*caller]struct{}{}, catalog: catalog, conns: newConnPool(), counters: counters, headers: headers,
-		observer: observer, pacers: map[string]*tgpace.Pacer{}, picker: tgpick.NewPicker(local),
+		observer: observer, outages: map[string]*tgpace.Outage{}, pacers: map[string]*tgpace.Pacer{}, picker: tgpick.NewPicker(local),
 		rand: rand.Float64, usual: map[string]time.Duration{}, windows: map[string]*tgretry.Window{},
 	}
 	s.SetLimits(limits)
@@ -160,6 +161,18 @@
 	return p
 }
 
+// outage returns the outage of a pool.
+func (s *Server) outage(pool string) *tgpace.Outage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.outages[pool]
+	if !ok {
+		o = tgpace.NewOutage(s.rand)
+		s.outages[pool] = o
+	}
+	return o
+}
+
 // returning reports whether a request with the given wait was refused before: its deadline is shorter than that of
 // first attempts on the route.
 func (s *Server) returning(route string, wait time.Duration) bool {
--- a/io/tgreport/report.go
+++ b/io/tgreport/report.go
@@ -106,7 +106,7 @@
 		f["retryAfterMs"] = e.RetryAfter.Milliseconds()
 	}
 	if e.Limit > 0 {
-		f["inFlight"], f["limit"] = e.InFlight, e.Limit
+		f["inFlight"], f["limit"], f["peakGapMs"] = e.InFlight, int(e.Limit), e.PeakGap.Milliseconds()
 	}
 	return f
 }
