--- /dev/null
+++ b/core/tgexpert/delta.go
@@ -0,0 +1,72 @@
+package tgexpert
+
+import "slices"
+
+// Delta is the difference of a replication from another one; it is small when few experts move.
+type Delta struct {
+	Experts int    `cbor:"1,keyasint"`
+	Moves   []Move `cbor:"2,keyasint"`
+	Ranks   int    `cbor:"3,keyasint"`
+	Sets    int    `cbor:"4,keyasint"`
+}
+
+// Move is one expert of one set that a rank gets or gives up.
+type Move struct {
+	Expert int  `cbor:"1,keyasint"`
+	Gone   bool `cbor:"2,keyasint,omitempty"`
+	Rank   int  `cbor:"3,keyasint"`
+	Set    int  `cbor:"4,keyasint"`
+}
+
+// Delta returns how p differs from old.
+func (p *Replication) Delta(old *Replication) Delta {
+	d := Delta{Experts: p.Experts, Ranks: p.Ranks, Sets: len(p.Sets)}
+	for s := range p.Sets {
+		for r, held := range p.Sets[s] {
+			for _, e := range old.Sets[s][r] {
+				if !slices.Contains(held, e) {
+					d.Moves = append(d.Moves, Move{Expert: e, Gone: true, Rank: r, Set: s})
+				}
+			}
+			for _, e := range held {
+				if !slices.Contains(old.Sets[s][r], e) {
+					d.Moves = append(d.Moves, Move{Expert: e, Rank: r, Set: s})
+				}
+			}
+		}
+	}
+	return d
+}
+
+// Apply returns the replication that differs from p by d, with the experts of each rank in order, or false if d does
+// not fit p.
+func (p *Replication) Apply(d Delta) (*Replication, bool) {
+	if p.Experts != d.Experts || p.Ranks != d.Ranks || len(p.Sets) != d.Sets {
+		return nil, false
+	}
+	next := p.Clone()
+	for _, m := range d.Moves {
+		if m.Set < 0 || m.Set >= d.Sets || m.Rank < 0 || m.Rank >= d.Ranks {
+			return nil, false
+		}
+		held := next.Sets[m.Set][m.Rank]
+		switch i := slices.Index(held, m.Expert); {
+		case m.Gone && i >= 0:
+			next.Sets[m.Set][m.Rank] = slices.Delete(held, i, i+1)
+		case !m.Gone && i < 0:
+			next.Sets[m.Set][m.Rank] = append(held, m.Expert)
+		default:
+			return nil, false
+		}
+	}
+	return next, true
+}
+
+// Sort brings the experts of each rank into order, so that equal replications have equal forms.
+func (p *Replication) Sort() {
+	for _, ranks := range p.Sets {
+		for _, held := range ranks {
+			slices.Sort(held)
+		}
+	}
+}
--- a/core/tgswitch/recovery.go
+++ b/core/tgswitch/recovery.go
@@ -59,7 +59,11 @@
 	Token int64
 }
 
-const versionBits = 20 // of a version; the token of its controller stands above them
+const (
+	recoveryPause = 50 * time.Millisecond // before an order of a recovery that had no answer is sent again
+
+	versionBits = 20 // of a version; the token of its controller stands above them
+)
 
 // FirstVersion returns the lowest version that a controller with a token uses.
 func FirstVersion(token int64) int64 { return token << versionBits }
@@ -117,7 +121,7 @@
 			continue
 		}
 		all = all && i == v.former.Rank
-		if v.ranks[i].idle(now, orderPause) {
+		if v.ranks[i].idle(now, recoveryPause) {
 			due = append(due, v.send(Release, i, 0, 0, now))
 		}
 	}
@@ -206,7 +210,7 @@
 		v.phase, v.fenced = RecoveryReading, now // too late for this pass: look again
 		return nil
 	}
-	if free < 0 || !v.ranks[free].idle(now, orderPause) {
+	if free < 0 || !v.ranks[free].idle(now, recoveryPause) {
 		return nil
 	}
 	return []Order{v.send(Hold, free, v.step, 0, now)}
@@ -222,7 +226,7 @@
 			continue
 		}
 		all = false
-		if p.idle(now, orderPause) && r.ArmedVersion != 0 {
+		if p.idle(now, recoveryPause) && r.ArmedVersion != 0 {
 			due = append(due, v.send(Disarm, i, r.ArmedStep, r.ArmedVersion, now))
 		}
 	}
@@ -244,7 +248,7 @@
 			continue
 		}
 		all = false
-		if p.idle(now, orderPause) {
+		if p.idle(now, recoveryPause) {
 			due = append(due, v.send(Release, i, r.Held, 0, now))
 		}
 	}
--- a/io/tgrank/agent.go
+++ b/io/tgrank/agent.go
@@ -9,6 +9,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/sourcegraph/conc"
+
+	"tanagergrade/core/tgswitch"
 )
 
 const maxDatagram = 60 << 10
@@ -27,6 +29,7 @@
 	beacon  Beacon // newest one
 	heard   time.Time
 	leader  netip.AddrPort
+	maps    mapCache
 	wake    chan struct{}
 	last    []uint64  // counts at the last report
 	started time.Time // of the engine that they belong to
@@ -119,6 +122,7 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	var counted time.Time
+	tick := 0
 	for {
 		select {
 		case <-ctx.Done():
@@ -136,18 +140,42 @@
 			interval = fastInterval
 		}
 		if known {
-			withCounts := now.Sub(counted) >= reportInterval-fastInterval/2
-			if withCounts {
+			counts := countsNone
+			if now.Sub(counted) >= reportInterval-fastInterval/2 {
 				counted = now
+				tick++
+				counts = countsAt(tick, beacon.Every)
 			}
-			a.report(leader, beacon, withCounts)
+			a.report(leader, beacon, counts)
 		}
 		timer.Reset(interval)
 	}
 }
 
+// countsMode says what a report does about the counts.
+type countsMode string
+
+const (
+	countsBase countsMode = "base" // reads them, so that the next report can tell the difference
+	countsNone countsMode = "none"
+	countsSend countsMode = "send"
+)
+
+// countsAt returns the mode of a report. In large groups the ranks take turns: the choices of a few tell the demand of
+// all, and the counts of all would not fit the leader's link.
+func countsAt(tick, every int) countsMode {
+	switch {
+	case every <= 1, tick%every == 0:
+		return countsSend
+	case (tick+1)%every == 0:
+		return countsBase
+	default:
+		return countsNone
+	}
+}
+
 // report sends the state of the rank to the leader.
-func (a *Agent) report(leader netip.AddrPort, b Beacon, withCounts bool) {
+func (a *Agent) report(leader netip.AddrPort, b Beacon, counts countsMode) {
 	read := time.Now()
 	s, err := a.Engines.State(a.Engine)
 	if err != nil || s.Ranks == 0 {
@@ -167,8 +195,12 @@
 	if !s.Started.Equal(a.started) {
 		a.started, a.last, a.experts = s.Started, nil, nil
 	}
-	if withCounts {
+	switch counts {
+	case countsSend:
 		r.Counts = a.counts()
+	case countsBase:
+		a.counts()
+	case countsNone:
 	}
 	if b.Want {
 		r.Experts = a.held(s.State.Version)
@@ -216,8 +248,15 @@
 
 // relay passes an order to the engine on this VM. Orders repeat until they are answered, so a lost reply is harmless.
 func (a *Agent) relay(q Request, from netip.AddrPort) {
-	r, err := a.Engines.Order(a.Engine, q.Order, q.Token, q.Replicas)
-	reply := Reply{Number: q.Number, Result: r, Token: q.Token}
+	reply := Reply{Number: q.Number, Result: tgswitch.Unknown, Token: q.Token}
+	replicas, ok := a.maps.resolve(q)
+	if !ok {
+		reply.NoBase = true
+		a.send(envelope{Reply: &reply}, from)
+		return
+	}
+	r, err := a.Engines.Order(a.Engine, q.Order, q.Token, replicas)
+	reply.Result = r
 	if err != nil {
 		reply.Error = err.Error()
 	}
--- a/io/tgrank/group.go
+++ b/io/tgrank/group.go
@@ -27,6 +27,7 @@
 	name           string
 	newest         int64 // pass
 	next           *tgexpert.Replication
+	nextDelta      tgexpert.Delta // from present
 	nextVersion    int64
 	present        *tgexpert.Replication // nil if not known
 	presentVersion int64
--- a/io/tgrank/leader.go
+++ b/io/tgrank/leader.go
@@ -20,6 +20,7 @@
 	idleTick        = 100 * time.Millisecond
 	busyTick        = 10 * time.Millisecond
 	rankStale       = 900 * time.Millisecond // a rank that did not report for so long is not ordered to change
+	countsPerReport = 8000                   // numbers that the ranks report in one interval
 	strayAfter      = 400 * time.Millisecond // a hold that no change explains is ended after so long
 	skewLogInterval = time.Second
 	transitTime     = 5 * time.Millisecond // of a report, at most in the usual case
@@ -161,11 +162,12 @@
 }
 
 func (l *Leader) sendBeacons(a *Agent, term int64, fast bool) {
-	want := false
+	want, every := false, 1
 	for _, g := range l.groups {
 		want = want || g.present == nil
+		every = max(every, len(g.members)*g.engine.Sets*g.engine.Experts/countsPerReport)
 	}
-	b := Beacon{Fast: fast, Token: term, VM: l.VM, Want: want}
+	b := Beacon{Every: every, Fast: fast, Token: term, VM: l.VM, Want: want}
 	a.takeBeacon(b, netip.AddrPort{})
 	for _, p := range l.Peers() {
 		a.send(envelope{Beacon: &b}, p.Address)
@@ -282,9 +284,11 @@
 			l.Log.Line("recovery", map[string]any{"group": g.name, "outcome": g.recovery.Phase()})
 			g.recovery, g.strayAt = nil, time.Time{}
 		}
-	case !g.recovered && !g.firstSeen.IsZero() && now.Sub(g.firstSeen) >= silentAfter:
-		l.recover(g, len(ranks))
-	case !g.recovered, !ready && !(g.held() && now.Sub(g.firstSeen) >= silentAfter):
+	case !g.recovered:
+		if ready || g.held() && now.Sub(g.firstSeen) >= silentAfter {
+			l.recover(g, len(ranks))
+		}
+	case !ready && !g.held():
 	case tgswitch.Needed(ranks):
 		if g.strayAt.IsZero() {
 			g.strayAt = now
@@ -328,7 +332,8 @@
 		return
 	}
 	l.version += 2 // one for the change, one for undoing it
-	g.next, g.nextVersion = d.Next, l.version
+	d.Next.Sort()
+	g.next, g.nextDelta, g.nextVersion = d.Next, d.Next.Delta(g.present), l.version
 	own := 0
 	for i, m := range g.members {
 		if m.report.VM == l.VM {
--- /dev/null
+++ b/io/tgrank/maps.go
@@ -0,0 +1,75 @@
+package tgrank
+
+import (
+	"sync"
+
+	"tanagergrade/core/tgexpert"
+	"tanagergrade/core/tgswitch"
+)
+
+const cachedMaps = 4 // a change needs the map before it; the others are of changes that were undone
+
+// mapCache keeps the maps that an agent passed on last, so that a request can name the difference only.
+type mapCache struct {
+	maps  map[int64]*tgexpert.Replication // by version
+	mu    sync.Mutex
+	order []int64
+}
+
+// resolve returns the map of a request, or false if the agent lacks the one that it builds on. Map 0 has the experts
+// assigned in turn.
+func (c *mapCache) resolve(q Request) ([][][]int, bool) {
+	if q.Order.Operation != tgswitch.Prepare {
+		return nil, true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if known, ok := c.maps[q.Order.Version]; ok {
+		return known.Sets, true // a repeated request
+	}
+	if q.Delta == nil {
+		if len(q.Replicas) == 0 || len(q.Replicas[0]) == 0 {
+			return nil, false
+		}
+		c.keep(q.Order.Version, &tgexpert.Replication{
+			Experts: expertsOf(q.Replicas[0]), Ranks: len(q.Replicas[0]), Sets: q.Replicas,
+		})
+		return q.Replicas, true
+	}
+	base, ok := c.maps[q.Base]
+	if q.Base == 0 {
+		base, ok = tgexpert.NewReplication(q.Delta.Sets, q.Delta.Experts, q.Delta.Ranks), true
+	}
+	if !ok {
+		return nil, false
+	}
+	next, ok := base.Apply(*q.Delta)
+	if !ok {
+		return nil, false
+	}
+	next.Sort()
+	c.keep(q.Order.Version, next)
+	return next.Sets, true
+}
+
+// expertsOf returns the number of experts of a set; every expert has a rank.
+func expertsOf(ranks [][]int) int {
+	most := -1
+	for _, held := range ranks {
+		for _, e := range held {
+			most = max(most, e)
+		}
+	}
+	return most + 1
+}
+
+func (c *mapCache) keep(version int64, p *tgexpert.Replication) {
+	if c.maps == nil {
+		c.maps = map[int64]*tgexpert.Replication{}
+	}
+	c.maps[version] = p
+	if c.order = append(c.order, version); len(c.order) > cachedMaps {
+		delete(c.maps, c.order[0])
+		c.order = c.order[1:]
+	}
+}
--- a/io/tgrank/message.go
+++ b/io/tgrank/message.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"tanagergrade/core/tgexpert"
 	"tanagergrade/core/tgswitch"
 )
 
@@ -18,6 +19,7 @@
 
 // Beacon is what the leader sends to all agents.
 type Beacon struct {
+	Every int    `cbor:"5,keyasint"` // reports of a rank from one with counts to the next
 	Fast  bool   `cbor:"1,keyasint"` // a change is under way: report the state often
 	Token int64  `cbor:"2,keyasint"`
 	VM    string `cbor:"3,keyasint"`
@@ -41,16 +43,19 @@
 
 // Request asks an agent to pass an order to the engine on its VM.
 type Request struct {
-	Group    string         `cbor:"1,keyasint"`
-	Number   uint64         `cbor:"2,keyasint"` // of the request, in a term
-	Order    tgswitch.Order `cbor:"3,keyasint"`
-	Replicas [][][]int      `cbor:"4,keyasint,omitempty"` // experts by set and rank
-	Token    int64          `cbor:"5,keyasint"`
+	Group    string          `cbor:"1,keyasint"`
+	Number   uint64          `cbor:"2,keyasint"` // of the request, in a term
+	Order    tgswitch.Order  `cbor:"3,keyasint"`
+	Base     int64           `cbor:"6,keyasint,omitempty"` // version that Delta belongs to
+	Delta    *tgexpert.Delta `cbor:"7,keyasint,omitempty"` // of the map to prepare from the base
+	Replicas [][][]int       `cbor:"4,keyasint,omitempty"` // experts by set and rank, if the agent lacks the base
+	Token    int64           `cbor:"5,keyasint"`
 }
 
 // Reply is the result of a Request.
 type Reply struct {
 	Error  string          `cbor:"1,keyasint,omitempty"`
+	NoBase bool            `cbor:"5,keyasint,omitempty"` // the agent does not have the map that the difference belongs to
 	Number uint64          `cbor:"2,keyasint"`
 	Result tgswitch.Result `cbor:"3,keyasint"`
 	Token  int64           `cbor:"4,keyasint"`
--- a/io/tgrank/relay.go
+++ b/io/tgrank/relay.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"tanagergrade/core/tgexpert"
 	"tanagergrade/core/tgswitch"
 )
 
@@ -64,16 +65,20 @@
 func (l *Leader) send(a *Agent, g *group, orders []tgswitch.Order, term int64) {
 	for _, o := range orders {
 		m := g.members[o.Rank].report
-		var replicas [][][]int
+		if !m.Engine.IsValid() { // the rank has not been heard of
+			l.results <- result{group: g.name, order: o, result: tgswitch.Unknown, term: term}
+			continue
+		}
+		var plan prepared
 		if o.Operation == tgswitch.Prepare {
-			replicas = g.present.Sets
+			plan = prepared{base: g.presentVersion, delta: g.present.Delta(g.present), replicas: g.present.Sets}
 			if o.Version == g.nextVersion {
-				replicas = g.next.Sets
+				plan = prepared{base: g.presentVersion, delta: g.nextDelta, replicas: g.next.Sets}
 			}
 		}
 		group := g.name
 		go func() {
-			r, err := l.order(a, m, o, term, replicas, group)
+			r, err := l.order(a, m, o, term, plan, group)
 			if err != nil {
 				l.Log.Line("order", map[string]any{
 					"error": err.Error(), "group": group, "operation": o.Operation, "outcome": r, "rank": o.Rank,
@@ -90,24 +95,50 @@
 
 // order sends an order through the agent beside the engine, or to the engine itself if the agent is silent.
 func (l *Leader) order(
-	a *Agent, m Report, o tgswitch.Order, term int64, replicas [][][]int, group string,
+	a *Agent, m Report, o tgswitch.Order, term int64, plan prepared, group string,
 ) (tgswitch.Result, error) {
 	if m.VM == l.VM || m.From == (netip.AddrPort{}) || time.Since(m.State.Seen) > relayFresh {
-		return l.Engines.Order(m.Engine, o, term, replicas)
+		return l.Engines.Order(m.Engine, o, term, plan.replicas)
+	}
+	q := Request{Group: group, Order: o, Token: term}
+	if o.Operation == tgswitch.Prepare {
+		q.Base, q.Delta = plan.base, &plan.delta
+	}
+	r, err := l.ask(a, m, q)
+	if err == nil && r.NoBase {
+		q.Base, q.Delta, q.Replicas = 0, nil, plan.replicas
+		r, err = l.ask(a, m, q)
+	}
+	switch {
+	case err != nil:
+		return tgswitch.Unknown, err
+	case r.Error != "":
+		return r.Result, errors.New(r.Error)
+	default:
+		return r.Result, nil
 	}
+}
+
+// prepared is the map of an order to prepare, whole and as the difference from a map that the agents have.
+type prepared struct {
+	base     int64
+	delta    tgexpert.Delta
+	replicas [][][]int
+}
+
+// ask sends a request to an agent and waits for its reply.
+func (l *Leader) ask(a *Agent, m Report, q Request) (Reply, error) {
 	number, replies := l.relays.open()
 	defer l.relays.close(number)
-	a.send(envelope{Request: &Request{Group: group, Number: number, Order: o, Replicas: replicas, Token: term}}, m.From)
+	q.Number = number
+	a.send(envelope{Request: &q}, m.From)
 	timer := time.NewTimer(relayTimeout)
 	defer timer.Stop()
 	select {
 	case r := <-replies:
-		if r.Error != "" {
-			return r.Result, errors.New(r.Error)
-		}
-		return r.Result, nil
+		return r, nil
 	case <-timer.C:
-		return tgswitch.Unknown, errNoReply
+		return Reply{}, errNoReply
 	}
 }
 
