--- a/core/tgfold/table_test.go
+++ b/core/tgfold/table_test.go
@@ -51,8 +51,9 @@
 func TestTablesConverge(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		keys := []string{"a", "b", "c"}
-		var log []Record
-		for i := range rapid.IntRange(1, 20).Draw(t, "length") {
+		n := rapid.IntRange(1, 20).Draw(t, "length")
+		log := make([]Record, 0, n)
+		for i := range n {
 			r := Record{Key: rapid.SampledFrom(keys).Draw(t, "key"), Offset: int64(i)}
 			if rapid.Bool().Draw(t, "put") {
 				r.Value = fmt.Appendf(nil, "v%d", i)
--- a/io/tgcommand/platform.go
+++ b/io/tgcommand/platform.go
@@ -33,7 +33,7 @@
 	cmd := newGroupCmd("platform", "Run daemons on the users' platform")
 	cmd.Long = "Runs the daemons on the users' platform. The platform gives each process its settings in the file that " +
 		tgplatform.SettingsEnv + " names."
-	cmd.AddCommand(c.newPlatformCompanionCmd(), c.newPlatformEntryCmd())
+	cmd.AddCommand(c.newPlatformCompanionCmd(), c.newPlatformDumpCmd(), c.newPlatformEntryCmd())
 	return cmd
 }
 
@@ -201,6 +201,33 @@
 	metricsPath = "/metrics"
 )
 
+// metricsPort is where deploy/system.toml says that the daemons serve their metrics.
+const metricsPort = 9464
+
+func (d *platformDaemon) metricsAddr() netip.AddrPort {
+	return netip.AddrPortFrom(d.settings.IP, metricsPort)
+}
+
+func (d *platformDaemon) listenerFailed(err error) {
+	if err != nil {
+		d.report.Dependency("listener", "failed", err)
+	}
+}
+
+// handle serves the metrics and a dump of the daemon's state.
+func (d *platformDaemon) handle(ctx *fasthttp.RequestCtx, state func() map[string]any) {
+	switch string(ctx.Path()) {
+	case dumpPath:
+		dump := state()
+		dump["settings"], dump["started"] = d.settings, d.started
+		d.writeJSON(ctx, dump)
+	case metricsPath:
+		ctx.SetBodyString(d.report.Counters.String())
+	default:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
+
 func (d *platformDaemon) writeJSON(ctx *fasthttp.RequestCtx, v any) {
 	data, err := json.MarshalIndent(v, "", "  ")
 	if err != nil {
--- a/io/tgcommand/platform_companion.go
+++ b/io/tgcommand/platform_companion.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 	"github.com/spf13/cobra"
+	"github.com/valyala/fasthttp"
 
 	"tanagergrade/core/tgcatalog"
 	"tanagergrade/core/tgview"
@@ -70,6 +71,9 @@
 	}
 	// What a companion takes from the settings cannot change while it runs; a reload only checks the file.
 	go p.watchSettings(ctx, func(*tgplatform.Settings) {})
+	admin := p.handleAdmin(agent)
+	go func() { p.listenerFailed(serveHTTP(ctx, p.peerAddr(), admin)) }()
+	go func() { p.listenerFailed(serveHTTP(ctx, p.metricsAddr(), admin)) }()
 	go p.register(ctx, tgfleet.RoleCompanion) // calls to the store may outlast the daemon's end
 	var wg conc.WaitGroup
 	wg.Go(func() { agent.Run(ctx) })
@@ -78,6 +82,13 @@
 	return nil
 }
 
+// handleAdmin serves operators.
+func (p *platformCompanion) handleAdmin(agent *tgrank.Agent) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		p.handle(ctx, func() map[string]any { return map[string]any{"rank": agent.Dump()} })
+	}
+}
+
 // followMembers keeps the list of companions up to date while this daemon leads; the others have no use for it.
 func (p *platformCompanion) followMembers(ctx context.Context, leads bool) {
 	if p.unfollow != nil {
--- a/io/tgcommand/platform_entry.go
+++ b/io/tgcommand/platform_entry.go
@@ -104,8 +104,9 @@
 	}
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	var wg conc.WaitGroup
-	wg.Go(func() { e.logError(serveHTTP(background, s.ReadyAddr, e.handleReady(ctx))) })
-	wg.Go(func() { e.logError(serveHTTP(background, e.peerAddr(), e.handleAdmin)) })
+	wg.Go(func() { e.listenerFailed(serveHTTP(background, s.ReadyAddr, e.handleReady(ctx))) })
+	wg.Go(func() { e.listenerFailed(serveHTTP(background, e.peerAddr(), e.handleAdmin)) })
+	wg.Go(func() { e.listenerFailed(serveHTTP(background, e.metricsAddr(), e.handleAdmin)) })
 	wg.Go(func() { e.exchange.Run(background, datagrams) })
 	go e.watchSettings(background, func(s *tgplatform.Settings) { e.proxy.SetLimits(proxyLimits(s)) })
 	go e.register(background, tgfleet.RoleEntry) // calls to the store may outlast the daemon's end
@@ -119,12 +120,6 @@
 	return err
 }
 
-func (e *platformEntry) logError(err error) {
-	if err != nil {
-		e.report.Dependency("listener", "failed", err)
-	}
-}
-
 // follower returns the follower of a topic.
 func (e *platformEntry) follower(topic string, table *tgfold.Table, wait, between time.Duration) *tgfleet.Follower {
 	f := &tgfleet.Follower{
@@ -188,16 +183,11 @@
 
 // handleAdmin serves peers and operators.
 func (e *platformEntry) handleAdmin(ctx *fasthttp.RequestCtx) {
-	switch string(ctx.Path()) {
-	case tgfleet.TablesPath:
+	if string(ctx.Path()) == tgfleet.TablesPath {
 		e.exchange.HandleTables(ctx)
-	case dumpPath:
-		e.writeJSON(ctx, map[string]any{
-			"proxy": e.proxy.State(), "settings": e.settings, "started": e.started, "view": e.view.State(),
-		})
-	case metricsPath:
-		ctx.SetBodyString(e.report.Counters.String())
-	default:
-		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
 	}
+	e.handle(ctx, func() map[string]any {
+		return map[string]any{"proxy": e.proxy.State(), "view": e.view.State()}
+	})
 }
--- a/io/tgfleet/fleet_test.go
+++ b/io/tgfleet/fleet_test.go
@@ -86,6 +86,7 @@
 // Guards against a configuration that a process misses because the store failed in some way before, while or after it
 // was written.
 func TestFollowerUnderFaults(t *testing.T) {
+	t.Parallel()
 	for name, fault := range map[string]tgemulator.StoreFault{
 		"busy": tgemulator.StoreBusy, "many": tgemulator.StoreMany, "reset": tgemulator.StoreReset,
 	} {
--- a/io/tgproxy/forward.go
+++ b/io/tgproxy/forward.go
@@ -44,6 +44,12 @@
 	if c.ticket != nil {
 		defer func() { c.ticket.Done(time.Now()) }()
 	}
+	k.try(a, c)
+}
+
+// try sends the call to one upstream after the other until it is answered or no other may have it.
+func (k *caller) try(a *answer, c *call) {
+	s := k.server
 	c.tried = map[string]bool{}
 	window := s.window(c.pool)
 	for unsent := 0; ; {
@@ -76,7 +82,7 @@
 			}
 		}
 		if verdict == verdictOutage {
-			k.exhausted(a, c, c.detail, outage.RetryAfter(time.Now()))
+			k.exhausted(a, c, c.detail, s.outage(c.pool).RetryAfter(time.Now()))
 			return
 		}
 		if c.attempts >= c.route.MaxAttempts || verdict != verdictRetry {
--- a/io/tgproxy/proxy_test.go
+++ b/io/tgproxy/proxy_test.go
@@ -22,6 +22,7 @@
 // Guards against answers that are not the engine's whole answer, requests that run twice, and refusals that say that a
 // request has not run though it may have.
 func TestAnswersUnderFaults(t *testing.T) {
+	t.Parallel()
 	const (
 		hello = "hello"
 		once  = "/once/x"
@@ -131,6 +132,7 @@
 
 // Guards against refusals of what a configuration allows: a process that may lack the newest one says 503.
 func TestUnknownRouteAndKey(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		change func(*testCatalog)
 		key    string
@@ -165,6 +167,7 @@
 
 // Guards against requests that two readers could frame differently and against heads and bodies without bounds.
 func TestMalformedRequests(t *testing.T) {
+	t.Parallel()
 	head := "POST /once/x HTTP/1.1\r\nHost: " + hostOfRoutes + "\r\n"
 	for name, c := range map[string]struct {
 		status int
--- a/io/tgrank/agent.go
+++ b/io/tgrank/agent.go
@@ -111,6 +111,21 @@
 	return a.beacon
 }
 
+// Dump is the state of an agent.
+type Dump struct {
+	Heard  time.Time `json:"heard"` // when the leader was last heard of
+	Leader string    `json:"leader"`
+	Leads  bool      `json:"leads"`
+	Token  int64     `json:"token"`
+}
+
+// Dump returns the present state.
+func (a *Agent) Dump() Dump {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return Dump{Heard: a.heard, Leader: a.beacon.VM, Leads: a.Leader.Token() != 0, Token: a.beacon.Token}
+}
+
 // quiet returns how long no leader was heard of.
 func (a *Agent) quiet() time.Duration {
 	a.mu.Lock()
--- a/io/tgrank/leader_test.go
+++ b/io/tgrank/leader_test.go
@@ -180,7 +180,7 @@
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
 	f := &fleet{election: &fakeElection{}, group: newFakeGroup(t)}
-	var peers []Peer
+	peers := make([]Peer, 0, fakeRanks)
 	for i := range fakeRanks {
 		conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 		assert.NilError(t, err)
