Close the peer socket when Exchange.Run ends

Cause: Run closed its socket in a function of context.AfterFunc. Run's own loop may see the end of the context before that function has started; the deferred stop then cancelled it, the socket stayed open, and Run waited for receive for ever.

Change: Run closes the socket itself before it waits for receive.

--- a/io/tgfleet/exchange.go
+++ b/io/tgfleet/exchange.go
@@ -67,8 +67,7 @@
 func (x *Exchange) Run(ctx context.Context, conn *net.UDPConn) {
 	var wg conc.WaitGroup
 	defer wg.Wait()
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	defer stop()
+	defer func() { _ = conn.Close() }() // ends receive
 	wg.Go(func() { x.receive(ctx, conn) })
 	for ctx.Err() == nil {
 		x.send(conn)
--- a/io/tgfleet/exchange_test.go
+++ b/io/tgfleet/exchange_test.go
@@ -1,6 +1,8 @@
 package tgfleet
 
 import (
+	"context"
+	"net"
 	"testing"
 	"time"
 
@@ -30,3 +32,43 @@
 	}
 	assert.Assert(t, pulled)
 }
+
+// unscheduledContext is a context whose AfterFunc functions have not started when their stop function is called, as may
+// happen just after its end.
+type unscheduledContext struct{ context.Context }
+
+// AfterFunc replaces that of package context; it never calls f.
+func (unscheduledContext) AfterFunc(func()) (stop func() bool) { return func() bool { return true } }
+
+// Value hides the wrapped context, which package context would otherwise find and use in place of AfterFunc.
+func (unscheduledContext) Value(any) any { return nil }
+
+// Guards against Run never returning because the socket stays open: a function of context.AfterFunc that would close it
+// can be stopped before it has started, if Run notices the end of its context first.
+func TestRunEndsBeforeAfterFuncStarts(t *testing.T) {
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	ctx, cancel := context.WithCancel(t.Context())
+	sends := 0
+	endAndCount := func() map[string]int {
+		if sends++; sends == 2 { // the socket is being read by now
+			cancel()
+		}
+		return nil
+	}
+	x := &Exchange{
+		OperatorTable: tglogtable.NewTable(), Peers: NewPeers("self"), Streams: endAndCount,
+		UpstreamsTable: tglogtable.NewTable(), View: tgview.NewView(tgview.Codec{}), VM: "self",
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		x.Run(unscheduledContext{ctx}, conn)
+	}()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Fatal("Run did not return after the end of its context")
+	}
+}
