Answer requests that come just before the end of a planned stop

Cause: a stop closed the listener while connections waited in its queue, which resets them, and ended idle connections by a past deadline although the bytes of a request waited in the socket, or the connection had just been opened.

Change: a stop refuses new handshakes, lets those in progress complete, accepts what the queue holds and only then closes the listener. A connection without a request yet is given a second for its first one, and an idle one is closed only if no byte waits in its socket.

--- a/io/tgfleet/exchange_test.go
+++ b/io/tgfleet/exchange_test.go
@@ -35,7 +35,7 @@
 
 // unscheduledContext is a context whose AfterFunc functions have not started when their stop function is called, as may
 // happen just after its end.
-type unscheduledContext struct{ context.Context }
+type unscheduledContext struct{ context.Context } //nolint:containedctx // is a context itself
 
 // AfterFunc replaces that of package context; it never calls f.
 func (unscheduledContext) AfterFunc(func()) (stop func() bool) { return func() bool { return true } }
--- a/io/tgproxy/caller.go
+++ b/io/tgproxy/caller.go
@@ -29,8 +29,9 @@
 	br     *bufio.Reader
 	server *Server
 
-	mu   sync.Mutex
-	busy bool // guarded by mu; a request is being read or handled
+	mu   sync.Mutex // guards the fields below
+	busy bool       // a request is being read or handled
+	used bool       // a request was received
 }
 
 // serve answers requests until the connection ends.
@@ -74,17 +75,25 @@
 	return k.handle(ctx, r, body, receivedAt)
 }
 
-// waitForRequest reports whether the first byte of a request came before the idle timeout or a call of closeIdle.
+// waitForRequest reports whether the first byte of a request came before the idle timeout, or before the server ended
+// its idle connections.
 func (k *callerConn) waitForRequest(idle time.Duration) bool {
 	if err := k.conn.SetReadDeadline(time.Now().Add(idle)); err != nil {
 		return false
 	}
 	k.setBusy(false) // only after SetReadDeadline, which would overwrite the deadline that closeIdle sets
-	if k.br.Buffered() == 0 && k.server.shouldCloseIdle() {
-		return false
+	if k.server.closingIdle.Load() {
+		k.closeIdle() // it may have passed over this connection while it was busy
 	}
 	_, err := k.br.Peek(1)
-	k.setBusy(true)
+	k.setBusy(true) // closeIdle leaves the deadline alone from now on
+	if isTimeout(err) && k.server.closingIdle.Load() && hasUnread(k.conn) {
+		// The request came just before the end of the idle connections.
+		if err := k.conn.SetReadDeadline(time.Now().Add(idle)); err != nil {
+			return false
+		}
+		_, err = k.br.Peek(1)
+	}
 	return err == nil
 }
 
@@ -92,15 +101,22 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.busy = busy
+	k.used = k.used || busy
 }
 
-// closeIdle closes the connection unless a request is in progress.
+// closeIdle makes waitForRequest end unless a request is in progress: at once if the connection has carried a request,
+// after firstRequestTimeout if it has not.
 func (k *callerConn) closeIdle() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !k.busy {
-		_ = k.conn.SetReadDeadline(time.Unix(1, 0)) // a past deadline ends waitForRequest, which closes the connection
+	if k.busy {
+		return
+	}
+	end := time.Unix(1, 0)
+	if !k.used {
+		end = time.Now().Add(firstRequestTimeout)
 	}
+	_ = k.conn.SetReadDeadline(end) // fails only if the connection has ended
 }
 
 func (k *callerConn) readBody(r *tghttp.Request, limits tgcatalog.Limits) ([]byte, error) {
--- a/io/tgproxy/conns.go
+++ b/io/tgproxy/conns.go
@@ -162,22 +162,36 @@
 	if !time.Now().Before(c.expires) || c.br.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.Conn.(syscall.Conn)
+	n, err := peek(c.Conn)
+	return n == 0 && (errors.Is(err, syscall.EAGAIN) || errors.Is(err, errors.ErrUnsupported))
+}
+
+// hasUnread reports whether the peer has sent bytes that were not read yet.
+func hasUnread(conn net.Conn) bool {
+	n, err := peek(conn)
+	return err == nil && n > 0
+}
+
+// peek looks at the next byte of a connection without reading it or waiting for it. It returns 0 bytes at the end of the
+// connection, syscall.EAGAIN if there is none yet, and errors.ErrUnsupported if the connection is not a socket.
+func peek(conn net.Conn) (n int, err error) {
+	sc, ok := conn.(syscall.Conn)
 	if !ok {
-		return true
+		return 0, errors.ErrUnsupported
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	noData := false
-	err = raw.Read(func(fd uintptr) bool {
+	var peekErr error
+	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
-		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		noData = errors.Is(e, syscall.EAGAIN)
-		return true
+		n, _, peekErr = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return err == nil && noData
+	if err != nil {
+		return 0, err
+	}
+	return max(n, 0), peekErr
 }
 
 func isTimeout(err error) bool {
--- a/io/tgproxy/drain_test.go
+++ b/io/tgproxy/drain_test.go
@@ -1,10 +1,17 @@
 package tgproxy_test
 
 import (
+	"bufio"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"tanagergrade/io/tghttp"
 )
 
 // Guards against a planned stop that cuts off requests in progress or requests that arrive on open connections.
@@ -71,3 +78,88 @@
 	assert.Assert(t, complete && r.Status == 200)
 	assert.Equal(t, r.Header.Get("Connection"), "close")
 }
+
+const (
+	stopCallers = 20 // callers that send without a pause while a proxy stops
+	stopProxies = 8  // stopped at the same time
+)
+
+// Guards against a planned stop under load that cuts off a request which was just accepted: one whose connection waits in
+// the listener's queue, or whose bytes wait in the socket of a connection that counts as idle.
+func TestStopUnderLoad(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		reuse bool // callers keep their connections
+	}{
+		{"kept connections", true},
+		{"new connections", false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var sent, lost atomic.Int64
+			var wg sync.WaitGroup
+			for range stopProxies {
+				b := newTestProxy(t, 1)
+				stopped := make(chan struct{})
+				for i := range stopCallers {
+					wg.Go(func() { callUntilStopped(b.addr, i, tc.reuse, stopped, &sent, &lost) })
+				}
+				wg.Go(func() {
+					time.Sleep(200 * time.Millisecond)
+					b.stop()
+					<-b.done
+					close(stopped)
+				})
+			}
+			wg.Wait()
+			t.Logf("%d requests, %d without an answer", sent.Load(), lost.Load())
+			assert.Assert(t, sent.Load() > 0)
+			assert.Equal(t, lost.Load(), int64(0))
+		})
+	}
+}
+
+// callUntilStopped sends requests one after the other until the proxy refuses a connection, and counts those that were
+// sent and those without an answer.
+func callUntilStopped(addr string, caller int, reuse bool, stopped <-chan struct{}, sent, lost *atomic.Int64) {
+	var conn net.Conn
+	var br *bufio.Reader
+	for n := 0; ; n++ {
+		select {
+		case <-stopped:
+			return
+		default:
+		}
+		if conn == nil {
+			var err error
+			if conn, err = net.Dial("tcp", addr); err != nil { //nolint:noctx // bounded by the end of the proxy
+				return // the listener is closed
+			}
+			br = bufio.NewReader(conn)
+		}
+		keep, err := callOnce(conn, br, fmt.Sprintf("c%d-%d", caller, n))
+		sent.Add(1)
+		if err != nil {
+			lost.Add(1)
+		}
+		if err != nil || !keep || !reuse {
+			_ = conn.Close()
+			conn = nil
+		}
+	}
+}
+
+// callOnce sends a request and reads its answer; keep reports whether the connection may carry another one.
+func callOnce(conn net.Conn, br *bufio.Reader, id string) (keep bool, err error) {
+	if err := conn.SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		return false, err
+	}
+	if _, err := conn.Write([]byte(request("GET", "/twice/x", id, ""))); err != nil {
+		return false, err
+	}
+	r, err := tghttp.ReadResponse(br, "GET")
+	if err != nil {
+		return false, err
+	}
+	_, err = tghttp.NewBody(br, r.Framing, r.Length).ReadAll(1 << 20)
+	return r.KeepAlive, err
+}
--- /dev/null
+++ b/io/tgproxy/serve.go
@@ -0,0 +1,184 @@
+package tgproxy
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"os"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+)
+
+const (
+	acceptRetryPause = 10 * time.Millisecond // after a failed accept; the process may be out of descriptors for a moment
+	// For how long a draining server accepts connections: the platform polls readiness once a second and sends no new
+	// connections only after two failed polls.
+	drainAcceptPeriod = 2600 * time.Millisecond
+	// For how long a draining server waits for the first request on a connection: callers open one to send a request.
+	firstRequestTimeout = time.Second
+	handshakeTimeout    = 100 * time.Millisecond // for callers to complete a handshake that has begun
+)
+
+// Serve accepts connections until ctx ends; then it drains and returns.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	work, abort := context.WithCancel(context.WithoutCancel(ctx))
+	defer abort()
+	stopDrain := context.AfterFunc(ctx, func() { s.drain(listener, abort) })
+	defer stopDrain()
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	serve := func(conn net.Conn) {
+		k := &callerConn{br: bufio.NewReaderSize(conn, callerBufferBytes), conn: conn, server: s}
+		s.track(k)
+		wg.Go(func() {
+			defer s.untrack(k)
+			k.serve(work)
+		})
+	}
+	for {
+		conn, err := listener.Accept()
+		switch {
+		case err == nil:
+			serve(conn)
+		case ctx.Err() != nil && !isOutOfDescriptors(err) || errors.Is(err, net.ErrClosed):
+			for _, conn := range closeListener(listener) {
+				serve(conn)
+			}
+			s.closeIdle()
+			return nil
+		case isNetError(err):
+			time.Sleep(acceptRetryPause)
+		default:
+			return errors.Wrap(err, "accept")
+		}
+	}
+}
+
+func isOutOfDescriptors(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
+}
+
+func isNetError(err error) bool {
+	var ne net.Error
+	return errors.As(err, &ne)
+}
+
+// drain stops the server: it accepts connections for drainAcceptPeriod, then ends the accept loop, which closes idle
+// connections, and lets requests finish until only ShutdownReserve is left of the grace period.
+func (s *Server) drain(listener net.Listener, abort context.CancelFunc) {
+	start, limits := time.Now(), s.limits.Load()
+	s.draining.Store(true)
+	time.Sleep(drainAcceptPeriod)
+	stopAccepting(listener)
+	time.Sleep(time.Until(start.Add(limits.DrainGrace - limits.ShutdownReserve)))
+	abort()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for k := range s.callers {
+		_ = k.conn.Close()
+	}
+}
+
+// stopAccepting makes Accept fail after the handshakes in progress. Where the listener allows it, it stays open, because
+// closing it resets the connections in its queue.
+func stopAccepting(listener net.Listener) {
+	refuseHandshakes(listener)
+	time.Sleep(handshakeTimeout)
+	l, ok := listener.(interface{ SetDeadline(t time.Time) error })
+	if !ok || l.SetDeadline(time.Unix(1, 0)) != nil {
+		_ = listener.Close()
+	}
+}
+
+// refuseHandshakes makes a listening socket drop the packets that open connections. Their senders repeat them and find the
+// port closed by then. Without this, connections that enter the queue just before the listener closes are reset.
+func refuseHandshakes(listener net.Listener) {
+	const (
+		tcpFlagsOffset = 13 // of the flags in a TCP header, in bytes
+		tcpFlagSYN     = 2
+		wholePacket    = 1<<32 - 1
+	)
+	sc, ok := listener.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return
+	}
+	filter := []syscall.SockFilter{
+		{Code: syscall.BPF_LD | syscall.BPF_B | syscall.BPF_ABS, K: tcpFlagsOffset},
+		{Code: syscall.BPF_JMP | syscall.BPF_JSET | syscall.BPF_K, K: tcpFlagSYN, Jf: 1},
+		{Code: syscall.BPF_RET | syscall.BPF_K, K: 0},
+		{Code: syscall.BPF_RET | syscall.BPF_K, K: wholePacket},
+	}
+	// A kernel without socket filters leaves the gap that the filter closes.
+	_ = raw.Control(func(fd uintptr) { _ = syscall.AttachLsf(int(fd), filter) }) //nolint:staticcheck // has no successor here
+}
+
+// closeListener closes the listener and returns the connections that were in its queue.
+func closeListener(listener net.Listener) []net.Conn {
+	fds := acceptQueued(listener)
+	_ = listener.Close() // at once, as it resets the connections that came since
+	conns := make([]net.Conn, 0, len(fds))
+	for _, fd := range fds {
+		f := os.NewFile(uintptr(fd), "caller")
+		if conn, err := net.FileConn(f); err == nil {
+			conns = append(conns, conn)
+		}
+		_ = f.Close() // FileConn has duplicated it
+	}
+	return conns
+}
+
+// acceptQueued accepts connections until the queue of the listener is empty. It does nothing if the listener is not a
+// socket or is closed.
+func acceptQueued(listener net.Listener) (fds []int) {
+	sc, ok := listener.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	_ = raw.Control(func(listener uintptr) { // fails only if the listener is closed
+		for {
+			fd, _, err := syscall.Accept4(int(listener), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+			switch {
+			case err == nil:
+				fds = append(fds, fd)
+			case !errors.Is(err, syscall.EINTR) && !errors.Is(err, syscall.ECONNABORTED):
+				return
+			}
+		}
+	})
+	return fds
+}
+
+// closeIdle ends the connections without a request in progress.
+func (s *Server) closeIdle() {
+	s.closingIdle.Store(true)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for k := range s.callers {
+		k.closeIdle()
+	}
+}
+
+func (s *Server) isDraining() bool { return s.draining.Load() }
+
+func (s *Server) track(k *callerConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.callers[k] = struct{}{}
+}
+
+func (s *Server) untrack(k *callerConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.callers, k)
+}
--- a/io/tgproxy/server.go
+++ b/io/tgproxy/server.go
@@ -1,18 +1,12 @@
 package tgproxy
 
 import (
-	"bufio"
-	"context"
 	"expvar"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
-	"github.com/sourcegraph/conc"
-
 	"tanagergrade/core/tgcatalog"
 	"tanagergrade/core/tgpicker"
 	"tanagergrade/core/tgquota"
@@ -23,10 +17,11 @@
 // Server is the reverse proxy; it serves callers' connections.
 type Server struct {
 	catalog     Catalog
+	closingIdle atomic.Bool // the listener is closed and connections end when they are idle
 	conns       *connPool
 	counters    *expvar.Map
+	draining    atomic.Bool // each answer ends its connection
 	headers     Headers
-	idleCloseAt atomic.Int64 // Unix nanoseconds from which idle connections close; 0 while not draining
 	limits      atomic.Pointer[Limits]
 	observer    Observer
 	picker      *tgpicker.Picker
@@ -40,12 +35,9 @@
 	streamLimiters   map[string]*tgstreamlimit.Limiter // by pool
 }
 
-const (
-	// For how long a draining server accepts connections: the platform polls readiness once a second and sends no new
-	// connections only after two failed polls.
-	drainAcceptPeriod  = 2600 * time.Millisecond
-	initialStreamLimit = 20.0 // concurrent streams of a pool at the start, until gaps between events show what it can serve
-)
+// initialStreamLimit is the number of concurrent streams of a pool at the start, until gaps between events show what it
+// can serve.
+const initialStreamLimit = 20.0
 
 // NewServer returns a server for a process in the given data centre.
 func NewServer(
@@ -64,78 +56,6 @@
 // SetLimits replaces the limits.
 func (s *Server) SetLimits(l Limits) { s.limits.Store(&l) }
 
-// Serve accepts connections until ctx ends; then it drains and returns.
-func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
-	work, abort := context.WithCancel(context.WithoutCancel(ctx))
-	defer abort()
-	stopDrain := context.AfterFunc(ctx, func() { s.drain(listener, abort) })
-	defer stopDrain()
-	var wg conc.WaitGroup
-	defer wg.Wait()
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-				return nil
-			}
-			var ne net.Error
-			if errors.As(err, &ne) {
-				time.Sleep(acceptRetryPause) // the process may be out of file descriptors for a moment
-				continue
-			}
-			return errors.Wrap(err, "accept")
-		}
-		k := &callerConn{br: bufio.NewReaderSize(conn, callerBufferBytes), conn: conn, server: s}
-		s.track(k)
-		wg.Go(func() {
-			defer s.untrack(k)
-			k.serve(work)
-		})
-	}
-}
-
-const acceptRetryPause = 10 * time.Millisecond
-
-// drain stops the server: it accepts connections for drainAcceptPeriod, then closes idle ones, and lets requests finish
-// until only ShutdownReserve is left of the grace period.
-func (s *Server) drain(listener net.Listener, abort context.CancelFunc) {
-	start, limits := time.Now(), s.limits.Load()
-	s.idleCloseAt.Store(start.Add(drainAcceptPeriod).UnixNano())
-	time.Sleep(drainAcceptPeriod)
-	_ = listener.Close() // ends the accept loop of Serve
-	s.mu.Lock()
-	for k := range s.callers {
-		k.closeIdle()
-	}
-	s.mu.Unlock()
-	time.Sleep(time.Until(start.Add(limits.DrainGrace - limits.ShutdownReserve)))
-	abort()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for k := range s.callers {
-		_ = k.conn.Close()
-	}
-}
-
-func (s *Server) isDraining() bool { return s.idleCloseAt.Load() != 0 }
-
-func (s *Server) shouldCloseIdle() bool {
-	at := s.idleCloseAt.Load()
-	return at != 0 && time.Now().UnixNano() >= at
-}
-
-func (s *Server) track(k *callerConn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.callers[k] = struct{}{}
-}
-
-func (s *Server) untrack(k *callerConn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.callers, k)
-}
-
 // retryBudget returns the retry budget of a pool, updated to the present limits and number of entries.
 func (s *Server) retryBudget(pool string) *tgretry.WindowBudget {
 	limits := s.limits.Load()
