Bound the memory that answers without end take

Cause: each answer could be buffered up to 16 MiB, answers to other attempts were buffered before they were dropped, and a head of 64 KiB could have 16,000 lines; a dozen of these at once end a process on a VM of 184 MiB.

An answer to another attempt is read past without being kept, 1 MiB at most. A head has at most 256 lines and 32 KiB. The soft limit of the runtime falls to 0.45 of the memory. A request whose body gets no memory is refused with 503.

--- a/io/tgcommand/platform.go
+++ b/io/tgcommand/platform.go
@@ -25,8 +25,8 @@
 )
 
 const (
-	gcPercent           = 200 // growth of the heap, relative to the live data, that starts a garbage collection
-	memoryLimitFraction = 0.6 // soft memory limit of the Go runtime, as a fraction of the platform's limit
+	gcPercent           = 200  // growth of the heap, relative to the live data, that starts a garbage collection
+	memoryLimitFraction = 0.45 // soft memory limit of the Go runtime, as a fraction of the platform's limit
 )
 
 func (c *config) newPlatformCmd() *cobra.Command {
--- a/io/tgcommand/platform_entry.go
+++ b/io/tgcommand/platform_entry.go
@@ -30,6 +30,7 @@
 }
 
 const (
+	bufferMemoryDivisor    = 16                     // part of the process's memory that bodies of requests and answers may take
 	shutdownReserve        = 400 * time.Millisecond // part of the drain grace period kept for ending the process
 	upstreamsBatchInterval = 500 * time.Millisecond // pause after a read with records: batches engines that change in turn
 )
@@ -103,7 +104,7 @@
 func proxyLimits(s *tgplatform.Settings) tgproxy.Limits {
 	b := s.Bounds
 	return tgproxy.Limits{
-		DrainGrace: b.DrainGrace, RetryBurst: b.RetryBurst,
+		BufferBytes: s.MemoryBytes / bufferMemoryDivisor, DrainGrace: b.DrainGrace, RetryBurst: b.RetryBurst,
 		RetryRatio: b.RetryRatio, RetryWindow: b.RetryWindow, ShutdownReserve: shutdownReserve,
 	}
 }
--- a/io/tgfleet/exchange.go
+++ b/io/tgfleet/exchange.go
@@ -19,6 +19,7 @@
 const (
 	gossipInterval      = 500 * time.Millisecond // between datagrams to the other entries
 	maxDatagram         = 60 << 10               // bytes; a UDP datagram has less than 64 KiB
+	maxTablesBytes      = 16 << 20               // of a peer's tables
 	pullTimeout         = 800 * time.Millisecond
 	pullDelay           = 300 * time.Millisecond  // before an entry that is behind pulls; the store is usually faster
 	upstreamsStaleAfter = 1200 * time.Millisecond // upstreams are pulled from a peer if the store has not answered for longer
@@ -65,6 +66,7 @@
 
 // Run exchanges datagrams on conn until ctx ends.
 func (x *Exchange) Run(ctx context.Context, conn *net.UDPConn) {
+	x.client.MaxResponseBodySize = maxTablesBytes
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	defer func() { _ = conn.Close() }() // ends receive
--- a/io/tghttp/body.go
+++ b/io/tghttp/body.go
@@ -12,6 +12,8 @@
 const (
 	maxChunkLineBytes = 256 // bounds a chunk's size line with its extensions and the line end before it
 	maxTrailerBytes   = 8 << 10
+	minBodyBuffer     = 512      // bytes, of a body of unknown length
+	maxFirstBuffer    = 64 << 10 // bytes, of a body of known length, which may end early
 )
 
 // Body reads the body of a message and records whether it was read to its end.
@@ -111,22 +113,37 @@
 	return nil
 }
 
+// Reserver grants memory for bodies.
+type Reserver interface {
+	// Reserve asks for n more bytes; an error means that they are not granted.
+	Reserve(n int) error
+}
+
 // ReadAll reads a whole body of at most limit bytes; a longer one is a SyntaxError with status 413.
-func (b *Body) ReadAll(limit int64) ([]byte, error) {
+func (b *Body) ReadAll(limit int64) ([]byte, error) { return b.ReadAllReserved(limit, nil) }
+
+// ReadAllReserved is like ReadAll and asks r for the memory before it is allocated. It returns the error of r.
+func (b *Body) ReadAllReserved(limit int64, r Reserver) ([]byte, error) {
 	if b.framing == FramingLength && b.remaining > limit {
 		return nil, syntaxError(statusTooLarge, "body is longer than %d bytes", limit)
 	}
 	if b.complete {
 		return nil, nil
 	}
-	size := int64(512)
+	size := int64(minBodyBuffer)
 	if b.framing == FramingLength {
 		size = b.remaining
 	}
-	data := make([]byte, 0, min(size, 64<<10))
-	for {
+	var data []byte
+	for grow := int(min(size, maxFirstBuffer)); ; {
 		if len(data) == cap(data) {
-			data = append(data, 0)[:len(data)]
+			if r != nil {
+				if err := r.Reserve(grow); err != nil {
+					return data, err
+				}
+			}
+			data = append(make([]byte, 0, len(data)+grow), data...)
+			grow = len(data) + grow // doubles the buffer the next time
 		}
 		n, err := b.Read(data[len(data):cap(data)])
 		data = data[:len(data)+n]
@@ -144,3 +161,18 @@
 		}
 	}
 }
+
+// Discard reads the body to its end without keeping it; a body of more than limit bytes is a SyntaxError.
+func (b *Body) Discard(limit int64) error {
+	var buf [minBodyBuffer]byte
+	for total := int64(0); !b.complete; {
+		n, err := b.Read(buf[:])
+		if total += int64(n); total > limit {
+			return syntaxError(statusTooLarge, "body is longer than %d bytes", limit)
+		}
+		if err != nil && !errors.Is(err, io.EOF) {
+			return err
+		}
+	}
+	return nil
+}
--- a/io/tghttp/head.go
+++ b/io/tghttp/head.go
@@ -43,9 +43,15 @@
 	return string(line), nil
 }
 
+// maxHeaderFields bounds the lines of a header. A line of 4 bytes takes more than ten times as much memory.
+const maxHeaderFields = 256
+
 func readHeader(br *bufio.Reader, remaining *int) (Header, error) {
 	var h Header
 	for {
+		if len(h) > maxHeaderFields {
+			return nil, syntaxError(statusHeaderTooLarge, "message has more than %d header lines", maxHeaderFields)
+		}
 		line, err := readLine(br, remaining)
 		if err != nil {
 			return nil, err
@@ -197,7 +203,7 @@
 }
 
 const (
-	maxResponseHeadBytes   = 64 << 10
+	maxResponseHeadBytes   = 32 << 10
 	maxInformational       = 5 // 1xx responses before the final one
 	maxStatusInformational = 199
 	statusNoContent        = 204
--- a/io/tgproxy/call.go
+++ b/io/tgproxy/call.go
@@ -15,6 +15,7 @@
 	account        tgcatalog.Account
 	attempts       int // number of attempts, not counting those that did not reach an upstream
 	body           []byte
+	buffers        *bufferLease
 	callerDeadline time.Time // as the caller declared it, or the default
 	config         *tgcatalog.Config
 	cost           float64 // load on an upstream, in streams without a prompt
@@ -43,9 +44,9 @@
 	lowestPriority      = 9                     // highest number that upstreams accept; 0 is admitted first
 )
 
-func (s *Server) newCall(r *tghttp.Request, body []byte, receivedAt time.Time) *call {
+func (s *Server) newCall(r *tghttp.Request, body []byte, buffers *bufferLease, receivedAt time.Time) *call {
 	c := &call{
-		body: body, cost: 1, headers: &s.headers, id: r.Header.Get(s.headers.AttemptID), receivedAt: receivedAt, request: r,
+		body: body, buffers: buffers, cost: 1, headers: &s.headers, id: r.Header.Get(s.headers.AttemptID), receivedAt: receivedAt, request: r,
 	}
 	wait := defaultDeadline
 	if ms, err := strconv.ParseFloat(r.Header.Get(s.headers.DeadlineMs), 64); err == nil && ms >= 0 {
--- a/io/tgproxy/caller.go
+++ b/io/tgproxy/caller.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -65,14 +66,23 @@
 	if err != nil {
 		return k.reject(err)
 	}
-	body, err := k.readBody(r, limits)
+	buffers := &bufferLease{budget: &k.server.buffers, limit: k.server.limits.Load().BufferBytes}
+	defer buffers.releaseTo(0)
+	body, err := k.readBody(r, limits, buffers)
+	if errors.Is(err, errBuffersFull) {
+		c := k.server.newCall(r, nil, buffers, receivedAt)
+		c.detail = err.Error()
+		_ = k.refuse(c, http.StatusServiceUnavailable, outcomeRefused, retryAfterNoUpstream, false)
+		k.linger()
+		return false
+	}
 	if err != nil {
 		return k.reject(err)
 	}
 	if err := k.conn.SetReadDeadline(time.Time{}); err != nil {
 		return false
 	}
-	return k.handle(ctx, r, body, receivedAt)
+	return k.handle(ctx, r, body, buffers, receivedAt)
 }
 
 // waitForRequest reports whether the first byte of a request came before the idle timeout, or before the server ended
@@ -119,7 +129,7 @@
 	_ = k.conn.SetReadDeadline(end) // fails only if the connection has ended
 }
 
-func (k *callerConn) readBody(r *tghttp.Request, limits tgcatalog.Limits) ([]byte, error) {
+func (k *callerConn) readBody(r *tghttp.Request, limits tgcatalog.Limits, buffers *bufferLease) ([]byte, error) {
 	if r.Framing == tghttp.FramingNone {
 		return nil, nil
 	}
@@ -128,7 +138,7 @@
 			return nil, err
 		}
 	}
-	return tghttp.NewBody(k.br, r.Framing, r.Length).ReadAll(limits.BodyBytes)
+	return tghttp.NewBody(k.br, r.Framing, r.Length).ReadAllReserved(limits.BodyBytes, buffers)
 }
 
 // reject answers a request that violates the protocol or a size limit. It returns false: the connection ends.
@@ -158,11 +168,19 @@
 	}
 }
 
-func (k *callerConn) write(b []byte) error {
+func (k *callerConn) write(b []byte) error { return k.writeWithBody(b, nil) }
+
+// writeWithBody sends a head and a body; it does not copy a long body.
+func (k *callerConn) writeWithBody(head, body []byte) error {
 	if err := k.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
-	_, err := k.conn.Write(b)
+	if len(head)+len(body) <= inlineWriteBytes {
+		_, err := k.conn.Write(append(head, body...))
+		return err
+	}
+	bufs := net.Buffers{head, body}
+	_, err := bufs.WriteTo(k.conn)
 	return err
 }
 
--- a/io/tgproxy/event.go
+++ b/io/tgproxy/event.go
@@ -21,6 +21,14 @@
 	return s.buf[:end]
 }
 
+// growth returns the memory that n more bytes of the stream may take.
+func (s *eventSplitter) growth(n int) int {
+	if len(s.buf)+n <= cap(s.buf) {
+		return 0
+	}
+	return cap(s.buf) + n // append at most doubles the buffer
+}
+
 // consume drops the first n bytes of the buffer, those of the events that feed returned.
 func (s *eventSplitter) consume(n int) {
 	s.buf = append(s.buf[:0], s.buf[n:]...)
--- a/io/tgproxy/exchange.go
+++ b/io/tgproxy/exchange.go
@@ -42,6 +42,7 @@
 
 const (
 	inlineWriteBytes     = 16 << 10 // bytes; a longer request is written while its answer is read
+	maxStaleBytes        = 1 << 20  // bytes of the body of one of them
 	maxStaleAnswers      = 3        // answers to earlier requests that are skipped before the connection is given up
 	statusMisdirected    = 421
 	statusUnavailable    = 503
@@ -102,7 +103,7 @@
 		body := tghttp.NewBody(x.conn.br, r.Framing, r.Length)
 		if id := r.Header.Get(c.headers.AttemptID); id != "" && id != c.id {
 			x.detail = "answer belongs to attempt " + id
-			if _, err := body.ReadAll(maxAnswerBytes); err != nil || !r.KeepAlive {
+			if err := body.Discard(maxStaleBytes); err != nil || !r.KeepAlive {
 				x.kind = answerInvalid
 				return
 			}
--- a/io/tgproxy/failure.go
+++ b/io/tgproxy/failure.go
@@ -10,13 +10,13 @@
 
 // bufferUpstreamError keeps an error answer in case no later attempt succeeds. It does so only if the body has arrived
 // already, so that the next attempt does not wait for it.
-func (a *responseState) bufferUpstreamError(x *exchange) {
+func (a *responseState) bufferUpstreamError(c *call, x *exchange) {
 	r := x.response
 	arrived := r.Framing == tghttp.FramingNone || r.Framing == tghttp.FramingLength && r.Length <= int64(x.conn.br.Buffered())
 	if impliesNotExecuted(r.Status) || !arrived {
 		return
 	}
-	if body, err := x.body.ReadAll(maxAnswerBytes); err == nil {
+	if body, err := x.body.ReadAllReserved(c.answerLimit(), c.buffers); err == nil {
 		a.upstreamError = &upstreamError{body: body, response: r}
 	}
 }
--- a/io/tgproxy/forward.go
+++ b/io/tgproxy/forward.go
@@ -33,6 +33,7 @@
 
 const (
 	maxAnswerBytes    = 16 << 20              // bytes of an answer's body, unless it is streamed
+	maxAnswerDivisor  = 4                     // an answer's body takes at most this part of the memory for all bodies
 	maxUnsentAttempts = 3                     // attempts that do not reach an upstream before the request is refused
 	minTimeToSend     = 20 * time.Millisecond // with less time left, no attempt is started
 )
@@ -138,7 +139,7 @@
 		if v = verdictRetry; !k.canRetry(c) || a.headWritten {
 			v = k.deliverUpstreamError(a, c, x)
 		} else {
-			a.bufferUpstreamError(x)
+			a.bufferUpstreamError(c, x)
 		}
 	case answerNotExecuted:
 		outcome, v = tgpicker.OutcomeFull, verdictRetry
@@ -167,6 +168,14 @@
 	return v
 }
 
+// answerLimit returns the longest body of an answer that is not streamed.
+func (c *call) answerLimit() int64 {
+	if c.buffers.limit == 0 {
+		return maxAnswerBytes
+	}
+	return min(maxAnswerBytes, c.buffers.limit/maxAnswerDivisor)
+}
+
 // canRetry reports whether another attempt may follow one that the upstream has run.
 func (k *callerConn) canRetry(c *call) bool {
 	return c.route.Repeatable() && c.attempts < c.route.MaxAttempts
@@ -182,8 +191,10 @@
 	if c.route.Kind == tgcatalog.KindStreaming {
 		return k.deliverStream(a, c, x)
 	}
-	body, err := x.body.ReadAll(maxAnswerBytes)
+	held := c.buffers.held
+	body, err := x.body.ReadAllReserved(c.answerLimit(), c.buffers)
 	if err != nil {
+		c.buffers.releaseTo(held)
 		c.detail = "answer truncated: " + err.Error()
 		if a.ctx.Err() != nil {
 			k.abandon(a, c)
@@ -203,7 +214,7 @@
 	if impliesNotExecuted(x.response.Status) {
 		return verdictStop
 	}
-	body, err := x.body.ReadAll(maxAnswerBytes)
+	body, err := x.body.ReadAllReserved(c.answerLimit(), c.buffers)
 	if err != nil || a.headWritten {
 		return verdictStop
 	}
@@ -214,7 +225,7 @@
 func (k *callerConn) writeResponse(a *responseState, c *call, r *tghttp.Response, body []byte, outcome string) {
 	b := responseHead(r, a.decideKeepAlive())
 	b = tghttp.AppendContentLength(b, len(body))
-	err := k.write(append(b, body...))
+	err := k.writeWithBody(b, body)
 	a.keepAlive = a.keepAlive && err == nil
 	k.server.observer.Request(c.newEvent(outcome, r.Status, time.Now()))
 }
--- a/io/tgproxy/handle.go
+++ b/io/tgproxy/handle.go
@@ -18,9 +18,11 @@
 )
 
 // handle routes a request, answers it and reports whether the connection may carry another.
-func (k *callerConn) handle(ctx context.Context, r *tghttp.Request, body []byte, receivedAt time.Time) bool {
+func (k *callerConn) handle(
+	ctx context.Context, r *tghttp.Request, body []byte, buffers *bufferLease, receivedAt time.Time,
+) bool {
 	s := k.server
-	c := s.newCall(r, body, receivedAt)
+	c := s.newCall(r, body, buffers, receivedAt)
 	if status, outcome := s.resolve(c); status != 0 {
 		wait := time.Duration(0)
 		if status == http.StatusServiceUnavailable {
--- a/io/tgproxy/harness_test.go
+++ b/io/tgproxy/harness_test.go
@@ -104,7 +104,20 @@
 	return []tgcatalog.Route{once, stream, twice}
 }
 
-func newTestProxy(t *testing.T, engines int) *testProxy {
+// proxyOption changes the configuration or the limits of a testProxy.
+type proxyOption func(*tgcatalog.Config, *tgproxy.Limits)
+
+func withBufferBytes(n int64) proxyOption {
+	return func(_ *tgcatalog.Config, l *tgproxy.Limits) { l.BufferBytes = n }
+}
+
+func withMaxConnections(n int) proxyOption {
+	return func(cfg *tgcatalog.Config, _ *tgproxy.Limits) {
+		cfg.Pools["pool"] = tgcatalog.Pool{MaxConnections: n, Name: "pool"}
+	}
+}
+
+func newTestProxy(t *testing.T, engines int, options ...proxyOption) *testProxy {
 	t.Helper()
 	cfg := tgcatalog.NewConfig(1, testRoutes())
 	cfg.KeyRequired = true
@@ -113,6 +126,13 @@
 		BodyBytes: 1 << 20, HeaderBytes: 8 << 10, HeaderTimeout: time.Second, IdleTimeout: 5 * time.Second,
 	}
 	cfg.Pools = map[string]tgcatalog.Pool{"pool": {MaxConnections: 100, Name: "pool"}}
+	limits := tgproxy.Limits{
+		DrainGrace: 5 * time.Second, RetryBurst: 1000, RetryRatio: 0.2, RetryWindow: 10 * time.Second,
+		ShutdownReserve: 500 * time.Millisecond,
+	}
+	for _, o := range options {
+		o(cfg, &limits)
+	}
 	b := &testProxy{catalog: &testCatalog{config: cfg, current: true, entries: 1}, events: &events{}, done: make(chan struct{})}
 	for i := range engines {
 		e := tgemulator.NewEngine(fmt.Sprintf("e%d", i))
@@ -123,10 +143,7 @@
 			Address: netip.MustParseAddrPort(l.Addr().String()), ID: e.ID, Pool: "pool", State: tgcatalog.StateReady,
 		})
 	}
-	b.proxy = tgproxy.NewServer("dc", b.catalog, tgplatform.Headers(), tgproxy.Limits{
-		DrainGrace: 5 * time.Second, RetryBurst: 1000, RetryRatio: 0.2, RetryWindow: 10 * time.Second,
-		ShutdownReserve: 500 * time.Millisecond,
-	}, b.events, new(expvar.Map).Init())
+	b.proxy = tgproxy.NewServer("dc", b.catalog, tgplatform.Headers(), limits, b.events, new(expvar.Map).Init())
 	l := listen(t)
 	b.addr = l.Addr().String()
 	ctx, stop := context.WithCancel(t.Context())
@@ -200,3 +217,16 @@
 	data, _ := b.ReadAll(1 << 20) // complete shows whether it failed
 	return r, string(data), b.Complete()
 }
+
+// waitForEnd reads until the answer or the connection ends.
+func (c *client) waitForEnd() error {
+	if err := c.SetReadDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		return err
+	}
+	r, err := tghttp.ReadResponse(c.br, "GET")
+	if err != nil {
+		return err
+	}
+	_ = tghttp.NewBody(c.br, r.Framing, r.Length).Discard(1 << 30) // a broken stream ends early
+	return nil
+}
--- a/io/tgproxy/options.go
+++ b/io/tgproxy/options.go
@@ -37,8 +37,9 @@
 	Upstreams(pool string) []tgcatalog.Upstream
 }
 
-// Limits are the retry budget that all entries share, and the times of a shutdown.
+// Limits are the memory for bodies, the retry budget that all entries share, and the times of a shutdown.
 type Limits struct {
+	BufferBytes     int64         // memory for bodies of all calls together; 0 if it is unbounded
 	DrainGrace      time.Duration // from the start of a drain to the end of the process
 	RetryBurst      float64       // retries within RetryWindow beyond those of RetryRatio, of all entries together
 	RetryRatio      float64       // retries per request within RetryWindow
--- a/io/tgproxy/server.go
+++ b/io/tgproxy/server.go
@@ -16,6 +16,7 @@
 
 // Server is the reverse proxy; it serves callers' connections.
 type Server struct {
+	buffers     bufferBudget
 	catalog     Catalog
 	closingIdle atomic.Bool // the listener is closed and connections end when they are idle
 	conns       *connPool
--- a/io/tgproxy/stream.go
+++ b/io/tgproxy/stream.go
@@ -16,10 +16,16 @@
 func (k *callerConn) deliverStream(a *responseState, c *call, x *exchange) (tgpicker.Outcome, verdict) {
 	var events eventSplitter
 	a.lastEventAt = time.Time{}
+	held := c.buffers.held
+	defer func() { c.buffers.releaseTo(held) }()
 	buf := make([]byte, streamReadBytes)
 	for {
 		n, err := x.body.Read(buf)
 		if n > 0 {
+			if err := c.buffers.Reserve(events.growth(n)); err != nil {
+				c.detail = "event is not buffered: " + err.Error()
+				return k.failStream(a, c)
+			}
 			complete := events.feed(buf[:n])
 			if len(complete) > 0 {
 				r := parseEventRange(complete)
