Mend faults of limits, routing and pools that were found by reading

Each has a test that fails on the code before: - tgproxy: expired idle connections behind one that may be reused for longer stayed open and counted against the upstream's connections. - tgpicker: requests without a cold rate emptied the bucket of the cold rate far below zero, so that a rate that was set later refused everything. - tgadmission: a higher cold limit of the configuration never raised a limit below it; a limit that latencies have lowered stays as it is. - tgroute: the last comparison, over upstreams with a cached prefix, left out the penalty for the distance. - tgrank: the interval between counts was rounded down, up to twice the budget of the leader's link; the check of the test compared with the same rounding and now compares with the budget, from both sides. The time of the first report stayed that of an earlier epoch, so that a recovery could begin before the ranks had reported the new one. - tgentry: of pools with nested path prefixes, the order of a map decided; now the longest prefix does.

--- a/core/tgadmission/limiter.go
+++ b/core/tgadmission/limiter.go
@@ -59,10 +59,14 @@
 	return l
 }
 
-// Configure changes the bounds, and whether the upstream is a rank of a group; see WithLockStep.
+// Configure changes the bounds, and whether the upstream is a rank of a group; see WithLockStep. A higher cold limit raises
+// a limit that is below it.
 func (l *Limiter) Configure(cold, warm int, lockStep bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if cold > l.coldLimit {
+		l.limit = max(l.limit, float64(cold))
+	}
 	l.coldLimit, l.warmLimit, l.lockStep = cold, warm, lockStep
 	l.limit = min(l.limit, float64(warm))
 }
--- a/core/tgadmission/limiter_test.go
+++ b/core/tgadmission/limiter_test.go
@@ -162,3 +162,18 @@
 	u.Release(Sample{}) // never sent to the upstream
 	assert.Equal(t, u.Limit(), 16)
 }
+
+// Guards against an upstream that stays at its former cold limit after the operator has raised it, and against a change of
+// the configuration that lifts a limit which latencies have lowered.
+func TestConfigureColdLimit(t *testing.T) {
+	l := NewLimiter(4, 16)
+	l.Configure(8, 16, false)
+	assert.Equal(t, l.Limit(), 8)
+	l.TryAcquire()
+	l.Release(Sample{Total: time.Second}) // a failure halves the limit
+	assert.Equal(t, l.Limit(), 4)
+	l.Configure(8, 12, false)
+	assert.Equal(t, l.Limit(), 4)
+	l.Configure(10, 6, false)
+	assert.Equal(t, l.Limit(), 6)
+}
--- a/core/tgcatalog/catalog.go
+++ b/core/tgcatalog/catalog.go
@@ -69,7 +69,6 @@
 	ExpertShare        float64 // fraction of a token's compute that experts take
 	Experts            int     // in each set
 	ExpertSlotsPerRank int     // experts that a rank can hold in each set
-	FormTime           time.Duration
 	LinkBitsPerS       float64
 	NewExpertsPerSet   int           // most experts of a set that one preparation may add to a rank
 	StateReportLag     time.Duration // age of the state that an engine reports to other VMs
--- a/core/tgconfig/config.go
+++ b/core/tgconfig/config.go
@@ -18,6 +18,17 @@
 	Upstreams   map[string]Upstream   `cbor:"upstreams" toml:"upstreams"`
 }
 
+// PlainPool returns the name of the plain pool with the longest path prefix of path.
+func (c *Config) PlainPool(path string) (name string, ok bool) {
+	longest := 0
+	for n, p := range c.Pools {
+		if p.Kind == PlainPool && len(p.PathPrefix) > longest && strings.HasPrefix(path, p.PathPrefix) {
+			name, longest = n, len(p.PathPrefix)
+		}
+	}
+	return name, longest > 0
+}
+
 // PoolKind is the kind of service that the upstreams of a pool offer.
 type PoolKind string
 
--- a/core/tgpicker/picker.go
+++ b/core/tgpicker/picker.go
@@ -155,13 +155,19 @@
 	if best < 0 {
 		return nil, reason
 	}
-	u := candidates[best]
+	return p.take(candidates[best], r, now), ""
+}
+
+// take starts an attempt at an upstream whose state is known.
+func (p *Picker) take(u tgcatalog.Upstream, r Request, now time.Time) *Choice {
 	s := p.states[u.ID]
 	c := &Choice{Load: s.load, Upstream: u, picker: p, sent: now, state: s, work: r.Work}
 	s.load += r.Work
 	s.pending++
-	s.tokens--
-	return c, ""
+	if r.ColdRate > 0 {
+		s.tokens--
+	}
+	return c
 }
 
 // score is the load of an upstream including the request, raised if its latency is high or it is in another data centre.
--- a/core/tgpicker/picker_test.go
+++ b/core/tgpicker/picker_test.go
@@ -140,3 +140,18 @@
 	_, reason := p.Pick(upstreams("e1", "e2", "e3"), Request{Tried: map[string]bool{"e1": true, "e2": true}, Work: 1}, epoch)
 	assert.Equal(t, reason, ReasonUnhealthy)
 }
+
+// Guards against an upstream that is refused as cold for a long time after a rate was set, because requests without a rate
+// had emptied its bucket far below zero.
+func TestColdRateSetLater(t *testing.T) {
+	p := newTestPicker()
+	list := upstreams("e1")
+	c, _ := p.Pick(list, Request{ColdRate: 4, Work: 1}, epoch)
+	c.Done(OutcomeAnswered, time.Millisecond, epoch)
+	for range 100 {
+		c, _ := p.Pick(list, Request{Work: 1}, epoch)
+		c.Done(OutcomeAnswered, time.Millisecond, epoch)
+	}
+	c, reason := p.Pick(list, Request{ColdRate: 4, Work: 1}, epoch.Add(time.Second))
+	assert.Assert(t, c != nil, "refused: %s", reason)
+}
--- a/core/tgroute/policy.go
+++ b/core/tgroute/policy.go
@@ -66,13 +66,21 @@
 	}
 	full := views[best].Load+1 > views[best].Limit
 	for i, v := range views {
-		if (full || v.CacheGain > 0) && score(v) < score(views[best]) {
+		if (full || v.CacheGain > 0) && scoreWithDistance(v) < scoreWithDistance(views[best]) {
 			best = i
 		}
 	}
 	return best
 }
 
+// scoreWithDistance is the score of a candidate, raised if it is remote.
+func scoreWithDistance(v View) float64 {
+	if v.Local {
+		return score(v)
+	}
+	return score(v) + remotePenalty
+}
+
 // score is the utilisation of a candidate. The request itself counts only if there is no room for it: counting it always
 // would starve an upstream with a low limit at low load, which would then not warm up. A cached prefix lowers the score, so
 // affinity holds only while its gain exceeds the imbalance that it adds.
--- a/core/tgview/view.go
+++ b/core/tgview/view.go
@@ -280,19 +280,6 @@
 	v.pools.Store(&pools)
 }
 
-// AllUpstreams returns all registered upstreams of a pool, including those that take no new requests.
-func (v *View) AllUpstreams(pool string) []tgcatalog.Upstream {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	var all []tgcatalog.Upstream
-	for _, e := range v.upstreams {
-		if e.Pool == pool {
-			all = append(all, e.Upstream)
-		}
-	}
-	return all
-}
-
 // State is the content of a view, for the state dump.
 type State struct {
 	Current   bool                 `json:"current"`
--- a/io/tgentry/plain.go
+++ b/io/tgentry/plain.go
@@ -12,25 +12,22 @@
 	"tanagergrade/core/tgframe"
 )
 
-// handlePlain serves requests to pools of plain HTTP upstreams, which are chosen by path prefix.
+// handlePlain serves requests to pools of plain HTTP upstreams, which are chosen by their path prefix.
 func (e *Entry) handlePlain(c fiber.Ctx) error {
 	cfg := e.node.Config()
-	path := c.Path()
-	for name, p := range cfg.Pools {
-		if p.Kind != tgconfig.PlainPool || p.PathPrefix == "" || !strings.HasPrefix(path, p.PathPrefix) {
-			continue
-		}
-		x, failure := e.newExecute(c, cfg)
-		if failure != nil {
-			return e.fail(c, failure)
-		}
-		x.Pool, x.ExpectedTokens = name, 1
-		if failure := applyOperation(c, p, x); failure != nil {
-			return e.fail(c, failure)
-		}
-		return e.serve(c, x)
+	name, ok := cfg.PlainPool(c.Path())
+	if !ok {
+		return e.fail(c, tgcall.NotRunFailure(tgcall.CodeRouteUnknown, "no pool serves %s", c.Path()))
+	}
+	x, failure := e.newExecute(c, cfg)
+	if failure != nil {
+		return e.fail(c, failure)
+	}
+	x.Pool, x.ExpectedTokens = name, 1
+	if failure := applyOperation(c, cfg.Pools[name], x); failure != nil {
+		return e.fail(c, failure)
 	}
-	return e.fail(c, tgcall.NotRunFailure(tgcall.CodeRouteUnknown, "no pool serves %s", path))
+	return e.serve(c, x)
 }
 
 // applyOperation sets whether x is idempotent, and its priority, from the pool's operation that matches the request. A
--- a/io/tgproxy/conns.go
+++ b/io/tgproxy/conns.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -135,8 +136,8 @@
 	conn *upstreamConn
 }
 
-// removeExpired removes and returns expired idle connections. Each list is in the order in which its connections became
-// idle, so the expired ones come first as long as the upstream announces the same idle timeout. The caller holds mu.
+// removeExpired removes and returns the expired idle connections, in any position of their list: an upstream may announce
+// another idle timeout with each answer. The caller holds mu.
 func (p *connPool) removeExpired(now time.Time) []expiredConn {
 	if now.Sub(p.lastSweep) < sweepInterval {
 		return nil
@@ -144,12 +145,14 @@
 	p.lastSweep = now
 	var expired []expiredConn
 	for addr, list := range p.idle {
-		n := 0
-		for n < len(list) && !now.Before(list[n].expires) {
-			expired = append(expired, expiredConn{addr, list[n]})
-			n++
-		}
-		if p.idle[addr] = list[n:]; n == len(list) {
+		valid := slices.DeleteFunc(list, func(c *upstreamConn) bool {
+			hasExpired := !now.Before(c.expires)
+			if hasExpired {
+				expired = append(expired, expiredConn{addr, c})
+			}
+			return hasExpired
+		})
+		if p.idle[addr] = valid; len(valid) == 0 {
 			delete(p.idle, addr)
 		}
 	}
--- a/io/tgrank/beacon.go
+++ b/io/tgrank/beacon.go
@@ -35,7 +35,7 @@
 		other.FastReports = other.FastReports || g.changing()
 		other.WantExperts = other.WantExperts || g.current == nil
 	}
-	other.CountsEvery = max(1, counts/maxCountsPerInterval)
+	other.CountsEvery = max(1, (counts+maxCountsPerInterval-1)/maxCountsPerInterval)
 	byVM = map[string]Beacon{}
 	for _, g := range l.groups {
 		b := other
--- a/io/tgrank/group.go
+++ b/io/tgrank/group.go
@@ -22,7 +22,7 @@
 	engine          tgcatalog.Engine
 	epoch           int64
 	fastReports     bool      // the last beacons asked its agents to report often
-	firstSeen       time.Time // time of the first report; zero before it
+	firstSeen       time.Time // time of the first report of the epoch; zero before it
 	lastDecision    time.Time // when the balancer last decided
 	lastSkewLog     time.Time
 	lastStep        int64     // newest pass that a rank has reported in this epoch
@@ -81,6 +81,7 @@
 	}
 	if r.State.Epoch > g.epoch {
 		g.epoch, g.lastStep, g.current, g.recoveryStarted = r.State.Epoch, 0, nil, false
+		g.firstSeen = now // a hold is ended only after the other ranks have had time to report this epoch
 		for i := range g.members {
 			g.members[i].experts = nil
 		}
--- a/io/tgrank/group_test.go
+++ b/io/tgrank/group_test.go
@@ -132,7 +132,8 @@
 	for vm, b := range byVM {
 		assert.Equal(t, b.FastReports, strings.HasPrefix(vm, "vm-3-"), vm)
 		assert.Equal(t, b.WantExperts, strings.HasPrefix(vm, "vm-5-"), vm)
-		assert.Equal(t, b.CountsEvery, groups*ranks*4*72/maxCountsPerInterval)
+		assert.Assert(t, groups*ranks*4*72 <= b.CountsEvery*maxCountsPerInterval, "counts of all ranks exceed the budget")
+		assert.Assert(t, groups*ranks*4*72 > (b.CountsEvery-1)*maxCountsPerInterval, "reports are rarer than needed")
 		assert.Equal(t, b.Token, int64(7))
 	}
 	assert.Assert(t, l.groups["g3"].hasVM("vm-3-11") && !l.groups["g3"].hasVM("vm-4-0"))
@@ -172,3 +173,16 @@
 		}
 	})
 }
+
+// Guards against a recovery that begins at once in a new epoch, before the ranks have reported it: the time of the first
+// report was that of an earlier epoch.
+func TestFirstReportOfEpoch(t *testing.T) {
+	g := newGroup("g", "vm-0", 3, testEngine)
+	start := time.Unix(1000, 0)
+	g.applyReport(openReport(0, 3, 1), start)
+	g.applyReport(openReport(1, 3, 1), start.Add(time.Second))
+	assert.Equal(t, g.firstSeen, start)
+	g.applyReport(openReport(0, 3, 2), start.Add(time.Hour))
+	g.applyReport(openReport(1, 3, 2), start.Add(time.Hour+time.Second))
+	assert.Equal(t, g.firstSeen, start.Add(time.Hour))
+}
--- a/io/tgupstream/client.go
+++ b/io/tgupstream/client.go
@@ -19,10 +19,12 @@
 const (
 	readBufferBytes = 16 << 10
 
-	// The prefill of a long prompt and the engine's own queue delay the first byte; 10 s is six times the target for
-	// the time to the first token.
-	defaultFirstByteTimeout = 10 * time.Second
-	defaultIdleTimeout      = 3 * time.Second // more than 100 times the inter-token latency target of 26 ms
+	// Bounds the wait for the first byte of a streamed answer to an idempotent request. The prefill of a long prompt and
+	// the engine's own queue delay it; 10 s is six times the target for the time to the first token.
+	firstByteTimeout = 10 * time.Second
+	// Bounds the time without a byte in the body of an answer to an idempotent request; more than 100 times the
+	// inter-token latency target of 26 ms.
+	idleTimeout = 3 * time.Second
 )
 
 // ErrUnframed reports that an answer has neither Content-Length nor chunked encoding, so that a complete body cannot be
@@ -32,10 +34,8 @@
 // Client sends each request to its upstream at most once. It manages its own connections, because fasthttp's client does
 // not report whether any byte was sent and cannot abort a call. It is safe for concurrent use.
 type Client struct {
-	address          netip.AddrPort
-	firstByteTimeout time.Duration // see WithReadTimeouts
-	idleTimeout      time.Duration // see WithReadTimeouts
-	pool             pool
+	address netip.AddrPort
+	pool    pool
 }
 
 // Option configures a client.
@@ -46,16 +46,9 @@
 	return func(c *Client) { c.pool.dial = dial }
 }
 
-// WithReadTimeouts bounds, for idempotent requests, the time to the first byte of a streamed answer and the time without a
-// byte in the body of any answer. Requests that are not idempotent are bounded by their deadline alone: they cannot be
-// retried, so a timeout would only lose their answer.
-func WithReadTimeouts(firstByte, idle time.Duration) Option {
-	return func(c *Client) { c.firstByteTimeout, c.idleTimeout = firstByte, idle }
-}
-
 // New returns a client of the upstream at address.
 func New(address netip.AddrPort, options ...Option) *Client {
-	c := &Client{address: address, firstByteTimeout: defaultFirstByteTimeout, idleTimeout: defaultIdleTimeout}
+	c := &Client{address: address}
 	c.pool.dial = func(ctx context.Context) (net.Conn, error) {
 		d := net.Dialer{KeepAliveConfig: keepAlive}
 		return d.DialContext(ctx, "tcp", address.String())
@@ -123,7 +116,7 @@
 	}
 	uc.readTimeout = 0
 	if e.Stream && e.Idempotent {
-		uc.readTimeout = c.firstByteTimeout
+		uc.readTimeout = firstByteTimeout
 	} else if err := uc.SetReadDeadline(time.Time{}); err != nil {
 		return false, errors.Wrap(err, "reset read deadline")
 	}
@@ -136,7 +129,7 @@
 		return false, errors.Wrap(uc.cause(err), "read the head of the upstream's answer")
 	}
 	if e.Idempotent {
-		uc.readTimeout = c.idleTimeout
+		uc.readTimeout = idleTimeout
 	}
 	if err := sink.Head(head(resp)); err != nil {
 		return false, err
