Use plain TCP for callers, so that a drain can refuse handshakes

Traced: listeners of Go use multipath TCP, whose sockets refuse filters ("operation not supported"), so the handshakes that the drain means to refuse went on until the close.

Change: NewListenConfig turns multipath TCP off for callers; the test logs the error of each request that gets no answer.

--- a/io/tgcommand/platform_entry.go
+++ b/io/tgcommand/platform_entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -114,7 +113,7 @@
 	if !s.CallersAddr.IsValid() || !s.ReadyAddr.IsValid() {
 		return errors.New("the settings give this process no address for callers")
 	}
-	var lc net.ListenConfig
+	lc := tgproxy.NewListenConfig()
 	callers, err := lc.Listen(ctx, "tcp", s.CallersAddr.String())
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
--- a/io/tgproxy/drain_test.go
+++ b/io/tgproxy/drain_test.go
@@ -101,7 +101,7 @@
 				b := newTestProxy(t, 1)
 				stopped := make(chan struct{})
 				for i := range stopCallers {
-					wg.Go(func() { callUntilStopped(b.addr, i, tc.reuse, stopped, &sent, &lost) })
+					wg.Go(func() { callUntilStopped(t, b.addr, i, tc.reuse, stopped, &sent, &lost) })
 				}
 				wg.Go(func() {
 					time.Sleep(200 * time.Millisecond)
@@ -120,9 +120,13 @@
 
 // callUntilStopped sends requests one after the other until the proxy refuses a connection, and counts those that were
 // sent and those without an answer.
-func callUntilStopped(addr string, caller int, reuse bool, stopped <-chan struct{}, sent, lost *atomic.Int64) {
+func callUntilStopped(
+	t *testing.T, addr string, caller int, reuse bool, stopped <-chan struct{}, sent, lost *atomic.Int64,
+) {
+	t.Helper()
 	var conn net.Conn
 	var br *bufio.Reader
+	served := 0 // requests on conn
 	for n := 0; ; n++ {
 		select {
 		case <-stopped:
@@ -134,13 +138,15 @@
 			if conn, err = net.Dial("tcp", addr); err != nil { //nolint:noctx // bounded by the end of the proxy
 				return // the listener is closed
 			}
-			br = bufio.NewReader(conn)
+			br, served = bufio.NewReader(conn), 0
 		}
 		keep, err := callOnce(conn, br, fmt.Sprintf("c%d-%d", caller, n))
 		sent.Add(1)
 		if err != nil {
+			t.Logf("request %d of a connection: %v", served, err)
 			lost.Add(1)
 		}
+		served++
 		if err != nil || !keep || !reuse {
 			_ = conn.Close()
 			conn = nil
--- a/io/tgproxy/harness_test.go
+++ b/io/tgproxy/harness_test.go
@@ -157,7 +157,7 @@
 
 func listen(t *testing.T) net.Listener {
 	t.Helper()
-	var lc net.ListenConfig
+	lc := tgproxy.NewListenConfig()
 	l, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
--- a/io/tgproxy/serve.go
+++ b/io/tgproxy/serve.go
@@ -22,6 +22,14 @@
 	handshakeTimeout    = 100 * time.Millisecond // for callers to complete a handshake that has begun
 )
 
+// NewListenConfig returns the options of a listener for Serve. Multipath TCP is off, because its sockets have no filters,
+// and a drain would reset the connections that are made while the listener closes.
+func NewListenConfig() *net.ListenConfig {
+	lc := &net.ListenConfig{}
+	lc.SetMultipathTCP(false)
+	return lc
+}
+
 // Serve accepts connections until ctx ends; then it drains and returns.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	work, abort := context.WithCancel(context.WithoutCancel(ctx))
