--- a/io/tgproxy/endless_test.go
+++ b/io/tgproxy/endless_test.go
@@ -39,7 +39,7 @@
 			b.engines[0].ProcessingTime = 500 * time.Millisecond                       // until all requests have arrived
 			defer debug.SetGCPercent(debug.SetGCPercent(200))                          // as the daemon does
 			defer debug.SetMemoryLimit(debug.SetMemoryLimit(smallestVMBytes * 9 / 20)) // the same
-			waitFor(t, func() bool { // what earlier tests have left does not count
+			waitFor(t, func() bool {                                                   // what earlier tests have left does not count
 				runtime.GC()
 				return memoryInUse() < 16<<20
 			})
