Tell late copies, stalled streams, panics and stale peers apart

Of what went wrong for operators of similar systems; each test fails on the code before: - A refusal or error without the attempt's ID on a connection that has carried a request before may be a late copy of an earlier answer. It was believed: a request that had run was refused with 503, or sent again (TestLateCopyOfRefusal). Now it counts as no answer. Only a complete event with a higher ID counts as progress now; the timeout follows from the route's targets and is longer than callers wait, a stalled stream is resumed elsewhere where the route allows it, and the engine's record is charged. A slow stream with new events goes on (TestStalledStream). - A panic in one request was raised again at the end of the process, and took it with it. It now costs its request, with a log line and the counter "panics" (TestPanicInRequest). - An entry that starts while the store is away took the tables of the peer whose datagram came first, even one that is behind, so a withdrawn key could be in use again. It now hears all peers first and asks the newest (TestStalePeerIsNotBelieved).

--- a/core/tgcatalog/catalog.go
+++ b/core/tgcatalog/catalog.go
@@ -47,6 +47,18 @@
 	return r.Kind == KindIdempotent || r.Kind == KindStreaming && r.Resumable
 }
 
+const (
+	minStallTimeout  = 2500 * time.Millisecond
+	stallFirstFactor = 5  // of FirstByteTarget
+	stallGapFactor   = 10 // of EventGapTarget
+)
+
+// StallTimeout returns how long a stream may go without a new event before it counts as stalled. Callers of the route
+// leave a little earlier, so a stream that is only slow is never ended before its caller has given it up.
+func (r *Route) StallTimeout() time.Duration {
+	return max(minStallTimeout, stallFirstFactor*r.FirstByteTarget, stallGapFactor*r.EventGapTarget)
+}
+
 // ChoosePool returns the pool of a request, by weight; random is uniform in [0,1).
 func (r *Route) ChoosePool(random float64) string {
 	total := 0.0
--- a/io/tgfleet/exchange.go
+++ b/io/tgfleet/exchange.go
@@ -21,8 +21,9 @@
 	maxDatagram         = 60 << 10               // bytes; a UDP datagram has less than 64 KiB
 	maxTablesBytes      = 16 << 20               // of a peer's tables
 	pullTimeout         = 800 * time.Millisecond
-	pullDelay           = 300 * time.Millisecond  // before an entry that is behind pulls; the store is usually faster
-	upstreamsStaleAfter = 1200 * time.Millisecond // upstreams are pulled from a peer if the store has not answered for longer
+	hearPeersTime       = gossipInterval + 100*time.Millisecond // in which an entry hears from all peers that it reaches
+	pullDelay           = 300 * time.Millisecond                // before an entry that is behind pulls; the store is usually faster
+	upstreamsStaleAfter = 1200 * time.Millisecond               // upstreams are pulled from a peer if the store has not answered for longer
 	socketRetryPause    = 50 * time.Millisecond
 )
 
@@ -161,7 +162,12 @@
 	} else if x.behindSince.IsZero() {
 		x.behindSince = now
 	}
-	operator := g.OperatorEnd > end && (cfg == nil || now.Sub(x.behindSince) >= pullDelay)
+	behind := now.Sub(x.behindSince)
+	operator := g.OperatorEnd > end && behind >= pullDelay
+	if cfg == nil { // any peer may be cut off and behind, so the others are heard before the newest is believed
+		newest := g.OperatorEnd >= x.maxPeerEnd
+		operator = g.OperatorEnd > end && (newest && behind >= hearPeersTime || behind >= 2*hearPeersTime)
+	}
 	upstreams := g.UpstreamsEnd > x.UpstreamsTable.End() && now.Sub(x.upstreamsReadAt) > upstreamsStaleAfter
 	claimed := !x.pulling && (operator || upstreams)
 	x.pulling = x.pulling || claimed
--- a/io/tgfleet/exchange_test.go
+++ b/io/tgfleet/exchange_test.go
@@ -72,3 +72,22 @@
 		t.Fatal("Run did not return after the end of its context")
 	}
 }
+
+// Guards against an entry that starts while the store is away and takes the configuration of a peer that was cut off
+// before a key was withdrawn: the first datagram decided, whichever peer sent it.
+func TestStalePeerIsNotBelieved(t *testing.T) {
+	x := &Exchange{
+		OperatorTable: tglogtable.NewTable(), UpstreamsTable: tglogtable.NewTable(), View: tgview.NewView(tgview.Codec{}),
+	}
+	start := time.Unix(1000, 0)
+	pulledFrom := ""
+	for at := time.Duration(0); at < 5*gossipInterval && pulledFrom == ""; at += gossipInterval {
+		for _, g := range []Gossip{{OperatorEnd: 1, VM: "stale"}, {OperatorEnd: 3, VM: "newest"}} {
+			if x.claimPull(g, start.Add(at)) {
+				pulledFrom = g.VM
+				break
+			}
+		}
+	}
+	assert.Equal(t, pulledFrom, "newest")
+}
--- a/io/tgproxy/caller.go
+++ b/io/tgproxy/caller.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -38,10 +40,19 @@
 // serve answers requests until the connection ends.
 func (k *callerConn) serve(ctx context.Context) {
 	defer func() { _ = k.conn.Close() }() // the connection ends whether or not this fails
+	defer k.recoverPanic()
 	for ctx.Err() == nil && k.serveRequest(ctx) {
 	}
 }
 
+// recoverPanic makes an unexpected fault cost only the request that met it: other connections go on.
+func (k *callerConn) recoverPanic() {
+	if r := recover(); r != nil {
+		k.server.counters.Add("panics", 1)
+		k.server.observer.Request(Event{Detail: fmt.Sprintf("panic: %v\n%s", r, debug.Stack()), Outcome: outcomeBroken})
+	}
+}
+
 func (k *callerConn) limits() tgcatalog.Limits {
 	if cfg, _ := k.server.catalog.Config(); cfg != nil {
 		return cfg.Limits
--- a/io/tgproxy/conns.go
+++ b/io/tgproxy/conns.go
@@ -49,6 +49,7 @@
 	net.Conn
 	br      *bufio.Reader
 	expires time.Time // not reused from then on
+	reused  bool      // it has carried a request before, of which a second copy of the answer may still come
 }
 
 // connPool keeps the idle connections to upstreams and counts the open ones.
@@ -73,6 +74,7 @@
 			break
 		}
 		if c.usable() {
+			c.reused = true
 			return c, nil
 		}
 		p.discard(addr, c)
--- a/io/tgproxy/exchange.go
+++ b/io/tgproxy/exchange.go
@@ -123,6 +123,8 @@
 	signed := r.Header.Get(c.headers.Signature) != ""
 	notRun := r.Header.Get(c.headers.NotExecuted) != ""
 	switch {
+	case !echoed && x.conn.reused:
+		x.kind, x.detail = answerInvalid, "answer without the attempt ID on a connection that was in use before"
 	case r.Status == statusMisdirected, notRun && (r.Status >= 400):
 		x.kind = answerNotExecuted
 		x.detail = "status " + strconv.Itoa(r.Status)
@@ -153,6 +155,10 @@
 		x.pool.discard(x.target.Address, x.conn)
 		return
 	}
+	if x.conn.SetReadDeadline(time.Time{}) != nil {
+		x.pool.discard(x.target.Address, x.conn)
+		return
+	}
 	x.pool.put(x.target.Address, x.conn, idleTimeout(x.response))
 }
 
--- a/io/tgproxy/harness_test.go
+++ b/io/tgproxy/harness_test.go
@@ -104,17 +104,20 @@
 	return []tgcatalog.Route{once, stream, twice}
 }
 
-// proxyOption changes the configuration or the limits of a testProxy.
-type proxyOption func(*tgcatalog.Config, *tgproxy.Limits)
-
-func withBufferBytes(n int64) proxyOption {
-	return func(_ *tgcatalog.Config, l *tgproxy.Limits) { l.BufferBytes = n }
+// proxySetup is what a proxyOption may change.
+type proxySetup struct {
+	config      *tgcatalog.Config
+	limits      tgproxy.Limits
+	wrapCatalog func(tgproxy.Catalog) tgproxy.Catalog
 }
 
+// proxyOption changes the set-up of a testProxy.
+type proxyOption func(*proxySetup)
+
+func withBufferBytes(n int64) proxyOption { return func(s *proxySetup) { s.limits.BufferBytes = n } }
+
 func withMaxConnections(n int) proxyOption {
-	return func(cfg *tgcatalog.Config, _ *tgproxy.Limits) {
-		cfg.Pools["pool"] = tgcatalog.Pool{MaxConnections: n, Name: "pool"}
-	}
+	return func(s *proxySetup) { s.config.Pools["pool"] = tgcatalog.Pool{MaxConnections: n, Name: "pool"} }
 }
 
 func newTestProxy(t *testing.T, engines int, options ...proxyOption) *testProxy {
@@ -126,12 +129,13 @@
 		BodyBytes: 1 << 20, HeaderBytes: 8 << 10, HeaderTimeout: time.Second, IdleTimeout: 5 * time.Second,
 	}
 	cfg.Pools = map[string]tgcatalog.Pool{"pool": {MaxConnections: 100, Name: "pool"}}
-	limits := tgproxy.Limits{
+	setup := &proxySetup{config: cfg, wrapCatalog: func(c tgproxy.Catalog) tgproxy.Catalog { return c }}
+	setup.limits = tgproxy.Limits{
 		DrainGrace: 5 * time.Second, RetryBurst: 1000, RetryRatio: 0.2, RetryWindow: 10 * time.Second,
 		ShutdownReserve: 500 * time.Millisecond,
 	}
 	for _, o := range options {
-		o(cfg, &limits)
+		o(setup)
 	}
 	b := &testProxy{catalog: &testCatalog{config: cfg, current: true, entries: 1}, events: &events{}, done: make(chan struct{})}
 	for i := range engines {
@@ -143,7 +147,7 @@
 			Address: netip.MustParseAddrPort(l.Addr().String()), ID: e.ID, Pool: "pool", State: tgcatalog.StateReady,
 		})
 	}
-	b.proxy = tgproxy.NewServer("dc", b.catalog, tgplatform.Headers(), limits, b.events, new(expvar.Map).Init())
+	b.proxy = tgproxy.NewServer("dc", setup.wrapCatalog(b.catalog), tgplatform.Headers(), setup.limits, b.events, new(expvar.Map).Init())
 	l := listen(t)
 	b.addr = l.Addr().String()
 	ctx, stop := context.WithCancel(t.Context())
--- a/io/tgproxy/stream.go
+++ b/io/tgproxy/stream.go
@@ -11,54 +11,74 @@
 
 const streamReadBytes = 4 << 10
 
-// deliverStream forwards complete events as they arrive. A stream that breaks may be resumed at another upstream after
-// the last event that was forwarded.
+// deliverStream forwards complete events as they arrive. A stream that breaks or stalls may be resumed at another upstream
+// after the last event that was forwarded.
 func (k *callerConn) deliverStream(a *responseState, c *call, x *exchange) (tgpicker.Outcome, verdict) {
 	var events eventSplitter
 	a.lastEventAt = time.Time{}
 	held := c.buffers.held
 	defer func() { c.buffers.releaseTo(held) }()
+	stall := c.route.StallTimeout()
 	buf := make([]byte, streamReadBytes)
-	for {
+	for lastID := noEventID - 1; ; {
+		if a.lastEventID > lastID { // only a new event shows that the stream goes on
+			lastID = a.lastEventID
+			if err := x.conn.SetReadDeadline(time.Now().Add(stall)); err != nil {
+				return k.failStream(a, c, "stream truncated: "+err.Error())
+			}
+		}
 		n, err := x.body.Read(buf)
 		if n > 0 {
-			if err := c.buffers.Reserve(events.growth(n)); err != nil {
-				c.detail = "event is not buffered: " + err.Error()
-				return k.failStream(a, c)
-			}
-			complete := events.feed(buf[:n])
-			if len(complete) > 0 {
-				r := parseEventRange(complete)
-				if !r.follows(a.lastEventID) {
-					c.detail = fmt.Sprintf("event ID %d does not follow event ID %d", r.first, a.lastEventID)
-					return k.failStream(a, c)
-				}
-				if !k.writeEvents(a, c, x, complete, r) {
-					return tgpicker.OutcomeCancelled, verdictDone
-				}
-				events.consume(len(complete))
+			failure, ok := k.forwardEvents(a, c, x, &events, buf[:n])
+			if failure != "" {
+				return k.failStream(a, c, failure)
 			}
-			if events.tooLong() {
-				c.detail = "event exceeds the size limit"
-				return k.failStream(a, c)
+			if !ok {
+				return tgpicker.OutcomeCancelled, verdictDone
 			}
 		}
-		if x.body.Complete() {
-			if events.hasPartial() {
-				c.detail = "stream ends in the middle of an event"
-				return k.failStream(a, c)
-			}
+		switch {
+		case x.body.Complete() && events.hasPartial():
+			return k.failStream(a, c, "stream ends in the middle of an event")
+		case x.body.Complete():
 			return k.endStream(a, c, x)
+		case isTimeout(err):
+			k.server.counters.Add("stalledStreams", 1)
+			return k.failStream(a, c, "stream stalled: no new event within "+stall.String())
+		case err != nil:
+			return k.failStream(a, c, "stream truncated: "+err.Error())
+		}
+	}
+}
+
+// forwardEvents forwards the events that are complete with new bytes of the stream. It returns why the stream is faulty, if
+// it is, and whether the caller is still connected.
+func (k *callerConn) forwardEvents(
+	a *responseState, c *call, x *exchange, events *eventSplitter, data []byte,
+) (failure string, ok bool) {
+	if err := c.buffers.Reserve(events.growth(len(data))); err != nil {
+		return "event is not buffered: " + err.Error(), true
+	}
+	complete := events.feed(data)
+	if len(complete) > 0 {
+		r := parseEventRange(complete)
+		if !r.follows(a.lastEventID) {
+			return fmt.Sprintf("event ID %d does not follow event ID %d", r.first, a.lastEventID), true
 		}
-		if err != nil {
-			c.detail = "stream truncated: " + err.Error()
-			return k.failStream(a, c)
+		if !k.writeEvents(a, c, x, complete, r) {
+			return "", false
 		}
+		events.consume(len(complete))
+	}
+	if events.tooLong() {
+		return "event exceeds the size limit", true
 	}
+	return "", true
 }
 
 // failStream returns what follows a broken stream: a route whose streams are resumable allows another attempt.
-func (k *callerConn) failStream(a *responseState, c *call) (tgpicker.Outcome, verdict) {
+func (k *callerConn) failStream(a *responseState, c *call, detail string) (tgpicker.Outcome, verdict) {
+	c.detail = detail
 	if a.ctx.Err() != nil {
 		k.abandon(a, c)
 		return tgpicker.OutcomeCancelled, verdictDone
--- /dev/null
+++ b/io/tgproxy/trouble_test.go
@@ -0,0 +1,99 @@
+package tgproxy_test
+
+import (
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tanagergrade/core/tgcatalog"
+	"tanagergrade/io/tgproxy"
+	"tanagergrade/platform/tgemulator"
+)
+
+// Guards against a request that must not repeat and runs twice: a second copy of an earlier refusal comes late, on a
+// connection that is in use again, and does not tell which attempt it answers.
+func TestLateCopyOfRefusal(t *testing.T) {
+	b := newTestProxy(t, 1)
+	client := b.dial(t)
+	client.send(request("POST", "/once/x", "first", "{}")) // leaves an idle connection to the engine
+	r, _, _ := client.receive()
+	assert.Equal(t, r.Status, 200)
+	b.engines[0].QueueFaults(tgemulator.FaultLateRefusal)
+	client.send(request("POST", "/once/x", "second", "{}"))
+	r, _, _ = client.receive()
+	assert.Equal(t, r.Status, 502, "the request has run")
+	assert.Equal(t, b.runs("second"), 1)
+}
+
+// Guards against stalled streams that last as long as the route allows because a byte comes now and then, and against slow
+// streams that are cut although each event is a new one.
+func TestStalledStream(t *testing.T) {
+	t.Parallel()
+	t.Run("stalled", func(t *testing.T) {
+		t.Parallel()
+		b := newTestProxy(t, 2, withPatientStreams)
+		shared := make(chan tgemulator.Fault, 1)
+		shared <- tgemulator.FaultStalledStream
+		for _, e := range b.engines {
+			e.SharedFaults = shared
+		}
+		client := b.dial(t)
+		start := time.Now()
+		client.send(request("POST", "/stream/x", "a1", "{}", streamHeader))
+		_, body, complete := client.receive()
+		assert.Assert(t, complete)
+		assert.Equal(t, strings.ReplaceAll(body, ":\n\n", ""), wholeStream) // resumed at the other engine
+		assert.Assert(t, time.Since(start) < 10*time.Second)
+	})
+	t.Run("slow", func(t *testing.T) {
+		t.Parallel()
+		b := newTestProxy(t, 1, withPatientStreams)
+		b.engines[0].EventInterval = 2 * time.Second
+		client := b.dial(t)
+		client.send(request("POST", "/stream/x", "a1", "{}", streamHeader))
+		_, body, complete := client.receive()
+		assert.Assert(t, complete)
+		assert.Equal(t, body, wholeStream)
+	})
+}
+
+// withPatientStreams lets streams take longer than their stall timeout.
+func withPatientStreams(s *proxySetup) {
+	route, _ := s.config.Route(routeHost, "/stream/x")
+	route.EventGapTarget, route.Timeout = 100*time.Millisecond, 20*time.Second
+}
+
+// panickingCatalog panics at the first look at the upstreams.
+type panickingCatalog struct {
+	tgproxy.Catalog
+	panicked atomic.Bool
+}
+
+// Upstreams implements tgproxy.Catalog.
+func (c *panickingCatalog) Upstreams(pool string) []tgcatalog.Upstream {
+	if !c.panicked.Swap(true) {
+		panic("unexpected")
+	}
+	return c.Catalog.Upstreams(pool)
+}
+
+// Guards against an unexpected fault in one request that takes other requests or the process with it.
+func TestPanicInRequest(t *testing.T) {
+	b := newTestProxy(t, 1, func(s *proxySetup) {
+		s.wrapCatalog = func(c tgproxy.Catalog) tgproxy.Catalog { return &panickingCatalog{Catalog: c} }
+	})
+	first := b.dial(t)
+	first.send(request("GET", "/twice/x", "a1", ""))
+	assert.Assert(t, first.waitForEnd() != nil)
+	second := b.dial(t)
+	second.send(request("GET", "/twice/x", "a2", ""))
+	r, _, complete := second.receive()
+	assert.Assert(t, complete && r.Status == 200)
+	b.events.mu.Lock()
+	defer b.events.mu.Unlock()
+	assert.Equal(t, b.events.list[0].Outcome, "broken")
+	b.stop() // conc raises a panic again when Serve waits for its goroutines
+}
