--- a/core/tgstreamlimit/breaker.go
+++ b/core/tgstreamlimit/breaker.go
@@ -6,8 +6,9 @@
 )
 
 const (
-	probeInterval       = 250 * time.Millisecond
-	minOutageRetryAfter = 500 * time.Millisecond
+	probeInterval = 250 * time.Millisecond
+	// A pool that has lost an engine rarely runs again within a second, and most callers come back only once.
+	minOutageRetryAfter = time.Second
 	maxOutageRetryAfter = 3 * time.Second
 )
 
