--- a/core/tgexpert/improve.go
+++ b/core/tgexpert/improve.go
@@ -22,24 +22,24 @@
 // limit changes and returns how many it tried.
 func (s *solver) improve(gain float64, limit int) (bestMoves, tried int) {
 	s.split(splitRounds)
-	before := s.load[s.heaviest()]
+	before := s.load[s.mostLoaded()]
 	s.bestExperts = append(s.bestExperts[:0], s.experts...)
 	s.bestWeights = append(s.bestWeights[:0], s.weights...)
 	moves, bestScore := 0, 0.0
 	even := sum(s.load) / float64(len(s.load)) * evenLoadFactor
 	for ; tried < limit && moves-bestMoves < maxMovesWithoutGain; tried++ {
-		heaviest := s.heaviest()
-		if s.load[heaviest] < even {
+		mostLoaded := s.mostLoaded()
+		if s.load[mostLoaded] < even {
 			break
 		}
-		c, ok := s.bestChange(heaviest, s.load[heaviest])
+		c, ok := s.bestChange(mostLoaded, s.load[mostLoaded])
 		if !ok {
 			break
 		}
 		s.apply(c)
 		s.split(resplitRounds)
 		moves += c.moves
-		if score := before - s.load[s.heaviest()] - gain*float64(moves); score > bestScore {
+		if score := before - s.load[s.mostLoaded()] - gain*float64(moves); score > bestScore {
 			bestMoves, bestScore = moves, score
 			copy(s.bestExperts, s.experts)
 			copy(s.bestWeights, s.weights)
@@ -57,7 +57,7 @@
 	slowest := func() (total float64, worst *solver) {
 		worst, highest := s, 0.0
 		for _, p := range pair {
-			load := p.load[p.heaviest()]
+			load := p.load[p.mostLoaded()]
 			if skew := load / sum(p.load); skew > highest {
 				worst, highest = p, skew
 			}
@@ -72,8 +72,8 @@
 	s.bestWeights = append(s.bestWeights[:0], s.weights...)
 	moves, bestScore := 0, 0.0
 	for ; tried < limit && moves-bestMoves < maxMovesWithoutGain; tried++ {
-		heaviest := worst.heaviest()
-		c, ok := worst.bestChange(heaviest, worst.load[heaviest])
+		mostLoaded := worst.mostLoaded()
+		c, ok := worst.bestChange(mostLoaded, worst.load[mostLoaded])
 		if !ok {
 			break
 		}
@@ -94,8 +94,8 @@
 	return bestMoves, tried
 }
 
-// heaviest returns the most loaded rank.
-func (s *solver) heaviest() int {
+// mostLoaded returns the most loaded rank.
+func (s *solver) mostLoaded() int {
 	h := 0
 	for r, l := range s.load {
 		if l > s.load[h] {
@@ -106,13 +106,13 @@
 }
 
 // bestChange returns the change that lowers the largest load most, estimated without a new split.
-func (s *solver) bestChange(heaviest int, before float64) (change, bool) {
+func (s *solver) bestChange(mostLoaded int, before float64) (change, bool) {
 	best := change{maxLoad: before}
 	found := false
-	for _, light := range s.lightest() {
-		for from := heaviest * s.slots; from < (heaviest+1)*s.slots; from++ {
+	for _, light := range s.leastLoaded() {
+		for from := mostLoaded * s.slots; from < (mostLoaded+1)*s.slots; from++ {
 			e := s.experts[from]
-			if e == EmptySlot || s.holds(light, e) || light == heaviest {
+			if e == EmptySlot || s.holds(light, e) || light == mostLoaded {
 				continue
 			}
 			for to := light * s.slots; to < (light+1)*s.slots; to++ {
@@ -125,8 +125,8 @@
 	return best, found
 }
 
-// lightest returns the least loaded ranks, at most candidateTargets of them, by load.
-func (s *solver) lightest() []int {
+// leastLoaded returns the least loaded ranks, at most candidateTargets of them, by load.
+func (s *solver) leastLoaded() []int {
 	order := s.order[:0]
 	for r := range s.load {
 		i := len(order)
--- a/core/tgmember/table.go
+++ b/core/tgmember/table.go
@@ -273,7 +273,7 @@
 // set stores m if the view has room for it, queues the update, and reports whether it was stored. The caller holds mu.
 func (t *Table) set(m tgframe.Member) bool {
 	old := t.members[m.Name]
-	if old == nil && m.DataCentre != t.self.DataCentre && !t.makeRoom(m) {
+	if old == nil && m.DataCentre != t.self.DataCentre && !t.evictFor(m) {
 		return false
 	}
 	if old == nil || (old.Status != m.Status && (old.Status != tgframe.MemberListed || m.Status != tgframe.MemberAlive)) ||
@@ -315,10 +315,10 @@
 	delete(t.pending, name)
 }
 
-// makeRoom bounds the view of another data centre: it evicts a representative that ranks below m, if the bound is
+// evictFor bounds the view of another data centre: it evicts a representative that ranks below m, if the bound is
 // reached, and reports whether m may be stored. Ties are broken by a hash that includes this daemon's name, so that daemons
 // keep different representatives.
-func (t *Table) makeRoom(m tgframe.Member) bool {
+func (t *Table) evictFor(m tgframe.Member) bool {
 	var others []*entry
 	for _, e := range t.members {
 		if e.DataCentre == m.DataCentre && (e.Status == tgframe.MemberLeaving) == (m.Status == tgframe.MemberLeaving) {
--- a/core/tgqueue/class.go
+++ b/core/tgqueue/class.go
@@ -154,8 +154,8 @@
 	return worst.queued[len(worst.queued)-1]
 }
 
-// workBefore returns the queued work that would be taken before a new request t.
-func (c *class[T]) workBefore(t *Ticket[T]) float64 {
+// queuedWorkAhead returns the queued work that would be taken before a new request t.
+func (c *class[T]) queuedWorkAhead(t *Ticket[T]) float64 {
 	start, n := c.startOf(t.account), 0.0
 	for _, f := range c.heap {
 		first := f.queued[0]
--- a/core/tgqueue/queue.go
+++ b/core/tgqueue/queue.go
@@ -243,7 +243,7 @@
 	for rank := range t.rank {
 		ahead += q.classes[rank].work
 	}
-	ahead += q.classes[t.rank].workBefore(t)
+	ahead += q.classes[t.rank].queuedWorkAhead(t)
 	return time.Duration(min(ahead/q.servedWork*seconds, maxExpectedWait.Seconds()) * float64(time.Second))
 }
 
--- a/core/tgroute/chooser.go
+++ b/core/tgroute/chooser.go
@@ -221,7 +221,7 @@
 // evaluate excludes an upstream that does not respond, or that is slow while enough others are not.
 func (c *Chooser[P]) evaluate(u *upstream, now time.Time) {
 	if u.sent > 0 && (u.excluded == "" || u.probing) {
-		if reason := u.pool.deadReason(u, now); reason != "" {
+		if reason := u.pool.unresponsiveReason(u, now); reason != "" {
 			u.exclude(reason, now, c.rand)
 			return
 		}
--- a/core/tgroute/health.go
+++ b/core/tgroute/health.go
@@ -95,9 +95,9 @@
 		(p.first > 0 && h.first.value > slowRatio*p.first || p.gap > 0 && h.gap.value > slowRatio*p.gap)
 }
 
-// deadReason returns why an upstream with attempts in flight looks unresponsive, or the empty reason. A queue reported by
+// unresponsiveReason returns why an upstream with attempts in flight looks unresponsive, or the empty reason. A queue reported by
 // the companion explains why no attempt of this process has had its first token, so that is no stall.
-func (p *poolStats) deadReason(u *upstream, now time.Time) Reason {
+func (p *poolStats) unresponsiveReason(u *upstream, now time.Time) Reason {
 	stall := max(minStallTime, time.Duration(stallGapFactor*p.gap*float64(time.Second)))
 	start := queueWaitAllowance + time.Duration(stallFirstTokenFactor*p.first*float64(time.Second))
 	idle := now.Sub(u.lastToken)
--- a/io/tgdemo/fault.go
+++ b/io/tgdemo/fault.go
@@ -39,7 +39,7 @@
 
 func (d *Demo) faults() []fault {
 	return []fault{
-		{at: time.Second, name: "a connection goes silent", inject: d.loseFlows},
+		{at: time.Second, name: "a connection goes silent", inject: d.blackholeFlows},
 		{at: withdrawnAt, name: "data centre " + dataCentreName(withdrawnIndex) + " is withdrawn", inject: func(ctx context.Context) error {
 			return d.setDataCentre(ctx, tgconfig.Withdrawn)
 		}},
@@ -66,8 +66,8 @@
 	}
 }
 
-// loseFlows makes the relay drop the packets of all its flows, as soon as there is one.
-func (d *Demo) loseFlows(ctx context.Context) error {
+// blackholeFlows makes the relay drop the packets of all its flows, as soon as there is one.
+func (d *Demo) blackholeFlows(ctx context.Context) error {
 	d.wg.Go(func() {
 		for d.relay.BlackholeFlows() == 0 && sleepUntil(ctx, time.Now().Add(flowPollInterval)) {
 		}
--- a/io/tgrank/group.go
+++ b/io/tgrank/group.go
@@ -13,30 +13,30 @@
 
 // group is the leader's state of one rank group.
 type group struct {
-	balancer        *tgbalance.Balancer
-	change          *tgmapchange.Switch // under way; nil if there is none
-	changeStarted   time.Time
-	current         *tgexpert.Replication // nil if not known
-	currentVersion  int64
-	demand          *tgbalance.DemandEstimator
-	engine          tgcatalog.Engine
-	epoch           int64
-	fastReports     bool      // the last beacons asked its agents to report often
-	firstSeen       time.Time // time of the first report of the epoch; zero before it
-	lastDecision    time.Time // when the balancer last decided
-	lastSkewLog     time.Time
-	lastStep        int64     // newest pass that a rank has reported in this epoch
-	lastStepAt      time.Time // when lastStep last grew
-	leaderVM        string    // to recognise reports that did not cross the network
-	members         []member
-	name            string
-	next            *tgexpert.Replication // to which change leads
-	nextDelta       tgexpert.Delta        // from current
-	nextVersion     int64
-	recovery        *tgmapchange.Recovery // under way; nil if there is none
-	recoveryStarted bool                  // a recovery of this term has begun in this epoch
-	strayStateSince time.Time             // since when ranks need a recovery without a change under way; zero if they do not
-	versionDeadline time.Time             // after it, a rank reporting another version than currentVersion invalidates current
+	balancer            *tgbalance.Balancer
+	change              *tgmapchange.Switch // under way; nil if there is none
+	changeStarted       time.Time
+	current             *tgexpert.Replication // nil if not known
+	currentVersion      int64
+	demand              *tgbalance.DemandEstimator
+	engine              tgcatalog.Engine
+	epoch               int64
+	fastReports         bool      // the last beacons asked its agents to report often
+	firstSeen           time.Time // time of the first report of the epoch; zero before it
+	lastDecision        time.Time // when the balancer last decided
+	lastSkewLog         time.Time
+	lastStep            int64     // newest pass that a rank has reported in this epoch
+	lastStepAt          time.Time // when lastStep last grew
+	leaderVM            string    // to recognise reports that did not cross the network
+	members             []member
+	name                string
+	next                *tgexpert.Replication // to which change leads
+	nextDelta           tgexpert.Delta        // from current
+	nextVersion         int64
+	recovery            *tgmapchange.Recovery // under way; nil if there is none
+	recoveryStarted     bool                  // a recovery of this term has begun in this epoch
+	recoveryNeededSince time.Time             // since when ranks need a recovery without a change under way; zero if they do not
+	versionDeadline     time.Time             // after it, a rank reporting another version than currentVersion invalidates current
 }
 
 type member struct {
--- a/io/tgrank/leader.go
+++ b/io/tgrank/leader.go
@@ -21,9 +21,9 @@
 	maxRanks          = 4096                   // of a group; a report that claims more is malformed
 	rankStaleAfter    = 900 * time.Millisecond // a rank that has not reported for longer gets no order to change
 	// A recovery starts when ranks hold a pass or are armed differently for this long although no change is under way.
-	strayStateTimeout = 400 * time.Millisecond
-	skewLogInterval   = time.Second          // between log lines on the skew of a group
-	transitTime       = 5 * time.Millisecond // time that a report is assumed to be on its way; usually it is shorter
+	recoveryStartDelay = 400 * time.Millisecond
+	skewLogInterval    = time.Second          // between log lines on the skew of a group
+	transitTime        = 5 * time.Millisecond // time that a report is assumed to be on its way; usually it is shorter
 )
 
 // Leader places the experts of all rank groups of a pool while its agent is elected.
@@ -246,7 +246,7 @@
 		l.sendOrders(a, g, g.recovery.NextOrders(ranks, now), term)
 		if g.recovery.Ended() {
 			l.Log.Line("recovery", map[string]any{"group": g.name, "outcome": g.recovery.Phase()})
-			g.recovery, g.strayStateSince = nil, time.Time{}
+			g.recovery, g.recoveryNeededSince = nil, time.Time{}
 		}
 	case !g.recoveryStarted:
 		if ready || g.hasHold() && now.Sub(g.firstSeen) >= holdRecoveryDelay {
@@ -254,14 +254,14 @@
 		}
 	case !ready && !g.hasHold():
 	case tgmapchange.RecoveryNeeded(ranks):
-		if g.strayStateSince.IsZero() {
-			g.strayStateSince = now
+		if g.recoveryNeededSince.IsZero() {
+			g.recoveryNeededSince = now
 		}
-		if now.Sub(g.strayStateSince) >= strayStateTimeout {
+		if now.Sub(g.recoveryNeededSince) >= recoveryStartDelay {
 			l.startRecovery(g, len(ranks))
 		}
 	default:
-		g.strayStateSince = time.Time{}
+		g.recoveryNeededSince = time.Time{}
 		l.decide(g, ranks, now)
 	}
 }
