--- a/io/tgfleet/exchange.go
+++ b/io/tgfleet/exchange.go
@@ -106,24 +106,26 @@
 			sleep(ctx, socketRetryPause)
 			continue
 		}
-		var g struct {
-			Gossip
-			SlowdownNotice
-		}
-		if cbor.Unmarshal(buf[:n], &g) != nil {
-			continue // not from a daemon of this version
-		}
-		if g.Slow != nil {
-			x.applySlowdowns(g.SlowdownNotice)
-		}
-		if g.VM == "" {
-			continue
-		}
-		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
-		now := time.Now()
-		x.Peers.RecordGossip(g.VM, from, g.Streams, now)
-		x.handleGossip(g.Gossip, from, now)
+		x.handleDatagram(buf[:n], netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), time.Now())
+	}
+}
+
+func (x *Exchange) handleDatagram(data []byte, from netip.AddrPort, now time.Time) {
+	var g struct {
+		Gossip
+		SlowdownNotice
+	}
+	if cbor.Unmarshal(data, &g) != nil {
+		return // not from a daemon of this version
+	}
+	if g.Slow != nil {
+		x.applySlowdowns(g.SlowdownNotice)
+	}
+	if g.VM == "" {
+		return
 	}
+	x.Peers.RecordGossip(g.VM, from, g.Streams, now)
+	x.handleGossip(g.Gossip, from, now)
 }
 
 // applySlowdowns applies a notice of the leader and logs which engines became slow or are no longer slow.
