Keep draining when SIGTERM comes again

The command stops catching signals with the first one, so that a second Ctrl-C ends it, and the second SIGTERM ended the daemon at once with the requests that its shutdown lets finish.

Change: daemons on the platform keep catching SIGTERM; the platform ends a process that overruns its grace with SIGKILL. SIGINT ends them as before. TestFurtherTermination is ended by the signal on the code before.

--- a/io/tgcommand/platform.go
+++ b/io/tgcommand/platform.go
@@ -52,6 +52,9 @@
 	reloadSignals := make(chan os.Signal, 1)
 	// Comes before anything else and is never undone: the default action of SIGHUP ends the process.
 	signal.Notify(reloadSignals, syscall.SIGHUP)
+	// Nobody reads the channel: the first SIGTERM starts the shutdown through the command's context, and a further one must
+	// not end the process, which would cut off the requests that the shutdown lets finish. The platform ends it with SIGKILL.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGTERM)
 	s, err := tgplatform.LoadSettings(os.Getenv(tgplatform.SettingsEnv))
 	if err != nil {
 		return nil, err
--- a/io/tgcommand/platform_test.go
+++ b/io/tgcommand/platform_test.go
@@ -23,6 +23,18 @@
 // Guards against a daemon that is ended by SIGHUP while it starts: the platform changes the settings and sends the signal
 // before the daemon watches the file. Found by seed 103 of the soak.
 func TestHangUpAtStart(t *testing.T) {
+	d := newTestDaemon(t)
+	assert.NilError(t, syscall.Kill(syscall.Getpid(), syscall.SIGHUP)) // would end the test
+	select {
+	case <-d.reloadSignals:
+	case <-time.After(5 * time.Second):
+		t.Fatal("SIGHUP did not reach the daemon's channel")
+	}
+}
+
+// newTestDaemon returns an entry daemon with the settings of a test.
+func newTestDaemon(t *testing.T) *platformDaemon {
+	t.Helper()
 	procs, memory, percent := runtime.GOMAXPROCS(0), debug.SetMemoryLimit(-1), debug.SetGCPercent(-1)
 	t.Cleanup(func() { // newPlatformDaemon changes them for the process
 		runtime.GOMAXPROCS(procs)
@@ -33,12 +45,20 @@
 	d, err := (&config{stderr: io.Discard, stdout: io.Discard}).newPlatformDaemon(tgfleet.RoleEntry)
 	assert.NilError(t, err)
 	t.Cleanup(func() { signal.Stop(d.reloadSignals) })
-	assert.NilError(t, syscall.Kill(syscall.Getpid(), syscall.SIGHUP)) // would end the test
-	select {
-	case <-d.reloadSignals:
-	case <-time.After(5 * time.Second):
-		t.Fatal("SIGHUP did not reach the daemon's channel")
-	}
+	return d
+}
+
+// Guards against a second SIGTERM that ends a daemon at once and cuts off the requests that its shutdown lets finish: the
+// command stops catching signals with the first one. Found by the soak (seed 12023).
+func TestFurtherTermination(t *testing.T) {
+	ctx, stop := signal.NotifyContext(t.Context(), syscall.SIGTERM)
+	defer stop()
+	newTestDaemon(t)
+	assert.NilError(t, syscall.Kill(syscall.Getpid(), syscall.SIGTERM))
+	<-ctx.Done()
+	stop()
+	assert.NilError(t, syscall.Kill(syscall.Getpid(), syscall.SIGTERM)) // would end the test
+	time.Sleep(100 * time.Millisecond)
 }
 
 // lossyStore lets the first waiting read time out, although there is a new record. Later reads return the record.
