List a pull for upstreams that brings a stale configuration along

Found in the last reading: claimPull holds back pulls for the operator's table while an entry has no configuration, but a pull for the upstreams takes both tables. No product code changed.

--- a/io/tgfleet/exchange_test.go
+++ b/io/tgfleet/exchange_test.go
@@ -91,3 +91,11 @@
 	}
 	assert.Equal(t, pulledFrom, "newest")
 }
+
+// Guards against the same if the stale peer also knows upstreams: a pull for the upstreams takes both tables of the peer.
+func TestStalePeerWithUpstreams(t *testing.T) {
+	x := &Exchange{
+		OperatorTable: tglogtable.NewTable(), UpstreamsTable: tglogtable.NewTable(), View: tgview.NewView(tgview.Codec{}),
+	}
+	assert.Assert(t, !x.claimPull(Gossip{OperatorEnd: 1, UpstreamsEnd: 1, VM: "stale"}, time.Unix(1000, 0)))
+}
