--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,7 +29,8 @@
 
 // cases are the cases by name.
 var cases = map[string]func(d *deployment, trouble bool) (verdict, error){
-	"map": runMapCase,
+	"map":   runMapCase,
+	"parts": runPartsCase,
 }
 
 // caseTimeout bounds a case; a script may take 120 s.
@@ -55,7 +56,6 @@
 	if err != nil {
 		return err
 	}
-	defer rec.close()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	ctx, cancel := context.WithTimeout(ctx, caseTimeout)
--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -9,8 +9,8 @@
 
 // record is the file with what was sent, answered and run.
 type record struct {
-	file  *os.File
 	mu    sync.Mutex // guards file
+	file  *os.File   // nil after the verdict, which is the last line
 	start time.Time
 }
 
@@ -26,14 +26,17 @@
 func (r *record) linef(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.file == nil {
+		return
+	}
 	fmt.Fprintf(r.file, "%8.3f %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
 }
 
-// verdict writes the last line of the record.
+// verdict writes the last line of the record and closes it.
 func (r *record) verdict(v verdict) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	fmt.Fprintf(r.file, "verdict: %s\n", v)
+	_ = r.file.Close()
+	r.file = nil
 }
-
-func (r *record) close() { _ = r.file.Close() }
