--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -12,17 +12,15 @@
 	"tanagergrade/io/tghttp"
 )
 
-const (
-	streamEvents  = 12
-	eventInterval = 20 * time.Millisecond
-)
-
 // engine is a model engine that is in no group. A request with the deadly part ends it once it has begun to write the
 // answer: after deadlyEvents events.
 type engine struct {
-	deadlyEvents int
-	id           string
-	onCrash      func()
+	deadlyEvents  int
+	events        int // of a stream
+	eventInterval time.Duration
+	id            string
+	onCrash       func()
+	onRun         func(id string) // called when the engine begins to work on a request; may be nil
 
 	mu       sync.Mutex // guards the fields below
 	conns    map[net.Conn]bool
@@ -101,6 +99,9 @@
 		return writeAll(conn, fmt.Sprintf("HTTP/1.1 421 Misdirected Request\r\nTanagergrade-Attempt-Id: %s\r\n"+
 			"Content-Length: 0\r\n\r\n", id))
 	}
+	if e.onRun != nil {
+		e.onRun(id)
+	}
 	deadly := strings.Contains(r.Header.Get("Tanagergrade-Prompt-Prefix"), deadlyPart+":")
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nTanagergrade-Attempt-Id: %s\r\nTanagergrade-Response-Signature: %s.%s\r\n"+
 		"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id, e.id, id)
@@ -111,8 +112,8 @@
 	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
 		first = last + 1
 	}
-	for i := first; i <= streamEvents; i++ {
-		time.Sleep(eventInterval)
+	for i := first; i <= e.events; i++ {
+		time.Sleep(e.eventInterval)
 		if deadly && i == first+e.deadlyEvents {
 			e.onCrash()
 			e.crash()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -32,6 +32,7 @@
 	"event": runEventCase,
 	"map":   runMapCase,
 	"parts": runPartsCase,
+	"stop":  runStopCase,
 }
 
 // caseTimeout bounds a case; a script may take 120 s.
--- a/review/standin/partscase.go
+++ b/review/standin/partscase.go
@@ -34,8 +34,8 @@
 	deadlyEvents int // events of an answer on the deadly part before the engine ends
 	entries      []string
 	length       time.Duration // of the time with requests with the deadly part
-	position     int // of the deadly part in the prompt
-	shared       int // parts of a prompt before its last one
+	position     int           // of the deadly part in the prompt
+	shared       int           // parts of a prompt before its last one
 
 	mu         sync.Mutex // guards the fields below
 	crashes    []time.Time
@@ -107,7 +107,9 @@
 
 // addEngine starts an engine that is in no group.
 func (c *partsCase) addEngine(i int) error {
-	e := &engine{deadlyEvents: c.deadlyEvents, id: fmt.Sprintf("i-%d", i)}
+	e := &engine{
+		deadlyEvents: c.deadlyEvents, events: 12, eventInterval: 20 * time.Millisecond, id: fmt.Sprintf("i-%d", i),
+	}
 	addr, err := c.d.listen(c.d.ip(3, i), e.serve)
 	if err != nil {
 		return err
