--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -108,11 +108,11 @@
 	d.store.Put(topic, key, data)
 }
 
-// registerEngine writes the registration of an engine.
-func (d *deployment) registerEngine(id, addr, service, state string, slots int) {
+// registerEngine writes the registration of a model engine.
+func (d *deployment) registerEngine(id, addr string) {
 	d.put(topicEngines, id, map[string]any{
 		"address": addr, "born": time.Now().UnixMilli(), "coldRemainingMs": 0, "seq": time.Now().UnixMilli(),
-		"service": service, "slots": slots, "state": state, "version": "1", "zone": "dc-0",
+		"service": poolModel, "slots": 12, "state": "ready", "version": "1", "zone": "dc-0",
 	})
 }
 
--- a/review/standin/mapcase.go
+++ b/review/standin/mapcase.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -35,7 +36,8 @@
 var errNotSteady = errors.New("the group did not change its map")
 
 // runMapCase plays a rank group whose engines change their maps. Some answers of one engine are followed by a second copy,
-// after which the engine closes the connection.
+// after which the engine closes the connection. With VARIANT=late, one answer of one engine is followed late by a second
+// copy, and the order that the copy seems to answer is carried out late.
 func runMapCase(d *deployment, trouble bool) (verdict, error) {
 	shape := tgemulator.Shape{Experts: 16, ExpertSlotsPerRank: 6, NewExpertsPerSet: 3, Ranks: ranks, Sets: 2}
 	c := &mapCase{d: d, group: tgemulator.NewGroup("g", shape, passInterval, 1)}
@@ -103,7 +105,7 @@
 	if err != nil {
 		return err
 	}
-	d.registerEngine(e.ID, app, poolModel, "ready", 12)
+	d.registerEngine(e.ID, app)
 	return d.startCompanion(i, app, poolModel)
 }
 
@@ -137,19 +139,28 @@
 
 const statusRefused = 400 // and above: the order was not accepted
 
-// disturb chooses some answers of the faulty engine to reports, as a pass is held and the order to arm is due.
-func (c *mapCase) disturb(call controlCall) bool {
+// disturb chooses some calls of the faulty engine: reports while a pass is held and the order to arm is due or, with
+// VARIANT=late, one order to arm.
+func (c *mapCase) disturb(call controlCall) disturbance {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if time.Now().After(c.faulty) || call.rank != faultyRank {
-		return false
+		return undisturbed
 	}
 	c.answers++
+	if os.Getenv("VARIANT") == "late" {
+		if c.extra > 0 || call.order.Operation != "arm" || !call.hasLast {
+			return undisturbed
+		}
+		c.extra++
+		c.d.rec.linef("%s: a second copy of the answer before it comes; the order is not answered", call)
+		return carryOutLate
+	}
 	if !c.held || call.target != reportTarget || c.extra >= maxExtra {
-		return false
+		return undisturbed
 	}
 	c.extra++
 	c.d.rec.linef("rank %d: a second copy of the answer to %s %s follows it, and the connection is closed", call.rank,
 		call.method, call.target)
-	return true
+	return answerTwice
 }
--- a/review/standin/partscase.go
+++ b/review/standin/partscase.go
@@ -115,7 +115,7 @@
 		return err
 	}
 	e.onCrash = func() { c.recordCrash(e.id, addr) }
-	c.d.registerEngine(e.id, addr, poolModel, "ready", 12)
+	c.d.registerEngine(e.id, addr)
 	return nil
 }
 
@@ -125,7 +125,7 @@
 	defer c.mu.Unlock()
 	c.crashes = append(c.crashes, time.Now())
 	c.d.rec.linef("a request with the deadly part reaches engine %s; crash %d", id, len(c.crashes))
-	time.AfterFunc(restartTime, func() { c.d.registerEngine(id, addr, poolModel, "ready", 12) })
+	time.AfterFunc(restartTime, func() { c.d.registerEngine(id, addr) })
 }
 
 func (c *partsCase) waitForService() bool {
--- a/review/standin/proxy.go
+++ b/review/standin/proxy.go
@@ -22,7 +22,7 @@
 // one, so that their answers can be disturbed as a faulty engine would do.
 type engineProxy struct {
 	answered func(call controlCall, status int) // called for each call that the engine has answered
-	disturb  func(call controlCall) bool        // reports whether the answer to a call is sent twice
+	disturb  func(call controlCall) disturbance // decides what becomes of a call
 	engine   string                             // address
 	rank     int
 }
@@ -30,6 +30,7 @@
 // controlCall is a call to the control interface.
 type controlCall struct {
 	body     []byte
+	hasLast  bool // an answer was sent on this connection before
 	method   string
 	order    orderBody // of a POST to /v1/order
 	rank     int
@@ -45,6 +46,18 @@
 	Version      int64  `json:"version"`
 }
 
+// disturbance is what the faulty engine does with a call.
+type disturbance string
+
+const (
+	undisturbed  disturbance = ""
+	answerTwice  disturbance = "twice" // a second copy of the answer follows it, and the engine closes the connection
+	carryOutLate disturbance = "late"  // a second copy of the answer before comes late; the call is carried out late, unanswered
+)
+
+// lateOrder is the time after which an unanswered order is carried out; the pages say 2 to 12 s.
+const lateOrder = 2500 * time.Millisecond
+
 // extraDelay is the time from an answer to its second copy.
 const extraDelay = 2 * time.Millisecond
 
@@ -96,15 +109,24 @@
 	}
 }
 
-// serveControl passes on calls and answers until the connection ends. After an answer that is disturbed, a second copy of
-// it follows, and the engine closes the connection.
+// serveControl passes on calls and answers until the connection ends.
 func (p *engineProxy) serveControl(client net.Conn, br *bufio.Reader, server net.Conn) {
 	serverReader := bufio.NewReader(server)
+	var last []byte // answer sent last on this connection
 	for {
 		call, raw, err := p.readCall(br)
 		if err != nil {
 			return
 		}
+		call.hasLast = last != nil
+		d := p.disturb(call)
+		if d == carryOutLate {
+			time.AfterFunc(lateOrder, func() { p.carryOut(call, raw) })
+			if _, err := client.Write(last); err != nil {
+				return
+			}
+			continue
+		}
 		if _, err := server.Write(raw); err != nil {
 			return
 		}
@@ -112,16 +134,16 @@
 		if err != nil {
 			return
 		}
-		extra := p.disturb(call)
 		p.answered(call, status)
 		if _, err := client.Write(answer); err != nil {
 			return
 		}
-		if extra {
+		if d == answerTwice {
 			time.Sleep(extraDelay)
 			_, _ = client.Write(answer) // the client may be gone
 			return
 		}
+		last = answer
 	}
 }
 
@@ -173,6 +195,22 @@
 	return r.Status, append(tghttp.AppendContentLength(raw, len(body)), body...), nil
 }
 
+// carryOut sends a call that was not answered to the engine.
+func (p *engineProxy) carryOut(call controlCall, raw []byte) {
+	conn, err := net.Dial("tcp", p.engine) //nolint:noctx // has a deadline
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(time.Second)) // fails only with the connection
+	if _, err := conn.Write(raw); err != nil {
+		return
+	}
+	if status, _, err := readAnswer(bufio.NewReader(conn), call.method); err == nil {
+		p.answered(call, status)
+	}
+}
+
 // String describes an order for the record.
 func (c controlCall) String() string {
 	o := c.order
--- a/review/standin/stopcase.go
+++ b/review/standin/stopcase.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -48,7 +49,7 @@
 		if err != nil {
 			return verdictNotRun, err
 		}
-		d.registerEngine(e.id, addr, poolModel, "ready", 12)
+		d.registerEngine(e.id, addr)
 	}
 	d.publishConfig(tgemulator.Shape{})
 	var err error
@@ -96,7 +97,8 @@
 	if err != nil {
 		return 0
 	}
-	req, err := http.NewRequestWithContext(c.d.ctx, http.MethodGet, fmt.Sprintf("http://%s:%d/v1/readyz", host, readyPort), nil)
+	url := "http://" + net.JoinHostPort(host, strconv.Itoa(readyPort)) + "/v1/readyz"
+	req, err := http.NewRequestWithContext(c.d.ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return 0
 	}
