--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,10 +29,11 @@
 
 // cases are the cases by name.
 var cases = map[string]func(d *deployment, trouble bool) (verdict, error){
-	"event": runEventCase,
-	"map":   runMapCase,
-	"parts": runPartsCase,
-	"stop":  runStopCase,
+	"event":   runEventCase,
+	"map":     runMapCase,
+	"parts":   runPartsCase,
+	"refused": runRefusedCase,
+	"stop":    runStopCase,
 }
 
 // caseTimeout bounds a case; a script may take 120 s.
