--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../run.sh" parts "$(cd "$(dirname "$0")" && pwd)"
+exec "$(dirname "$0")/../run.sh" refused "$(cd "$(dirname "$0")" && pwd)"
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -112,7 +112,7 @@
 func (d *deployment) registerEngine(id, addr string) {
 	d.put(topicEngines, id, map[string]any{
 		"address": addr, "born": time.Now().UnixMilli(), "coldRemainingMs": 0, "seq": time.Now().UnixMilli(),
-		"service": poolModel, "slots": 12, "state": "ready", "version": "1", "zone": "dc-0",
+		"service": poolModel, "slots": 12, "state": "ready", "version": "1", "zone": zones[0],
 	})
 }
 
@@ -124,27 +124,34 @@
 	"iterationMs": 120, "retryAfterS": 0, "stall_ms": 1500, "fencingEnforced": true,
 }
 
-// startEntry starts an entry and returns the address for clients.
-func (d *deployment) startEntry(i int) (string, error) {
+// startEntry starts an entry in the first zone and returns the address for clients.
+func (d *deployment) startEntry(i int) (string, error) { return d.startEntryIn(zones[0], i) }
+
+// zones are the zones of the deployment.
+var zones = [...]string{"dc-0", "dc-1"}
+
+// startEntryIn starts an entry in a zone and returns the address for clients.
+func (d *deployment) startEntryIn(zone string, i int) (string, error) {
 	ip := d.ip(2, i)
 	frontend := fmt.Sprintf("%s:%d", ip, callersPort)
 	return frontend, d.start(fmt.Sprintf("entry-%d", i), "entry", ip, map[string]any{
 		"limits": map[string]any{"memoryMb": 284},
 		"listen": map[string]any{"frontend": frontend, "ready": fmt.Sprintf("%s:%d", ip, readyPort)},
+		"zone":   zone,
 	})
 }
 
 // startCompanion starts the companion beside the engine at app.
 func (d *deployment) startCompanion(i int, app, service string) error {
 	return d.start(fmt.Sprintf("companion-%d", i), "companion", d.ip(2, i), map[string]any{
-		"app": app, "limits": map[string]any{"memoryMb": 152}, "listen": map[string]any{}, "service": service,
+		"app": app, "limits": map[string]any{"memoryMb": 152}, "listen": map[string]any{}, "service": service, "zone": zones[0],
 	})
 }
 
 func (d *deployment) start(name, role, ip string, settings map[string]any) error {
 	settings["bounds"], settings["heartbeatMs"], settings["ip"] = bounds, 1200, ip
 	settings["internalPorts"] = []int{firstPeerPort, lastPeerPort}
-	settings["nodeName"], settings["zone"] = name, "dc-0"
+	settings["nodeName"] = name
 	settings["platform"] = map[string]any{"address": d.storeAddr, "form": "log", "ttlMinMs": 1000}
 	data, err := json.Marshal(settings)
 	if err != nil {
--- a/review/standin/refusedcase.go
+++ b/review/standin/refusedcase.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	ledgers        = 6 // services with one engine each
+	ledgers        = 8 // services, with one engine in each zone
 	ledgerDown     = time.Second
 	entryDown      = 1200 * time.Millisecond
 	lapseTime      = 3600 * time.Millisecond // three heartbeats, after which the platform removes an entry
@@ -27,13 +27,13 @@
 // refusedCase is the state of the case "refused".
 type refusedCase struct {
 	d       *deployment
-	entry   string
-	extra   bool // engines send a second copy of an answer
-	ledgers []*ledger
+	entry   string    // in the zone that loses power
+	ledgers []*ledger // in that zone
 
 	mu      sync.Mutex     // guards the fields below
 	answers int            // of all engines since the disruption
 	copies  int            // answers that were sent twice
+	faulty  bool           // an engine sends a second copy of an answer
 	runs    map[string]int // by attempt
 }
 
@@ -41,33 +41,45 @@
 type ledger struct {
 	addr    string
 	c       *refusedCase
-	conns   map[net.Conn]bool
-	copied  bool // it has sent a second copy of an answer
-	id      string
-	l       net.Listener
-	mu      sync.Mutex // guards the other fields but addr, c and service
 	service string
+	zone    string
+
+	mu    sync.Mutex // guards the fields below
+	conns map[net.Conn]bool
+	id    string
+	l     net.Listener
 }
 
-// runRefusedCase plays a loss of power of the zone: the engines start again at their addresses under new ids, and the entry
-// starts while the platform still lists the old ones. An engine sends one of its answers twice, late.
+// runRefusedCase plays a loss of power of a zone: its engines start again at their addresses under new ids, and its entry
+// starts while the platform still lists the old ones. One engine sends one of its answers twice, late.
 func runRefusedCase(d *deployment, trouble bool) (verdict, error) {
 	c := &refusedCase{d: d, runs: map[string]int{}}
 	for i := range ledgers {
-		g := &ledger{c: c, conns: map[net.Conn]bool{}, id: fmt.Sprintf("i-old%d", i), service: fmt.Sprintf("ledger%d", i)}
-		addr, err := d.listen(d.ip(3, i), g.serve)
-		if err != nil {
-			return verdictNotRun, err
+		for z, zone := range zones {
+			id := fmt.Sprintf("i-old%d", i)
+			if z > 0 {
+				id = fmt.Sprintf("i-other%d", i)
+			}
+			g := &ledger{c: c, conns: map[net.Conn]bool{}, id: id, service: fmt.Sprintf("ledger%d", i), zone: zone}
+			addr, err := d.listen(d.ip(3+z, i), g.serve)
+			if err != nil {
+				return verdictNotRun, err
+			}
+			g.addr = addr
+			g.register(g.id)
+			if z == 0 {
+				c.ledgers = append(c.ledgers, g)
+			}
 		}
-		g.addr = addr
-		c.ledgers = append(c.ledgers, g)
-		g.register(g.id)
 	}
 	c.publish()
 	var err error
 	if c.entry, err = d.startEntry(0); err != nil {
 		return verdictNotRun, err
 	}
+	if _, err := d.startEntryIn(zones[1], 1); err != nil {
+		return verdictNotRun, err
+	}
 	if !c.waitForService() {
 		return verdictNotRun, errors.New("the entry did not serve")
 	}
@@ -84,7 +96,7 @@
 
 // publish writes the configuration: a route for each service, whose requests must not run twice.
 func (c *refusedCase) publish() {
-	var routes, services []any
+	routes, services := make([]any, 0, len(c.ledgers)), make([]any, 0, len(c.ledgers))
 	attempts := 2
 	if n, err := strconv.Atoi(os.Getenv("ATTEMPTS")); err == nil && n > 0 {
 		attempts = n // to compare
@@ -108,7 +120,7 @@
 func (g *ledger) register(id string) {
 	g.c.d.put(topicEngines, id, map[string]any{
 		"address": g.addr, "born": time.Now().UnixMilli(), "coldRemainingMs": 0, "seq": time.Now().UnixMilli(),
-		"service": g.service, "slots": 6, "state": "ready", "version": "1", "zone": "dc-0",
+		"service": g.service, "slots": 6, "state": "ready", "version": "1", "zone": g.zone,
 	})
 }
 
@@ -119,9 +131,9 @@
 	for _, g := range c.ledgers {
 		g.stop()
 	}
-	c.d.rec.linef("the zone loses power: the entry and %d engines end", len(c.ledgers))
+	c.d.rec.linef("zone dc-0 loses power: its entry and its %d engines end", len(c.ledgers))
 	c.mu.Lock()
-	c.extra = true
+	c.faulty = true
 	c.mu.Unlock()
 	time.Sleep(time.Until(lost.Add(ledgerDown)))
 	for i, g := range c.ledgers {
@@ -277,10 +289,9 @@
 	defer g.mu.Unlock()
 	g.c.mu.Lock()
 	defer g.c.mu.Unlock()
-	if !g.c.extra || g.copied || len(last) < len(misdirected) || last[:len(misdirected)] != misdirected {
+	if !g.c.faulty || g.c.copies > 0 || len(last) < len(misdirected) || last[:len(misdirected)] != misdirected {
 		return false
 	}
-	g.copied = true
 	g.c.copies++
 	g.c.d.rec.linef("engine %s sends a second copy of its last answer, late", g.id)
 	return true
