--- a/review/standin/partscase.go
+++ b/review/standin/partscase.go
@@ -34,6 +34,7 @@
 	deadlyEvents int // events of an answer on the deadly part before the engine ends
 	entries      []string
 	length       time.Duration // of the time with requests with the deadly part
+	pad          string        // before the ID of each part
 	position     int           // of the deadly part in the prompt
 	shared       int           // parts of a prompt before its last one
 
@@ -70,6 +71,9 @@
 	if n, err := strconv.Atoi(os.Getenv("EVENTS")); err == nil && n >= 0 {
 		c.deadlyEvents = n // to compare
 	}
+	if n, err := strconv.Atoi(os.Getenv("IDLENGTH")); err == nil && n > len(deadlyPart) {
+		c.pad = strings.Repeat("a", n-len(deadlyPart)) // to compare
+	}
 	if err := c.run(trouble); err != nil {
 		return verdictNotRun, err
 	}
@@ -154,7 +158,7 @@
 		if deadly && i == c.position {
 			part = deadlyPart
 		}
-		parts = append(parts, part+":20")
+		parts = append(parts, c.pad+part+":20")
 	}
 	prompt := strings.Join(append(parts, id+":20"), ",")
 	return strings.Replace(streamRequest(id), "a1:40,"+id+":60", prompt, 1)
