--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,2 +1,7 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../run.sh" refused "$(cd "$(dirname "$0")" && pwd)"
+# Case 3, REFUSED. Exit code: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0 leaves out the disruption.
+set -uo pipefail
+folder=$(cd "$(dirname "$0")" && pwd)
+. "$folder/../play.sh"
+play refused "${TROUBLE:-1}" >"$folder/record.txt"
+verdict "$folder/record.txt"
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -1,10 +1,10 @@
 // Command standin plays the cases of the review: it starts the daemons of the deploy file as separate processes on
 // loopback before stand-ins of the platform, the engines and the clients, brings about one disruption and checks one rule.
 //
-//	standin CASE FOLDER
+//	standin CASE TROUBLE
 //
-// It writes what was sent, answered and run to FOLDER/record.txt. The last line of the record is the verdict: "broken",
-// "held" or "not run". With TROUBLE=0 in the environment it leaves out the disruption.
+// It prints the record: what was sent, answered and run. The last line is the verdict: "broken", "held" or "not run". If
+// TROUBLE is 0, it leaves out the disruption.
 package main
 
 import (
@@ -13,7 +13,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"syscall"
 	"time"
 )
@@ -45,7 +44,7 @@
 	}
 }
 
-var errUsage = errors.New("usage: standin CASE FOLDER")
+var errUsage = errors.New("usage: standin CASE TROUBLE")
 
 func run(args []string) error {
 	if len(args) != 3 {
@@ -55,10 +54,7 @@
 	if !ok {
 		return fmt.Errorf("no case %q", args[1])
 	}
-	rec, err := newRecord(filepath.Join(args[2], "record.txt"))
-	if err != nil {
-		return err
-	}
+	rec := newRecord(os.Stdout)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	ctx, cancel := context.WithTimeout(ctx, caseTimeout)
@@ -69,7 +65,7 @@
 		return err
 	}
 	defer d.close()
-	trouble := os.Getenv("TROUBLE") != "0"
+	trouble := args[2] != "0"
 	rec.linef("case %s, disruption %t", args[1], trouble)
 	v, err := play(d, trouble)
 	if err != nil {
