--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -55,7 +57,7 @@
 		return nil, err
 	}
 	d := &deployment{ctx: ctx, dir: dir, rec: rec, store: tgemulator.NewStore()}
-	if d.subnet, err = freeSubnet(ctx); err != nil {
+	if err := d.takeSubnet(); err != nil {
 		return nil, err
 	}
 	if d.storeAddr, err = d.listen(d.ip(1, 0), func(l net.Listener) { _ = d.store.Serve(l) }); err != nil {
@@ -64,24 +66,32 @@
 	return d, nil
 }
 
-// freeSubnet returns a second byte of loopback addresses on which the ports of the daemons are free.
-func freeSubnet(ctx context.Context) (int, error) {
+// takeSubnet chooses a second byte of loopback addresses on which the ports of the daemons are free. A listener keeps other
+// runs from it until the case ends.
+func (d *deployment) takeSubnet() error {
 	var lc net.ListenConfig
+	first := rand.IntN(subnets)
 	for i := range subnets {
+		d.subnet = firstSubnet + (first+i)%subnets
+		lock, err := lc.Listen(d.ctx, "tcp", fmt.Sprintf("%s:%d", d.ip(1, 0), firstPeerPort))
+		if err != nil {
+			continue
+		}
 		free := true
 		for _, port := range []int{callersPort, readyPort, firstPeerPort, metricsPort} {
-			l, err := lc.Listen(ctx, "tcp", fmt.Sprintf("127.%d.2.1:%d", firstSubnet+i, port))
-			if err != nil {
-				free = false
+			l, err := lc.Listen(d.ctx, "tcp", fmt.Sprintf("%s:%d", d.ip(2, 0), port))
+			if free = err == nil; !free {
 				break
 			}
 			_ = l.Close()
 		}
 		if free {
-			return firstSubnet + i, nil
+			d.listeners = append(d.listeners, lock)
+			return nil
 		}
+		_ = lock.Close()
 	}
-	return 0, fmt.Errorf("no loopback subnet has free ports")
+	return errors.New("no loopback subnet has free ports")
 }
 
 // ip returns the i-th address of a kind: 1 for the store, 2 for daemons, 3 for engines, 4 for proxies before engines.
--- a/review/standin/partscase.go
+++ b/review/standin/partscase.go
@@ -17,9 +17,8 @@
 	partsEntries     = 2
 	restartTime      = 3 * time.Second // of an engine after a crash; the pages say some seconds
 	soundInterval    = 60 * time.Millisecond
-	poisonInterval   = 2500 * time.Millisecond
-	partsTime        = 95 * time.Second
-	eventTime        = 40 * time.Second
+	poisonInterval   = 2 * time.Second
+	poisonTime       = 22 * time.Second
 	manyParts        = 33 // before the last part of a prompt
 	partsCalm        = 3 * time.Second
 	deadlyPart       = "dead0001"
@@ -33,10 +32,9 @@
 	d            *deployment
 	deadlyEvents int // events of an answer on the deadly part before the engine ends
 	entries      []string
-	length       time.Duration // of the time with requests with the deadly part
-	pad          string        // before the ID of each part
-	position     int           // of the deadly part in the prompt
-	shared       int           // parts of a prompt before its last one
+	pad          string // before the ID of each part
+	position     int    // of the deadly part in the prompt
+	shared       int    // parts of a prompt before its last one
 
 	mu         sync.Mutex // guards the fields below
 	crashes    []time.Time
@@ -54,7 +52,7 @@
 // runPartsCase plays model engines that crash as they begin an answer on one part of a prompt. Prompts have 34 parts; the
 // deadly one is the last that requests share.
 func runPartsCase(d *deployment, trouble bool) (verdict, error) {
-	c := &partsCase{d: d, length: partsTime, outcomes: map[string]int{}, position: manyParts, shared: manyParts}
+	c := &partsCase{d: d, outcomes: map[string]int{}, position: manyParts, shared: manyParts}
 	if p, err := strconv.Atoi(os.Getenv("POSITION")); err == nil && p >= 1 && p <= manyParts {
 		c.position = p // to compare
 	}
@@ -67,7 +65,7 @@
 // runEventCase plays model engines that crash when they have written the first event of an answer on one part of a prompt.
 // Prompts have 3 parts; the deadly one is the second.
 func runEventCase(d *deployment, trouble bool) (verdict, error) {
-	c := &partsCase{d: d, deadlyEvents: 1, length: eventTime, outcomes: map[string]int{}, position: 2, shared: 2}
+	c := &partsCase{d: d, deadlyEvents: 1, outcomes: map[string]int{}, position: 2, shared: 2}
 	if n, err := strconv.Atoi(os.Getenv("EVENTS")); err == nil && n >= 0 {
 		c.deadlyEvents = n // to compare
 	}
@@ -105,7 +103,7 @@
 	if d.sleep(partsCalm) && trouble {
 		go c.send("poison", poisonInterval)
 	}
-	d.sleep(c.length)
+	d.sleep(poisonTime)
 	return nil
 }
 
--- a/review/standin/refusedcase.go
+++ b/review/standin/refusedcase.go
@@ -91,7 +91,13 @@
 	if !c.waitForReady() {
 		return verdictNotRun, errors.New("the entry did not become ready again")
 	}
-	return c.judge(c.post("p", postsPerLedger)), nil
+	v := c.judge(c.post("p", postsPerLedger))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if trouble && c.copies == 0 {
+		return verdictNotRun, errors.New("no request went to an old id, so no answer was sent twice")
+	}
+	return v, nil
 }
 
 // publish writes the configuration: a route for each service, whose requests must not run twice.
