Estimate the lengths of answers and keep the work left by upstream

Requests that look alike cost upstreams very different amounts of work, and nothing but the prompt's tokens was looked at; a prompt count of "nan" made the load of an upstream NaN for good.

core/tgcost learns the lengths of answers by route, account and the caller's hint as faded log histograms, bounded in memory, with its calibration; an entry that starts pulls the summaries of a peer. core/tgworkload keeps what is left to do by upstream. Malformed token counts count as unknown. The pick is not changed by this yet; log lines and the dump show the estimates.

--- a/core/tgcatalog/catalog.go
+++ b/core/tgcatalog/catalog.go
@@ -82,6 +82,7 @@
 	Experts            int     // in each set
 	ExpertSlotsPerRank int     // experts that a rank can hold in each set
 	LinkBitsPerS       float64
+	MemoryTokens       float64       // tokens that an engine's memory holds; 0 if not stated
 	NewExpertsPerSet   int           // most experts of a set that one preparation may add to a rank
 	StateReportLag     time.Duration // age of the state that an engine reports to other VMs
 	Sets               int           // of experts
@@ -89,6 +90,7 @@
 	StepTime           time.Duration // of a step without requests
 	StepsPerPass       int
 	StepTimePerStream  time.Duration // added to a step by each running stream of the engine
+	UsualAnswer        float64       // mean tokens of an answer; 0 if not stated
 }
 
 // HasExperts reports whether groups of engines share the experts of a model.
--- a/io/tgcommand/platform_entry.go
+++ b/io/tgcommand/platform_entry.go
@@ -96,7 +96,7 @@
 	e.proxy = tgproxy.NewServer(d.settings.DataCentre, e, tgplatform.Headers(), proxyLimits(d.settings), d.report,
 		d.report.Counters, tgproxy.WithQuarantine(e.quarantine))
 	e.exchange = &tgfleet.Exchange{
-		Log: d.report, OperatorTable: e.operator, Peers: d.peers, Quarantine: e.quarantine, Streams: e.proxy.Streams,
+		Costs: e.proxy.Costs(), Log: d.report, OperatorTable: e.operator, Peers: d.peers, Quarantine: e.quarantine, Streams: e.proxy.Streams,
 		UpstreamsTable: e.upstreams, VM: d.settings.VM, View: e.view,
 	}
 	return e
@@ -232,6 +232,9 @@
 	case configPath:
 		e.handleConfig(ctx)
 		return
+	case tgfleet.CostsPath:
+		e.exchange.HandleCosts(ctx)
+		return
 	case tgfleet.TablesPath:
 		e.exchange.HandleTables(ctx)
 		return
--- a/io/tgfleet/exchange.go
+++ b/io/tgfleet/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
+	"tanagergrade/core/tgcost"
 	"tanagergrade/core/tglogtable"
 	"tanagergrade/core/tgquarantine"
 	"tanagergrade/core/tgview"
@@ -35,6 +36,7 @@
 // Exchange synchronises the tables of the entries: each entry announces to the others how far its tables reach, and one
 // that is behind and gets nothing from the store pulls the tables of a peer.
 type Exchange struct {
+	Costs          *tgcost.Estimator // of answers; nil if they are not shared
 	Log            Log
 	OperatorTable  *tglogtable.Table
 	Peers          *Peers
@@ -48,11 +50,12 @@
 	behindSince     time.Time // since when OperatorTable ends before maxPeerEnd; zero if it does not
 	client          fasthttp.Client
 	askedQuarantine map[string]bool // VMs of peers; used by receive only
-	started         time.Time       // of Run
-	maxPeerEnd      int64           // highest end of the operator's topic that a peer announced
-	mu              sync.Mutex      // guards the other fields of this block except askedQuarantine, client and started
-	pulling         bool            // a pull is in progress
-	upstreamsReadAt time.Time       // when the store last answered a read of the upstreams
+	costsPull       costsPull
+	started         time.Time  // of Run
+	maxPeerEnd      int64      // highest end of the operator's topic that a peer announced
+	mu              sync.Mutex // guards the other fields of this block except askedQuarantine, client, costsPull and started
+	pulling         bool       // a pull is in progress
+	upstreamsReadAt time.Time  // when the store last answered a read of the upstreams
 }
 
 // Log receives changes of the daemon's view and of the state of its dependencies.
@@ -143,6 +146,7 @@
 	x.askQuarantine(conn, g.VM, from, now)
 	x.Peers.RecordGossip(g.VM, from, g.Streams, now)
 	x.handleGossip(g.Gossip, from, now)
+	x.startCostsPull(g.VM, from, now)
 }
 
 // applySlowdowns applies a notice of the leader and logs which engines became slow or are no longer slow.
--- a/io/tgproxy/call.go
+++ b/io/tgproxy/call.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"tanagergrade/core/tgcatalog"
+	"tanagergrade/core/tgcost"
 	"tanagergrade/core/tgquarantine"
 	"tanagergrade/core/tgstreamlimit"
+	"tanagergrade/core/tgworkload"
 	"tanagergrade/io/tghttp"
 )
 
@@ -19,8 +21,11 @@
 	buffers        *bufferLease
 	callerDeadline time.Time // as the caller declared it, or the default
 	config         *tgcatalog.Config
-	cost           float64 // load on an upstream, in streams without a prompt
-	detail         string  // why the last attempt failed, for the log
+	cost           float64         // load on an upstream, in streams without a prompt
+	costRequest    tgcost.Request  // what is known of a stream's cost
+	estimate       tgcost.Estimate // of a stream; the zero value if it was not estimated
+	job            *tgworkload.Job // of the present attempt at a stream; nil without one
+	detail         string          // why the last attempt failed, for the log
 	events         eventTimes
 	expiresAt      time.Time // earlier of the caller's deadline and the end of the route's timeout
 	headers        *Headers
@@ -29,6 +34,7 @@
 	mayHaveRun     bool   // an upstream may have run it, so no refusal may claim that it has not run
 	pool           string
 	promptParts    []string // IDs of the parts of the prompt that other requests may share
+	produced       float64  // tokens of the answer so far, of a stream
 	receivedAt     time.Time
 	request        *tghttp.Request
 	route          *tgcatalog.Route
@@ -70,9 +76,11 @@
 	if route.Kind != tgcatalog.KindStreaming {
 		return
 	}
-	prompt, _, _ := strings.Cut(c.request.Header.Get(c.headers.TokenCounts), ",")
-	if n, err := strconv.ParseFloat(strings.TrimSpace(prompt), 64); err == nil {
-		c.cost = 1 + min(max(n, 0)/promptTokensPerUnit, maxPromptUnits)
+	prompt, maxOutput := tgcost.ParseTokenCounts(c.request.Header.Get(c.headers.TokenCounts))
+	c.cost = 1 + min(prompt/promptTokensPerUnit, maxPromptUnits)
+	c.costRequest = tgcost.Request{
+		Hint:      tgcost.ParseTokens(c.request.Header.Get(c.headers.LengthHint)),
+		MaxOutput: maxOutput, Prompt: prompt, Route: route.Name,
 	}
 }
 
@@ -134,6 +142,10 @@
 		LongestPause: c.events.longestPause, Outcome: outcome, Pool: c.pool, Status: status,
 		TimeToFirstEvent: c.events.first, Upstream: c.upstream,
 	}
+	if c.estimate.Basis != "" {
+		e.ExpectedBasis, e.ExpectedTokens, e.LikelyTokens = string(c.estimate.Basis), c.estimate.Median, c.estimate.P90
+		e.PromptTokens, e.Tokens = c.costRequest.Prompt, c.produced
+	}
 	if c.config != nil {
 		e.ConfigVersion = c.config.Version
 	}
--- /dev/null
+++ b/io/tgproxy/cost.go
@@ -0,0 +1,51 @@
+package tgproxy
+
+import (
+	"time"
+
+	"tanagergrade/core/tgcatalog"
+	"tanagergrade/core/tgcost"
+)
+
+// Costs returns the estimator of the lengths of answers, which entries share.
+func (s *Server) Costs() *tgcost.Estimator { return s.costs }
+
+// estimate estimates what a stream costs.
+func (s *Server) estimate(c *call) {
+	if c.route.Kind != tgcatalog.KindStreaming {
+		return
+	}
+	c.costRequest.Account = c.account.Name
+	c.costRequest.Prior = c.config.Pools[c.pool].Engine.UsualAnswer
+	c.estimate = s.costs.Estimate(c.costRequest, time.Now())
+}
+
+// recordCost records the length of a stream that has ended as a whole.
+func (s *Server) recordCost(c *call) {
+	if c.produced > 0 {
+		s.costs.Observe(c.costRequest, c.estimate, c.produced, time.Now())
+	}
+}
+
+// startJob records the work of an attempt at a stream for its upstream. endJob removes it.
+func (s *Server) startJob(c *call, upstream string) {
+	if c.route.Kind == tgcatalog.KindStreaming {
+		c.job = s.ledger.Start(upstream, c.estimate, c.produced)
+	}
+}
+
+func (c *call) endJob() {
+	if c.job != nil {
+		c.job.End()
+		c.job = nil
+	}
+}
+
+// recordTokens records that the upstream has produced more events of a stream. An engine writes an event in each pass.
+func (c *call) recordTokens(events int) {
+	tokens := float64(events * max(1, c.config.Pools[c.pool].Engine.StepsPerPass))
+	c.produced += tokens
+	if c.job != nil {
+		c.job.Progress(tokens)
+	}
+}
--- a/io/tgproxy/forward.go
+++ b/io/tgproxy/forward.go
@@ -60,6 +60,7 @@
 	if c.ticket != nil {
 		defer func() { c.ticket.Done(time.Now()) }()
 	}
+	s.estimate(c)
 	k.tryUpstreams(a, c)
 }
 
@@ -145,6 +146,8 @@
 	if c.trial != nil {
 		c.trial.SetUpstream(u.ID)
 	}
+	s.startJob(c, u.ID)
+	defer c.endJob()
 	outcome, latency := tgpicker.OutcomeCancelled, time.Duration(0)
 	defer func() { choice.Done(outcome, latency, time.Now()) }() // also after a panic
 	x := s.startExchange(a.ctx, u, s.connectionShare(c), c, c.requestHead(u, a.lastEventID, time.Now()))
--- a/io/tgproxy/options.go
+++ b/io/tgproxy/options.go
@@ -17,6 +17,7 @@
 	Key            string // the caller's key; not forwarded
 	LastEventID    string // ID of the last event that the caller has received, to resume a stream
 	Leaving        string // set by upstreams that leave, in all their answers
+	LengthHint     string // the caller's estimate of the tokens of the answer
 	NotExecuted    string // set by upstreams that did not run the request
 	Priority       string // set for upstreams: 0 is admitted first
 	PromptParts    string // the prompt's parts in order, as ID:TOKENS separated by commas
@@ -56,18 +57,23 @@
 	ConfigVersion    int64
 	Detail           string
 	Elapsed          time.Duration
+	ExpectedTokens   float64 // of the answer, at the median; 0 if no length was estimated
+	ExpectedBasis    string  // what the expectation is based on
 	ID               string
 	InFlight         int
 	LongestPause     time.Duration // between events of a stream
 	Outcome          string
+	LikelyTokens     float64       // that nine of ten answers of this kind do not exceed
 	PeakGap          time.Duration // longest interval between events on which Limit is based
 	Limit            float64
 	Pool             string
 	PromptParts      string // IDs of the shared parts of the prompt, of an attempt that failed
 	RetryAfter       time.Duration
+	PromptTokens     float64
 	Route            string
 	Status           int
 	TimeToFirstEvent time.Duration // from the arrival of the request, of a stream
+	Tokens           float64       // of the answer
 	Upstream         string
 }
 
--- a/io/tgproxy/server.go
+++ b/io/tgproxy/server.go
@@ -9,11 +9,13 @@
 	"time"
 
 	"tanagergrade/core/tgcatalog"
+	"tanagergrade/core/tgcost"
 	"tanagergrade/core/tgpicker"
 	"tanagergrade/core/tgquarantine"
 	"tanagergrade/core/tgquota"
 	"tanagergrade/core/tgretry"
 	"tanagergrade/core/tgstreamlimit"
+	"tanagergrade/core/tgworkload"
 )
 
 // Server is the reverse proxy; it serves callers' connections.
@@ -22,10 +24,12 @@
 	catalog     Catalog
 	closingIdle atomic.Bool // the listener is closed and connections end when they are idle
 	conns       *connPool
+	costs       *tgcost.Estimator
 	counters    *expvar.Map
 	crashes     crashChecker
 	draining    atomic.Bool // each answer ends its connection
 	headers     Headers
+	ledger      *tgworkload.Ledger
 	limits      atomic.Pointer[Limits]
 	observer    Observer
 	picker      *tgpicker.Picker
@@ -57,7 +61,8 @@
 	options ...Option,
 ) *Server {
 	s := &Server{
-		callers: map[*callerConn]struct{}{}, catalog: catalog, conns: newConnPool(), counters: counters, headers: headers,
+		callers: map[*callerConn]struct{}{}, catalog: catalog, conns: newConnPool(), costs: tgcost.NewEstimator(),
+		counters: counters, headers: headers, ledger: tgworkload.NewLedger(),
 		breakers: map[string]*tgstreamlimit.Breaker{}, crashes: crashChecker{checks: map[netip.AddrPort]*crashCheck{}}, longestDeadlines: map[string]time.Duration{}, observer: observer,
 		picker: tgpicker.NewPicker(dataCentre), rand: rand.Float64, retryBudgets: map[string]*tgretry.WindowBudget{},
 		streamLimiters: map[string]*tgstreamlimit.Limiter{},
--- a/io/tgproxy/state.go
+++ b/io/tgproxy/state.go
@@ -1,21 +1,28 @@
 package tgproxy
 
 import (
+	"tanagergrade/core/tgcost"
 	"tanagergrade/core/tgpicker"
 	"tanagergrade/core/tgstreamlimit"
+	"tanagergrade/core/tgworkload"
 )
 
 // State is the state of the proxy in a dump of the daemon.
 type State struct {
 	Callers   int                            `json:"callers"` // open connections of callers
+	Costs     map[string]tgcost.RouteState   `json:"costs"`   // lengths of answers, by route
 	Draining  bool                           `json:"draining"`
 	Pools     map[string]tgstreamlimit.State `json:"pools"`
+	Work      map[string]tgworkload.State    `json:"work"` // left for the streams of this process, by upstream
 	Upstreams []tgpicker.UpstreamState       `json:"upstreams"`
 }
 
 // State returns the current state.
 func (s *Server) State() State {
-	state := State{Draining: s.isDraining(), Pools: map[string]tgstreamlimit.State{}, Upstreams: s.picker.States()}
+	state := State{
+		Costs: s.costs.States(), Draining: s.isDraining(), Pools: map[string]tgstreamlimit.State{},
+		Upstreams: s.picker.States(), Work: s.ledger.States(),
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	state.Callers = len(s.callers)
--- a/io/tgproxy/stream.go
+++ b/io/tgproxy/stream.go
@@ -130,6 +130,7 @@
 	}
 	if r.count > 0 {
 		c.events.record(c.receivedAt, now)
+		c.recordTokens(r.count)
 	}
 	if c.request.Minor > 0 {
 		b = tghttp.AppendChunk(b, events)
@@ -169,6 +170,7 @@
 	}
 	err := k.write(b)
 	a.keepAlive = a.keepAlive && err == nil
+	k.server.recordCost(c)
 	k.server.observer.Request(c.newEvent(outcomeAnswered, http.StatusOK, time.Now()))
 	return tgpicker.OutcomeAnswered, verdictDone
 }
--- a/io/tgreport/report.go
+++ b/io/tgreport/report.go
@@ -106,6 +106,11 @@
 	number("status", int64(e.Status))
 	number("firstEventMs", e.TimeToFirstEvent.Milliseconds())
 	number("longestPauseMs", e.LongestPause.Milliseconds())
+	text("basis", e.ExpectedBasis)
+	number("expectedTokens", int64(e.ExpectedTokens))
+	number("likelyTokens", int64(e.LikelyTokens))
+	number("promptTokens", int64(e.PromptTokens))
+	number("tokens", int64(e.Tokens))
 	if e.RetryAfter > 0 {
 		f["retryAfterMs"] = e.RetryAfter.Milliseconds()
 	}
