Tell callers without a configuration to return when it may be known

core/tgretry.Outage expects an outage to last as long again as it has lasted, at least a second, with jitter; the same wait follows a 421.

--- a/core/tgworkload/ledger_test.go
+++ b/core/tgworkload/ledger_test.go
@@ -2,10 +2,11 @@
 
 import (
 	"cmp"
-	"fmt"
+
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -56,11 +57,11 @@
 		for n := perSecond * step.Seconds(); n > 0 && (n >= 1 || r.Float64() < n); n-- {
 			length := max(1, 100*math.Exp(spread*r.NormFloat64()))
 			length = min(length, 400)
-			req := tgcost.Request{Account: fmt.Sprint(r.IntN(10)), Hint: length * math.Exp(0.5*r.NormFloat64()), Route: "r"}
+			req := tgcost.Request{Account: strconv.Itoa(r.IntN(10)), Hint: length * math.Exp(0.5*r.NormFloat64()), Route: "r"}
 			est := e.Estimate(req, now)
 			names := make([]string, upstreams)
 			for u := range names {
-				names[u] = fmt.Sprint(u)
+				names[u] = strconv.Itoa(u)
 			}
 			r.Shuffle(len(names), func(a, b int) { names[a], names[b] = names[b], names[a] })
 			best := slices.MinFunc(names, func(a, b string) int { return cmp.Compare(score(l, a, &est), score(l, b, &est)) })
--- a/io/tgproxy/forward.go
+++ b/io/tgproxy/forward.go
@@ -92,7 +92,7 @@
 			budget.RecordRequest(now)
 		} else if !budget.AllowRetry(now) {
 			choice.Done(tgpicker.OutcomeCancelled, 0, now)
-			k.endUnanswered(a, c, c.detail+"; retry budget is exhausted", retryAfterNoUpstream)
+			k.endUnanswered(a, c, c.detail+"; retry budget is exhausted", s.breaker(c.pool).RetryAfter(now))
 			return
 		}
 		c.attempts++
@@ -111,12 +111,21 @@
 			return
 		}
 		if c.attempts >= c.route.MaxAttempts || verdict != verdictRetry {
-			k.endUnanswered(a, c, c.detail, retryAfterFullBase+time.Duration(s.rand()*float64(retryAfterFullJitter)))
+			k.endUnanswered(a, c, c.detail, s.retryAfterAttempts(c))
 			return
 		}
 	}
 }
 
+// retryAfterAttempts returns when the caller of a request that upstreams did not run should retry. A full upstream soon
+// has a free slot, but one that was replaced by another incarnation has to register first.
+func (s *Server) retryAfterAttempts(c *call) time.Duration {
+	if c.misdirected {
+		return s.breaker(c.pool).RetryAfter(time.Now())
+	}
+	return retryAfterFullBase + time.Duration(s.rand()*float64(retryAfterFullJitter))
+}
+
 func (s *Server) pickRequest(c *call) tgpicker.Request {
 	rate := tgquota.ColdRate(c.config.Pools[c.pool].ColdRate, s.catalog.EntryCount())
 	r := tgpicker.Request{ColdRate: rate, Slowdown: s.catalog.Slowdown, Tried: c.tried, Work: c.cost}
@@ -160,6 +169,7 @@
 		c.mayHaveRun = true
 	}
 	outcome, v = k.forwardAnswer(a, c, x)
+	c.misdirected = outcome == tgpicker.OutcomeReplaced
 	if x.withdrawn.Load() && v == verdictRetry {
 		s.counters.Add("withdrawnAttempts", 1)
 		c.detail = "withdrawn because a part of the prompt is suspected of crashing upstreams"
--- a/io/tgproxy/handle.go
+++ b/io/tgproxy/handle.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	retryAfterNoConfig        = 500 * time.Millisecond // while the configuration is unknown or may be outdated
+	retryAfterUnconfirmed     = 500 * time.Millisecond // while the configuration may be outdated
 	retryAfterNoUpstream      = 700 * time.Millisecond
 	retryAfterFullBase        = 100 * time.Millisecond // short, because a full upstream soon has a free slot
 	retryAfterFullJitter      = 300 * time.Millisecond
@@ -25,8 +25,11 @@
 	c := s.newCall(r, body, buffers, receivedAt)
 	if status, outcome := s.resolve(c); status != 0 {
 		wait := time.Duration(0)
-		if status == http.StatusServiceUnavailable {
-			wait = retryAfterNoConfig
+		switch {
+		case c.config == nil:
+			wait = s.configOutage.RetryAfter(receivedAt)
+		case status == http.StatusServiceUnavailable:
+			wait = retryAfterUnconfirmed
 		}
 		return k.refuse(c, status, outcome, wait, r.KeepAlive)
 	}
@@ -45,6 +48,7 @@
 	if cfg == nil {
 		return http.StatusServiceUnavailable, "noConfiguration"
 	}
+	s.configOutage.End()
 	c.config = cfg
 	refuseUnknown := func(status int, outcome string) (int, string) {
 		if !current { // a newer configuration may have the route or key
--- a/io/tgproxy/server.go
+++ b/io/tgproxy/server.go
@@ -20,22 +20,23 @@
 
 // Server is the reverse proxy; it serves callers' connections.
 type Server struct {
-	buffers     bufferBudget
-	catalog     Catalog
-	closingIdle atomic.Bool // the listener is closed and connections end when they are idle
-	conns       *connPool
-	costs       *tgcost.Estimator
-	counters    *expvar.Map
-	crashes     crashChecker
-	draining    atomic.Bool // each answer ends its connection
-	headers     Headers
-	ledger      *tgworkload.Ledger
-	limits      atomic.Pointer[Limits]
-	observer    Observer
-	picker      *tgpicker.Picker
-	quarantine  *tgquarantine.Table
-	rand        func() float64
-	unbegun     unbegunExchanges
+	buffers      bufferBudget
+	catalog      Catalog
+	closingIdle  atomic.Bool     // the listener is closed and connections end when they are idle
+	configOutage *tgretry.Outage // while no configuration is known
+	conns        *connPool
+	costs        *tgcost.Estimator
+	counters     *expvar.Map
+	crashes      crashChecker
+	draining     atomic.Bool // each answer ends its connection
+	headers      Headers
+	ledger       *tgworkload.Ledger
+	limits       atomic.Pointer[Limits]
+	observer     Observer
+	picker       *tgpicker.Picker
+	quarantine   *tgquarantine.Table
+	rand         func() float64
+	unbegun      unbegunExchanges
 
 	mu               sync.Mutex                        // guards the maps below
 	breakers         map[string]*tgstreamlimit.Breaker // by pool
@@ -68,6 +69,7 @@
 		streamLimiters: map[string]*tgstreamlimit.Limiter{},
 		unbegun:        unbegunExchanges{m: map[*exchange]*call{}},
 	}
+	s.configOutage = tgretry.NewOutage(s.rand)
 	for _, o := range options {
 		o(s)
 	}
