Add a check of a configuration before it is sent

Operators saw faults of a configuration only once it was in force: routes that hide each other, pools that do not exist, keys of two accounts, targets beyond timeouts.

--- a/core/tgcatalog/catalog.go
+++ b/core/tgcatalog/catalog.go
@@ -142,7 +142,28 @@
 	Pools       map[string]Pool
 	Version     int64
 
-	routesByHost map[string][]Route // longest prefix first
+	accountsWithoutKeys []string
+	keyConflicts        []keyConflict
+	routesByHost        map[string][]Route // longest prefix first
+}
+
+// keyConflict is a key that two accounts have.
+type keyConflict struct {
+	account string // to which the key belongs, since it was added later
+	other   string
+}
+
+// AddAccount adds an account with its keys.
+func (c *Config) AddAccount(a Account, keys []string) {
+	if len(keys) == 0 {
+		c.accountsWithoutKeys = append(c.accountsWithoutKeys, a.Name)
+	}
+	for _, key := range keys {
+		if other, ok := c.Accounts[key]; ok && other.Name != a.Name {
+			c.keyConflicts = append(c.keyConflicts, keyConflict{account: a.Name, other: other.Name})
+		}
+		c.Accounts[key] = a
+	}
 }
 
 // NewConfig returns a configuration with its routes indexed.
--- a/io/tgcommand/platform_config.go
+++ b/io/tgcommand/platform_config.go
@@ -15,8 +15,8 @@
 var errNoConfig = errors.New("the daemon has no configuration; ask an entry that is ready")
 
 func (c *config) newPlatformConfigCmd() *cobra.Command {
-	cmd := newGroupCmd("config", "Show and compare the configuration that entries on the users' platform use")
-	cmd.AddCommand(c.newPlatformConfigDiffCmd(), c.newPlatformConfigShowCmd())
+	cmd := newGroupCmd("config", "Check, show and compare configurations of the users' platform")
+	cmd.AddCommand(c.newPlatformConfigCheckCmd(), c.newPlatformConfigDiffCmd(), c.newPlatformConfigShowCmd())
 	return cmd
 }
 
