--- a/core/tgcatalog/check.go
+++ b/core/tgcatalog/check.go
@@ -30,12 +30,12 @@
 	subject string
 }
 
-func (f *findings) add(s Severity, format string, args ...any) {
+func (f *findings) addf(s Severity, format string, args ...any) {
 	f.list = append(f.list, Finding{Severity: s, Subject: f.subject, Text: fmt.Sprintf(format, args...)})
 }
 
-func (f *findings) errorf(format string, args ...any) { f.add(SeverityError, format, args...) }
-func (f *findings) warnf(format string, args ...any)  { f.add(SeverityWarning, format, args...) }
+func (f *findings) errorf(format string, args ...any) { f.addf(SeverityError, format, args...) }
+func (f *findings) warnf(format string, args ...any)  { f.addf(SeverityWarning, format, args...) }
 
 // Check returns what is wrong with a configuration: faults, entries that can never match, and limits that contradict each
 // other. Errors come first.
--- a/io/tgcommand/platform_config_check.go
+++ b/io/tgcommand/platform_config_check.go
@@ -82,7 +82,7 @@
 func errorLine(data []byte, err error) (line int, ok bool) {
 	var syntax *json.SyntaxError
 	var wrongType *json.UnmarshalTypeError
-	offset := int64(0)
+	var offset int64
 	switch {
 	case errors.As(err, &syntax):
 		offset = syntax.Offset
