Tell the tries of an attempt apart by their connections

Cause: the entry knew answers on a kept connection by the ID of the caller's attempt alone, which all tries of the attempt share, and kept connections by address. A refusal without an ID was believed if it came first on a new connection, although engines echo the ID in their answers (PROTOCOL.md, Engines): bytes without it are no response to the request, on whichever connection.

Change: a connection belongs to one incarnation, by ID and start; after 421 to the one that the answer names in its failure header, if that is listed at the address, and else it closes. No two tries of a call, nor two calls with the same ID in a row, use the same connection. An answer without the ID is no answer. After an answer to another attempt was skipped, the connection is not used again.

--- a/io/tgproxy/call.go
+++ b/io/tgproxy/call.go
@@ -19,8 +19,9 @@
 	buffers        *bufferLease
 	callerDeadline time.Time // as the caller declared it, or the default
 	config         *tgcatalog.Config
-	cost           float64 // load on an upstream, in streams without a prompt
-	detail         string  // why the last attempt failed, for the log
+	conns          []*upstreamConn // that carried an earlier try; a late copy of its answer has the same ID
+	cost           float64         // load on an upstream, in streams without a prompt
+	detail         string          // why the last attempt failed, for the log
 	events         eventTimes
 	expiresAt      time.Time // earlier of the caller's deadline and the end of the route's timeout
 	headers        *Headers
--- a/io/tgproxy/conns.go
+++ b/io/tgproxy/conns.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"tanagergrade/core/tgcatalog"
 )
 
 const (
@@ -44,18 +46,31 @@
 	}
 }
 
-// upstreamConn is a connection to an upstream; it carries one request at a time.
+// upstreamConn is a connection to one incarnation of an upstream; it carries one request at a time.
 type upstreamConn struct {
 	net.Conn
-	br      *bufio.Reader
-	expires time.Time // not reused from then on
-	reused  bool      // it has carried a request before, of which a second copy of the answer may still come
+	br          *bufio.Reader
+	openedAt    time.Time
+	expires     time.Time // not reused from then on
+	lastAttempt string    // ID of the attempt that it carried last, of whose answer a second copy may still come
+	started     time.Time // of the incarnation; zero if not known
+	upstreamID  string
+}
+
+// belongsTo reports whether the connection is that of an incarnation of an upstream.
+func (c *upstreamConn) belongsTo(u tgcatalog.Upstream) bool {
+	return c.upstreamID == u.ID && c.started.Equal(u.Started)
+}
+
+// hasCarried reports whether a late copy of an answer on the connection could not be told from the answer to the call.
+func (c *upstreamConn) hasCarried(k *call) bool {
+	return c.lastAttempt == k.id || slices.Contains(k.conns, c)
 }
 
 // connPool keeps the idle connections to upstreams and counts the open ones.
 type connPool struct {
 	dialer    *net.Dialer
-	idle      map[netip.AddrPort][]*upstreamConn // by address, in the order in which they became idle
+	idle      map[netip.AddrPort][]*upstreamConn // by address, the ones opened first last
 	lastSweep time.Time
 	mu        sync.Mutex             // guards idle, lastSweep and openCount
 	openCount map[netip.AddrPort]int // idle or in use, by address
@@ -65,16 +80,20 @@
 	return &connPool{dialer: NewDialer(), idle: map[netip.AddrPort][]*upstreamConn{}, openCount: map[netip.AddrPort]int{}}
 }
 
-// get returns an idle connection or dials a new one. The address has at most limit open connections; a limit of 0 sets
-// no bound.
-func (p *connPool) get(ctx context.Context, addr netip.AddrPort, limit int) (*upstreamConn, error) {
+// get returns an idle connection to u that may carry the call, or dials a new one. The address has at most limit open
+// connections; a limit of 0 sets no bound.
+func (p *connPool) get(ctx context.Context, u tgcatalog.Upstream, k *call, limit int) (*upstreamConn, error) {
+	addr := u.Address
 	for {
-		c := p.popIdle(addr)
+		c, former := p.popIdle(u, k)
+		for _, f := range former {
+			p.discard(addr, f)
+		}
 		if c == nil {
 			break
 		}
 		if c.usable() {
-			c.reused = true
+			c.lastAttempt = k.id
 			return c, nil
 		}
 		p.discard(addr, c)
@@ -87,19 +106,32 @@
 		p.release(addr)
 		return nil, err
 	}
-	return &upstreamConn{Conn: conn, br: bufio.NewReaderSize(conn, upstreamBufferBytes)}, nil
+	return &upstreamConn{
+		Conn: conn, br: bufio.NewReaderSize(conn, upstreamBufferBytes), openedAt: time.Now(), lastAttempt: k.id,
+		started: u.Started, upstreamID: u.ID,
+	}, nil
 }
 
-func (p *connPool) popIdle(addr netip.AddrPort) *upstreamConn {
+// popIdle removes and returns the idle connection to u that was opened first and may carry the call, or nil, and those at
+// its address that belong to other incarnations. So the connections that a burst or a second try needed are the ones that
+// expire.
+func (p *connPool) popIdle(u tgcatalog.Upstream, k *call) (c *upstreamConn, former []*upstreamConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[addr]
-	if len(list) == 0 {
-		return nil
+	list := p.idle[u.Address]
+	for i := len(list) - 1; i >= 0 && c == nil; i-- {
+		switch {
+		case !list[i].belongsTo(u):
+			former = append(former, list[i])
+		case !list[i].hasCarried(k):
+			c = list[i]
+		default:
+			continue
+		}
+		list = slices.Delete(list, i, i+1)
 	}
-	c := list[len(list)-1]
-	p.idle[addr] = list[:len(list)-1]
-	return c
+	p.idle[u.Address] = list
+	return c, former
 }
 
 func (p *connPool) reserve(addr netip.AddrPort, limit int) bool {
@@ -126,7 +158,9 @@
 	c.expires = now.Add(time.Duration(idleTimeoutFraction * float64(idleFor)))
 	p.mu.Lock()
 	expired := p.removeExpired(now)
-	p.idle[addr] = append(p.idle[addr], c)
+	list := p.idle[addr]
+	at, _ := slices.BinarySearchFunc(list, c, func(a, b *upstreamConn) int { return b.openedAt.Compare(a.openedAt) })
+	p.idle[addr] = slices.Insert(list, at, c)
 	p.mu.Unlock()
 	for _, e := range expired {
 		p.discard(e.addr, e.conn)
--- a/io/tgproxy/exchange.go
+++ b/io/tgproxy/exchange.go
@@ -37,6 +37,7 @@
 	kind            answerKind
 	pool            *connPool
 	response        *tghttp.Response
+	spent           bool        // the connection is not used again: an answer to another attempt came, or from a stranger
 	stopAbort       func() bool // detaches the connection from the cancellation; false if its abort has begun
 	target          tgcatalog.Upstream
 	timeToFirstByte time.Duration
@@ -59,7 +60,7 @@
 func (s *Server) startExchange(ctx context.Context, u tgcatalog.Upstream, connLimit int, c *call, head []byte) *exchange {
 	x := &exchange{pool: s.conns, target: u, writeResult: make(chan error, 1)}
 	start := time.Now()
-	conn, err := s.conns.get(ctx, u.Address, connLimit)
+	conn, err := s.conns.get(ctx, u, c, connLimit)
 	if err != nil {
 		x.kind, x.detail = answerUnsent, err.Error()
 		if ctx.Err() != nil {
@@ -68,10 +69,14 @@
 		return x
 	}
 	x.conn = conn
+	c.conns = append(c.conns, conn)
 	x.stopAbort = context.AfterFunc(ctx, conn.abort) // makes reads and writes in progress fail
 	s.unbegun.add(x, c)
 	x.writeRequest(head, c.body)
 	x.readHead(c)
+	if x.kind == answerNotExecuted && x.response.Status == statusMisdirected {
+		s.identify(x, c)
+	}
 	x.timeToFirstByte = time.Since(start)
 	if ctx.Err() != nil && x.kind != answerOK && x.kind != answerError && x.kind != answerNotExecuted {
 		x.kind = answerCanceled
@@ -93,7 +98,7 @@
 }
 
 // readHead reads the answer's head and classifies it. An answer that echoes another attempt's ID belongs to an earlier
-// request on the connection and is skipped.
+// request on the connection and is skipped. All tries of an attempt have the same ID, but connections of their own.
 func (x *exchange) readHead(c *call) {
 	for range maxStaleAnswers {
 		r, err := tghttp.ReadResponse(x.conn.br, c.request.Method)
@@ -107,7 +112,7 @@
 		}
 		body := tghttp.NewBody(x.conn.br, r.Framing, r.Length)
 		if id := r.Header.Get(c.headers.AttemptID); id != "" && id != c.id {
-			x.detail = "answer belongs to attempt " + id
+			x.spent, x.detail = true, "answer belongs to attempt "+id
 			if err := body.Discard(maxStaleBytes); err != nil || !r.KeepAlive {
 				x.kind = answerInvalid
 				return
@@ -121,15 +126,16 @@
 	x.kind = answerInvalid
 }
 
-// classify derives the kind of an answer from its status and headers.
+// classify derives the kind of an answer from its status and headers. Upstreams echo the attempt's ID in each answer: bytes
+// without it may be anything, also the first ones on a new connection, and promise nothing.
 func (x *exchange) classify(c *call) {
 	r := x.response
 	echoed := r.Header.Get(c.headers.AttemptID) == c.id
 	signed := r.Header.Get(c.headers.Signature) != ""
 	notRun := r.Header.Get(c.headers.NotExecuted) != ""
 	switch {
-	case !echoed && x.conn.reused:
-		x.kind, x.detail = answerInvalid, "answer without the attempt ID on a connection that was in use before"
+	case !echoed:
+		x.kind, x.detail = answerInvalid, "answer without the attempt ID"
 	case r.Status == statusMisdirected, notRun && (r.Status >= 400):
 		x.kind = answerNotExecuted
 		x.detail = "status " + strconv.Itoa(r.Status)
@@ -138,10 +144,10 @@
 		}
 	case r.Header.Get("Content-Encoding") != "":
 		x.kind, x.detail = answerInvalid, "answer has a Content-Encoding header"
-	case r.Status >= 200 && r.Status < 300 && signed && echoed:
+	case r.Status >= 200 && r.Status < 300 && signed:
 		x.kind = answerOK
 	case r.Status >= 200 && r.Status < 300:
-		x.kind, x.detail = answerInvalid, "success status without a signature or the attempt ID"
+		x.kind, x.detail = answerInvalid, "success status without a signature"
 	case r.Status < 400:
 		x.kind, x.detail = answerInvalid, "status "+strconv.Itoa(r.Status)
 	default:
@@ -149,6 +155,19 @@
 	}
 }
 
+// identify makes the connection that of the upstream which said that it is not the target, if it names itself and is listed
+// at the address. Otherwise it is not known whose connection it is, and it is not used again.
+func (s *Server) identify(x *exchange, c *call) {
+	id := x.response.Header.Get(c.headers.FailedUpstream)
+	for _, u := range s.catalog.Upstreams(c.pool) {
+		if u.ID == id && u.Address == x.target.Address {
+			x.conn.upstreamID, x.conn.started = u.ID, u.Started
+			return
+		}
+	}
+	x.spent = true
+}
+
 // finish returns the connection to the pool if it can carry another request, or else closes it.
 func (x *exchange) finish() {
 	if x.conn == nil {
@@ -156,7 +175,7 @@
 	}
 	stopped := x.stopAbort()
 	if !stopped || x.response == nil || !x.response.KeepAlive || x.body == nil || !x.body.Complete() ||
-		x.conn.br.Buffered() > 0 || !x.fullyWritten() {
+		x.spent || x.conn.br.Buffered() > 0 || !x.fullyWritten() {
 		x.pool.discard(x.target.Address, x.conn)
 		return
 	}
