--- a/io/tgproxy/call.go
+++ b/io/tgproxy/call.go
@@ -25,6 +25,7 @@
 	costRequest    tgcost.Request  // what is known of a stream's cost
 	estimate       tgcost.Estimate // of a stream; the zero value if it was not estimated
 	job            *tgworkload.Job // of the present attempt at a stream; nil without one
+	conns          []*upstreamConn // that carried an earlier try; a late copy of its answer has the same ID
 	detail         string          // why the last attempt failed, for the log
 	events         eventTimes
 	expiresAt      time.Time // earlier of the caller's deadline and the end of the route's timeout
