Take only what can be finished while an entry stops

A first request on a connection that had none yet can come 3.5 s after SIGTERM, and its stream was cut off 4.5 s later. Change: core/tgdrain knows of each route the slowest start, the longest answer (by events, and by events for each token asked for) and the pace of the last seconds. A stopping entry takes a request only if its time limit or this forecast ends before the process must; else it answers 503 without Retry-After and closes. Waits for a trial are judged again. A route without answers so far counts as too slow.

--- /dev/null
+++ b/core/tgdrain/forecast.go
@@ -0,0 +1,139 @@
+// Package tgdrain decides which requests a process that stops may still take: those that it can finish before it must end.
+package tgdrain
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	memory       = 30 * time.Second // long enough that a route has had some of its longest answers
+	paceWindow   = 2 * time.Second  // about a stream: the pace is a mean, as single pauses say nothing of a whole answer
+	minEvents    = 20               // of a window that shows the pace before it is over
+	safetyFactor = 1.2              // a new answer may be longer or slower than those seen by this factor
+)
+
+// Work is a request that asks a process that stops to take it.
+type Work struct {
+	ExpiresAt time.Time // when its caller or its route ends it
+	Tokens    float64   // most tokens of its answer; 0 if unknown
+}
+
+// Forecast predicts how long answers of one route take, from the length and the pace of those before. It is safe for
+// concurrent use.
+type Forecast struct {
+	events     peak // of one answer
+	firstEvent peak // time from the request to the first event, or to an answer without events, in seconds
+	mu         sync.Mutex
+	pace       gapWindow
+	perToken   peak      // events of an answer per token that its request allowed
+	previous   gapWindow // the one before pace
+}
+
+// gapWindow is the times between events since start.
+type gapWindow struct {
+	events  int
+	seconds float64 // sum of the times
+	start   time.Time
+}
+
+// mean returns the mean time between events, in seconds; 0 if the window has too few or is too old to tell.
+func (w *gapWindow) mean(least int, now time.Time) float64 {
+	if w.events < least || now.Sub(w.start) >= memory {
+		return 0
+	}
+	return w.seconds / float64(w.events)
+}
+
+// NewForecast returns a forecast for a route without answers so far.
+func NewForecast() *Forecast {
+	return &Forecast{events: newPeak(), firstEvent: newPeak(), perToken: newPeak()}
+}
+
+// RecordGap records that a stream had the given number of events within d after an earlier one.
+func (f *Forecast) RecordGap(d time.Duration, events int, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if now.Sub(f.pace.start) >= paceWindow {
+		f.previous, f.pace = f.pace, gapWindow{start: now}
+	}
+	f.pace.events += events
+	f.pace.seconds += d.Seconds()
+}
+
+// RecordEnd records a complete answer: the time to its first event, the number of its events and the tokens that its
+// request allowed. An answer that is not streamed has no events, and first is its whole time.
+func (f *Forecast) RecordEnd(first time.Duration, events int, tokens float64, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.firstEvent.observe(first.Seconds(), now)
+	f.events.observe(float64(events), now)
+	if tokens > 0 {
+		f.perToken.observe(float64(events)/tokens, now)
+	}
+}
+
+// CanFinish reports whether an answer will have ended at end: by its time limit, or by what is known of its length and of
+// the pace.
+func (f *Forecast) CanFinish(w Work, now, end time.Time) bool {
+	if !w.ExpiresAt.After(end) {
+		return true
+	}
+	d, known := f.duration(w.Tokens, now)
+	return known && !now.Add(d).After(end)
+}
+
+// duration returns how long an answer may take. It is unknown until an answer has ended, or while its events have no pace.
+func (f *Forecast) duration(tokens float64, now time.Time) (d time.Duration, known bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	first, known := f.firstEvent.value(now)
+	if !known {
+		return 0, false
+	}
+	events, _ := f.events.value(now)
+	if ratio, ok := f.perToken.value(now); ok && tokens > 0 {
+		events = ratio * tokens
+	}
+	gap := max(f.pace.mean(minEvents, now), f.previous.mean(1, now))
+	if gap == 0 {
+		gap = f.pace.mean(1, now)
+	}
+	if events > 1 && gap == 0 {
+		return 0, false
+	}
+	return time.Duration(safetyFactor * (first + max(0, events-1)*gap) * float64(time.Second)), true
+}
+
+// noValue is that of a time in which a peak had none; observed ones are not negative.
+const noValue = -1.0
+
+// peak is the highest of the values observed in the last part of memory, which is half of it at least.
+type peak struct {
+	current  float64 // highest value since start
+	previous float64 // highest value in the half of memory before start
+	start    time.Time
+}
+
+func newPeak() peak { return peak{current: noValue, previous: noValue} }
+
+func (p *peak) observe(v float64, now time.Time) {
+	p.expire(now)
+	p.current = max(p.current, v)
+}
+
+// value returns the highest value; ok is false if none is in memory.
+func (p *peak) value(now time.Time) (v float64, ok bool) {
+	p.expire(now)
+	v = max(p.current, p.previous)
+	return v, v != noValue
+}
+
+func (p *peak) expire(now time.Time) {
+	switch age := now.Sub(p.start); {
+	case age >= memory:
+		p.previous, p.current, p.start = noValue, noValue, now
+	case age >= memory/2:
+		p.previous, p.current, p.start = p.current, noValue, p.start.Add(memory/2)
+	}
+}
--- a/io/tgproxy/call.go
+++ b/io/tgproxy/call.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"tanagergrade/core/tgcatalog"
+	"tanagergrade/core/tgdrain"
 	"tanagergrade/core/tgquarantine"
 	"tanagergrade/core/tgstreamlimit"
 	"tanagergrade/io/tghttp"
@@ -22,7 +23,8 @@
 	cost           float64 // load on an upstream, in streams without a prompt
 	detail         string  // why the last attempt failed, for the log
 	events         eventTimes
-	expiresAt      time.Time // earlier of the caller's deadline and the end of the route's timeout
+	expiresAt      time.Time         // earlier of the caller's deadline and the end of the route's timeout
+	forecast       *tgdrain.Forecast // of the route's answers
 	headers        *Headers
 	id             string // of the attempt, set by the caller
 	isRetry        bool   // the caller was presumably refused before; see Server.isRetry
@@ -33,6 +35,7 @@
 	request        *tghttp.Request
 	route          *tgcatalog.Route
 	ticket         *tgstreamlimit.Ticket
+	tokens         float64             // most tokens of the answer; 0 if unknown
 	trial          *tgquarantine.Trial // of the present attempt; nil if no part of its prompt is suspect
 	tried          map[string]bool     // IDs of the upstreams of earlier attempts
 	upstream       string
@@ -44,6 +47,7 @@
 	retryDeadlineMargin = 50 * time.Millisecond // a deadline shorter than the route's longest by more than this marks a retry
 	promptTokensPerUnit = 1000.0                // prompt tokens that add as much load as a stream without a prompt
 	maxPromptUnits      = 4.0                   // a longer prompt counts as this many units
+	maxOutputTokens     = 1e9                   // a higher number says nothing of the answer's length
 	lowestPriority      = 9                     // highest number that upstreams accept; 0 is admitted first
 )
 
@@ -70,10 +74,13 @@
 	if route.Kind != tgcatalog.KindStreaming {
 		return
 	}
-	prompt, _, _ := strings.Cut(c.request.Header.Get(c.headers.TokenCounts), ",")
+	prompt, output, _ := strings.Cut(c.request.Header.Get(c.headers.TokenCounts), ",")
 	if n, err := strconv.ParseFloat(strings.TrimSpace(prompt), 64); err == nil {
 		c.cost = 1 + min(max(n, 0)/promptTokensPerUnit, maxPromptUnits)
 	}
+	if n, err := strconv.ParseFloat(strings.TrimSpace(output), 64); err == nil && n > 0 && n <= maxOutputTokens {
+		c.tokens = n
+	}
 }
 
 // priority returns the priority of the client account, or that of the route if the account has none of its own.
@@ -88,6 +95,9 @@
 	return tgstreamlimit.Request{Priority: c.priority(), Retry: c.isRetry}
 }
 
+// work returns what is known of the length of the answer.
+func (c *call) work() tgdrain.Work { return tgdrain.Work{ExpiresAt: c.expiresAt, Tokens: c.tokens} }
+
 // requestHead returns the head of the request to an upstream. lastEventID is that of the last event that the caller has
 // received of this response, or noEventID.
 func (c *call) requestHead(u tgcatalog.Upstream, lastEventID int64, now time.Time) []byte {
--- a/io/tgproxy/event.go
+++ b/io/tgproxy/event.go
@@ -42,13 +42,15 @@
 
 // eventTimes records when the events of a stream were forwarded.
 type eventTimes struct {
+	count        int           // of events
 	first        time.Duration // from the arrival of the request to the first event
 	last         time.Time     // of the last event; zero before the first
 	longestPause time.Duration // between two events
 }
 
-// record notes that events of a request that arrived at receivedAt are forwarded now.
-func (t *eventTimes) record(receivedAt, now time.Time) {
+// record notes that n events of a request that arrived at receivedAt are forwarded now.
+func (t *eventTimes) record(n int, receivedAt, now time.Time) {
+	t.count += n
 	if t.last.IsZero() {
 		t.first = now.Sub(receivedAt)
 	} else {
--- a/io/tgproxy/forward.go
+++ b/io/tgproxy/forward.go
@@ -70,14 +70,10 @@
 	defer c.endTrial()
 	budget := s.retryBudget(c.pool)
 	for unsent := 0; ; {
-		if !k.passQuarantine(a, c) {
+		if !k.passQuarantine(a, c) || !k.hasTime(a, c) {
 			return
 		}
 		now := time.Now()
-		if a.ctx.Err() != nil || c.expiresAt.Sub(now) < minTimeToSend {
-			k.abandon(a, c)
-			return
-		}
 		choice, reason := s.picker.Pick(s.catalog.Upstreams(c.pool), s.pickRequest(c), now)
 		if choice == nil {
 			wait := retryAfterNoUpstream
@@ -116,6 +112,20 @@
 	}
 }
 
+// hasTime reports whether there is time for another attempt, and ends the call if not. It may have waited for the trial of a
+// part of its prompt.
+func (k *callerConn) hasTime(a *responseState, c *call) bool {
+	switch {
+	case a.ctx.Err() != nil || time.Until(c.expiresAt) < minTimeToSend:
+		k.abandon(a, c)
+		return false
+	case !c.mayHaveRun && !k.server.canFinish(c):
+		k.endUnanswered(a, c, detailStops, 0)
+		return false
+	}
+	return true
+}
+
 func (s *Server) pickRequest(c *call) tgpicker.Request {
 	rate := tgquota.ColdRate(c.config.Pools[c.pool].ColdRate, s.catalog.EntryCount())
 	r := tgpicker.Request{ColdRate: rate, Slowdown: s.catalog.Slowdown, Tried: c.tried, Work: c.cost}
@@ -247,6 +257,8 @@
 		return tgpicker.OutcomeFailed, verdictStop
 	}
 	k.server.quarantine.Begun(c.promptParts, time.Now())
+	now := time.Now()
+	c.forecast.RecordEnd(now.Sub(c.receivedAt), 0, 0, now)
 	k.writeResponse(a, c, x.response, body, outcomeAnswered)
 	return tgpicker.OutcomeAnswered, verdictDone
 }
--- a/io/tgproxy/handle.go
+++ b/io/tgproxy/handle.go
@@ -30,6 +30,10 @@
 		}
 		return k.refuse(c, status, outcome, wait, r.KeepAlive)
 	}
+	if !s.canFinish(c) {
+		c.detail = detailStops
+		return k.refuse(c, http.StatusServiceUnavailable, outcomeRefused, 0, false)
+	}
 	ctx, cancel := context.WithDeadline(ctx, c.expiresAt)
 	defer cancel()
 	stop := k.cancelOnDisconnect(cancel)
@@ -60,6 +64,7 @@
 		return http.StatusBadRequest, "attemptIDMissing"
 	}
 	c.applyRoute(route)
+	c.forecast = s.forecast(route.Name)
 	if cfg.KeyRequired && !route.Anonymous {
 		a, ok := cfg.Accounts[c.request.Header.Get(s.headers.Key)]
 		if !ok {
--- a/io/tgproxy/serve.go
+++ b/io/tgproxy/serve.go
@@ -80,14 +80,16 @@
 }
 
 // drain stops the server: it accepts connections for drainAcceptPeriod, then ends the accept loop, which closes idle
-// connections, and lets requests finish until only ShutdownReserve is left of the grace period or ended is closed.
+// connections, and lets requests finish until only ShutdownReserve is left of the grace period or ended is closed. Requests
+// that come meanwhile are taken only if they can be finished by then.
 func (s *Server) drain(listener net.Listener, abort context.CancelFunc, ended <-chan struct{}) {
-	start, limits := time.Now(), s.limits.Load()
-	s.draining.Store(true)
+	limits := s.limits.Load()
+	end := time.Now().Add(limits.DrainGrace - limits.ShutdownReserve)
+	s.drainEnd.Store(&end)
 	time.Sleep(drainAcceptPeriod)
 	stopAccepting(listener)
 	select {
-	case <-time.After(time.Until(start.Add(limits.DrainGrace - limits.ShutdownReserve))):
+	case <-time.After(time.Until(end)):
 	case <-ended:
 		return
 	}
@@ -186,7 +188,16 @@
 	}
 }
 
-func (s *Server) isDraining() bool { return s.draining.Load() }
+// detailStops is the detail of a refusal by canFinish.
+const detailStops = "the server stops before the answer can be complete"
+
+// canFinish reports whether a call can be answered in full before the server stops.
+func (s *Server) canFinish(c *call) bool {
+	end := s.drainEnd.Load()
+	return end == nil || c.forecast.CanFinish(c.work(), time.Now(), *end)
+}
+
+func (s *Server) isDraining() bool { return s.drainEnd.Load() != nil }
 
 func (s *Server) track(k *callerConn) {
 	s.mu.Lock()
--- a/io/tgproxy/server.go
+++ b/io/tgproxy/server.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"tanagergrade/core/tgcatalog"
+	"tanagergrade/core/tgdrain"
 	"tanagergrade/core/tgpicker"
 	"tanagergrade/core/tgquarantine"
 	"tanagergrade/core/tgquota"
@@ -24,7 +25,7 @@
 	conns       *connPool
 	counters    *expvar.Map
 	crashes     crashChecker
-	draining    atomic.Bool // each answer ends its connection
+	drainEnd    atomic.Pointer[time.Time] // of the requests in progress; nil unless the server drains
 	headers     Headers
 	limits      atomic.Pointer[Limits]
 	observer    Observer
@@ -36,6 +37,7 @@
 	mu               sync.Mutex                        // guards the maps below
 	breakers         map[string]*tgstreamlimit.Breaker // by pool
 	callers          map[*callerConn]struct{}
+	forecasts        map[string]*tgdrain.Forecast      // of answers, by route
 	longestDeadlines map[string]time.Duration          // longest time limit of a request so far, by route
 	retryBudgets     map[string]*tgretry.WindowBudget  // by pool
 	streamLimiters   map[string]*tgstreamlimit.Limiter // by pool
@@ -58,7 +60,8 @@
 ) *Server {
 	s := &Server{
 		callers: map[*callerConn]struct{}{}, catalog: catalog, conns: newConnPool(), counters: counters, headers: headers,
-		breakers: map[string]*tgstreamlimit.Breaker{}, crashes: crashChecker{checks: map[netip.AddrPort]*crashCheck{}}, longestDeadlines: map[string]time.Duration{}, observer: observer,
+		breakers: map[string]*tgstreamlimit.Breaker{}, crashes: crashChecker{checks: map[netip.AddrPort]*crashCheck{}},
+		forecasts: map[string]*tgdrain.Forecast{}, longestDeadlines: map[string]time.Duration{}, observer: observer,
 		picker: tgpicker.NewPicker(dataCentre), rand: rand.Float64, retryBudgets: map[string]*tgretry.WindowBudget{},
 		streamLimiters: map[string]*tgstreamlimit.Limiter{},
 		unbegun:        unbegunExchanges{m: map[*exchange]*call{}},
@@ -129,6 +132,18 @@
 	return b
 }
 
+// forecast returns the forecast of a route's answers.
+func (s *Server) forecast(route string) *tgdrain.Forecast {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f, ok := s.forecasts[route]
+	if !ok {
+		f = tgdrain.NewForecast()
+		s.forecasts[route] = f
+	}
+	return f
+}
+
 // isRetry reports whether a request with the given time limit is presumably the retry of a refused one: the limit is
 // shorter than that of first attempts on the route.
 func (s *Server) isRetry(route string, wait time.Duration) bool {
--- a/io/tgproxy/stream.go
+++ b/io/tgproxy/stream.go
@@ -122,6 +122,9 @@
 	} else if a.limiter != nil && r.count > 0 && !a.lastEventAt.IsZero() {
 		a.limiter.ObserveGap(now.Sub(a.lastEventAt)/time.Duration(r.count), now)
 	}
+	if r.count > 0 && !a.lastEventAt.IsZero() {
+		c.forecast.RecordGap(now.Sub(a.lastEventAt), r.count, now)
+	}
 	a.lastEventAt = now
 	if r.count > 0 && !x.begun {
 		x.begun = true
@@ -129,7 +132,7 @@
 		k.server.quarantine.Begun(c.promptParts, now)
 	}
 	if r.count > 0 {
-		c.events.record(c.receivedAt, now)
+		c.events.record(r.count, c.receivedAt, now)
 	}
 	if c.request.Minor > 0 {
 		b = tghttp.AppendChunk(b, events)
@@ -169,6 +172,12 @@
 	}
 	err := k.write(b)
 	a.keepAlive = a.keepAlive && err == nil
-	k.server.observer.Request(c.newEvent(outcomeAnswered, http.StatusOK, time.Now()))
+	now := time.Now()
+	first := c.events.first
+	if c.events.count == 0 {
+		first = now.Sub(c.receivedAt)
+	}
+	c.forecast.RecordEnd(first, c.events.count, c.tokens, now)
+	k.server.observer.Request(c.newEvent(outcomeAnswered, http.StatusOK, now))
 	return tgpicker.OutcomeAnswered, verdictDone
 }
