Tell of an earlier refusal when the wait cuts the last append

Cause: a refused append is repeated until the wait ends. If the end of the wait cut the last repeat, its "fasthttp: timeout" took the place of the refusal ("status 413") in the error. Beside load the last repeat met the end of the wait in TestPublishSettlesFaults. Change: an append that ends with the wait doesn't replace the error of an earlier one.

--- a/io/tgpublisher/publisher.go
+++ b/io/tgpublisher/publisher.go
@@ -104,8 +104,11 @@
 	var appendErr, readErr error
 	for ctx.Err() == nil {
 		if !appended && readable {
-			_, appendErr = p.client.Append(ctx, tgnode.ConfigStream, []tgrecord.Record{record})
-			appended = appendErr == nil
+			_, err := p.client.Append(ctx, tgnode.ConfigStream, []tgrecord.Record{record})
+			appended = err == nil
+			if appended || appendErr == nil || !hasExpired(ctx) { // the end of the wait says less than an earlier refusal
+				appendErr = err
+			}
 		}
 		_, readErr = p.reader.read(ctx, pollTimeout, observe)
 		if found {
@@ -119,3 +122,10 @@
 	// The error of a refused append is more informative than the timeout of the last read.
 	return decision, &UnresolvedError{Err: cmp.Or(appendErr, readErr), ID: record.ID}
 }
+
+// hasExpired reports whether ctx has ended or its deadline has passed; calls that end at the deadline return a little before
+// ctx ends.
+func hasExpired(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	return ctx.Err() != nil || ok && !time.Now().Before(deadline)
+}
--- a/io/tgpublisher/publisher_test.go
+++ b/io/tgpublisher/publisher_test.go
@@ -55,6 +55,16 @@
 			name: "append is always refused", region: "r", code: tgexit.LogUnavailable, changes: 0, message: "status 413",
 			fault: func(*tgstandin.Log, int32) int { return fasthttp.StatusRequestEntityTooLarge },
 		},
+		{
+			name: "append is refused and its repeat outlasts the wait", region: "r", code: tgexit.LogUnavailable, changes: 0,
+			message: "status 413",
+			fault: func(_ *tgstandin.Log, appends int32) int {
+				if appends > 1 {
+					time.Sleep(2500 * time.Millisecond) // until after the end of the wait, as the first poll takes a second of it
+				}
+				return fasthttp.StatusRequestEntityTooLarge
+			},
+		},
 		{name: "change is invalid", region: "", code: tgexit.Failed, changes: 0},
 		{
 			name: "log goes down before the append", region: "r", code: tgexit.LogUnavailable, changes: 0,
