--- a/io/tgproxy/call.go
+++ b/io/tgproxy/call.go
@@ -7,6 +7,7 @@
 
 	"tanagergrade/core/tgcatalog"
 	"tanagergrade/core/tgcost"
+	"tanagergrade/core/tgdrain"
 	"tanagergrade/core/tgquarantine"
 	"tanagergrade/core/tgstreamlimit"
 	"tanagergrade/core/tgworkload"
@@ -28,7 +29,8 @@
 	conns          []*upstreamConn // that carried an earlier try; a late copy of its answer has the same ID
 	detail         string          // why the last attempt failed, for the log
 	events         eventTimes
-	expiresAt      time.Time // earlier of the caller's deadline and the end of the route's timeout
+	expiresAt      time.Time         // earlier of the caller's deadline and the end of the route's timeout
+	forecast       *tgdrain.Forecast // of the route's answers
 	headers        *Headers
 	id             string // of the attempt, set by the caller
 	isRetry        bool   // the caller was presumably refused before; see Server.isRetry
@@ -98,6 +100,11 @@
 	return tgstreamlimit.Request{Priority: c.priority(), Retry: c.isRetry}
 }
 
+// work returns what is known of the length of the answer.
+func (c *call) work() tgdrain.Work {
+	return tgdrain.Work{ExpiresAt: c.expiresAt, Tokens: c.costRequest.MaxOutput}
+}
+
 // requestHead returns the head of the request to an upstream. lastEventID is that of the last event that the caller has
 // received of this response, or noEventID.
 func (c *call) requestHead(u tgcatalog.Upstream, lastEventID int64, now time.Time) []byte {
--- a/io/tgproxy/server.go
+++ b/io/tgproxy/server.go
@@ -10,6 +10,7 @@
 
 	"tanagergrade/core/tgcatalog"
 	"tanagergrade/core/tgcost"
+	"tanagergrade/core/tgdrain"
 	"tanagergrade/core/tgpicker"
 	"tanagergrade/core/tgquarantine"
 	"tanagergrade/core/tgquota"
@@ -28,7 +29,8 @@
 	costs        *tgcost.Estimator
 	counters     *expvar.Map
 	crashes      crashChecker
-	draining     atomic.Bool // each answer ends its connection
+	draining     atomic.Bool               // each answer ends its connection
+	drainEnd     atomic.Pointer[time.Time] // of the requests in progress; nil unless the server drains
 	headers      Headers
 	ledger       *tgworkload.Ledger
 	limits       atomic.Pointer[Limits]
@@ -41,6 +43,7 @@
 	mu               sync.Mutex                        // guards the maps below
 	breakers         map[string]*tgstreamlimit.Breaker // by pool
 	callers          map[*callerConn]struct{}
+	forecasts        map[string]*tgdrain.Forecast      // of answers, by route
 	longestDeadlines map[string]time.Duration          // longest time limit of a request so far, by route
 	retryBudgets     map[string]*tgretry.WindowBudget  // by pool
 	streamLimiters   map[string]*tgstreamlimit.Limiter // by pool
@@ -62,9 +65,10 @@
 	options ...Option,
 ) *Server {
 	s := &Server{
-		callers: map[*callerConn]struct{}{}, catalog: catalog, conns: newConnPool(), costs: tgcost.NewEstimator(),
-		counters: counters, headers: headers, ledger: tgworkload.NewLedger(),
-		breakers: map[string]*tgstreamlimit.Breaker{}, crashes: crashChecker{checks: map[netip.AddrPort]*crashCheck{}}, longestDeadlines: map[string]time.Duration{}, observer: observer,
+		breakers: map[string]*tgstreamlimit.Breaker{}, callers: map[*callerConn]struct{}{}, catalog: catalog,
+		conns: newConnPool(), costs: tgcost.NewEstimator(), counters: counters,
+		crashes: crashChecker{checks: map[netip.AddrPort]*crashCheck{}}, forecasts: map[string]*tgdrain.Forecast{},
+		headers: headers, ledger: tgworkload.NewLedger(), longestDeadlines: map[string]time.Duration{}, observer: observer,
 		picker: tgpicker.NewPicker(dataCentre), rand: rand.Float64, retryBudgets: map[string]*tgretry.WindowBudget{},
 		streamLimiters: map[string]*tgstreamlimit.Limiter{},
 		unbegun:        unbegunExchanges{m: map[*exchange]*call{}},
@@ -136,6 +140,18 @@
 	return b
 }
 
+// forecast returns the forecast of a route's answers.
+func (s *Server) forecast(route string) *tgdrain.Forecast {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f, ok := s.forecasts[route]
+	if !ok {
+		f = tgdrain.NewForecast()
+		s.forecasts[route] = f
+	}
+	return f
+}
+
 // isRetry reports whether a request with the given time limit is presumably the retry of a refused one: the limit is
 // shorter than that of first attempts on the route.
 func (s *Server) isRetry(route string, wait time.Duration) bool {
