--- a/io/tgproxy/call.go
+++ b/io/tgproxy/call.go
@@ -35,7 +35,6 @@
 	id             string // of the attempt, set by the caller
 	isRetry        bool   // the caller was presumably refused before; see Server.isRetry
 	mayHaveRun     bool   // an upstream may have run it, so no refusal may claim that it has not run
-	misdirected    bool   // another incarnation answered at the address of the last attempt
 	pool           string
 	promptParts    []string // IDs of the parts of the prompt that other requests may share
 	produced       float64  // tokens of the answer so far, of a stream
--- a/io/tgproxy/forward.go
+++ b/io/tgproxy/forward.go
@@ -107,21 +107,12 @@
 			return
 		}
 		if c.attempts >= c.route.MaxAttempts || verdict != verdictRetry {
-			k.endUnanswered(a, c, c.detail, s.retryAfterAttempts(c))
+			k.endUnanswered(a, c, c.detail, retryAfterFullBase+time.Duration(s.rand()*float64(retryAfterFullJitter)))
 			return
 		}
 	}
 }
 
-// retryAfterAttempts returns when the caller of a request that upstreams did not run should retry. A full upstream soon
-// has a free slot, but one that was replaced by another incarnation has to register first.
-func (s *Server) retryAfterAttempts(c *call) time.Duration {
-	if c.misdirected {
-		return s.breaker(c.pool).RetryAfter(time.Now())
-	}
-	return retryAfterFullBase + time.Duration(s.rand()*float64(retryAfterFullJitter))
-}
-
 // hasTime reports whether there is time for another attempt, and ends the call if not. It may have waited for the trial of a
 // part of its prompt.
 func (k *callerConn) hasTime(a *responseState, c *call) bool {
@@ -179,7 +170,6 @@
 		c.mayHaveRun = true
 	}
 	outcome, v = k.forwardAnswer(a, c, x)
-	c.misdirected = outcome == tgpicker.OutcomeReplaced
 	if x.withdrawn.Load() && v == verdictRetry {
 		s.counters.Add("withdrawnAttempts", 1)
 		c.detail = "withdrawn because a part of the prompt is suspected of crashing upstreams"
