Let only reports decide a change of the expert map

Cause: answers to control calls have no ID, and their client reused a connection without looking for bytes that had come since the last answer. The same held for orders to disarm, to release and to replace the prepared map, and for a report of which a copy came after the fencing.

Change: core/tgmapchange takes an answer as a hint that saves a repeat. The hold ends when all ranks report that they are armed for its version (which has the leader's token in it) and pass; a change that is undone when all ranks that were sent an order to arm report the version under which the present map replaces the new one; the release when the rank reports it or its pass has begun. A recovery awaits two reports of each rank since its fencing. A fence shows in no report, so it alone has a connection of its own. Agents report right after they passed on an order, so no further calls from another VM are needed.

--- a/core/tgmapchange/explore_test.go
+++ b/core/tgmapchange/explore_test.go
@@ -41,31 +41,50 @@
 	modelRanks = 4
 )
 
+// disturbances are what goes wrong in a run.
+type disturbances struct {
+	late     float64 // share of orders that have no answer and are carried out seconds later
+	lost     float64 // share of orders or answers that are lost
+	repeated float64 // share of reports of which a copy comes in place of the next one
+	stray    float64 // share of orders that get a copy of the rank's last answer instead of their own, and answers that come twice
+	unfenced bool    // ranks take orders with any token
+}
+
 // exploration is one random run.
 type exploration struct {
-	group     *modelGroup
-	inFlight  []delivery
-	lateShare float64 // share of orders that have no answer and are carried out seconds later
-	leaders   []*modelLeader
-	lostShare float64 // share of orders or answers that are lost
-	now       time.Time
-	rand      *rand.Rand
+	disturbances
+
+	group    *modelGroup
+	inFlight []delivery
+	leaders  []*modelLeader
+	now      time.Time
+	rand     *rand.Rand
+
+	// Used where reports may be repeated.
+	nextReport  time.Time
+	reported    []RankState
+	wasRepeated [modelRanks]bool
 }
 
 func (x *exploration) send(l *modelLeader, target any, orders []Order) {
 	for _, o := range orders {
 		at := x.now.Add(time.Duration(1+x.rand.IntN(15)) * time.Millisecond)
 		f := delivery{at: at, from: l, order: o, target: target}
-		switch p := x.rand.Float64(); {
-		case p < x.lateShare: // no answer, and the order is carried out seconds later
+		p := x.rand.Float64() // not drawn again, so that earlier seeds play the same runs
+		if x.stray > 0 && x.rand.Float64() < x.stray && !o.IsFence() {
+			x.sendStray(f)
+			continue
+		}
+		switch {
+		case p < x.late: // no answer, and the order is carried out seconds later
 			late := f
 			late.target = nil
 			late.at = x.now.Add(2*time.Second + time.Duration(x.rand.IntN(10000))*time.Millisecond)
 			x.inFlight = append(x.inFlight, late)
 			f.answer, f.result, f.at = true, ResultUnknown, x.now.Add(80*time.Millisecond)
-		case p < x.lateShare+x.lostShare/2: // the order is lost
+		case p < x.late+x.lost/2: // the order is lost
 			f.answer, f.result, f.at = true, ResultUnknown, x.now.Add(80*time.Millisecond)
-		case p < x.lateShare+x.lostShare: // the answer is lost
+		case p < x.late+x.lost: // the answer is lost
 			done := f
 			done.target = nil
 			x.inFlight = append(x.inFlight, done)
@@ -75,6 +94,27 @@
 	}
 }
 
+// sendStray answers an order with a copy of the rank's last answer. The order itself is lost, carried out, or carried out
+// seconds later. A fencing order has a connection of its own, where no such copy can come.
+func (x *exploration) sendStray(f delivery) {
+	stray := f
+	stray.answer, stray.result = true, x.group.ranks[f.order.Rank].lastResult
+	stray.at = x.now.Add(time.Duration(1+x.rand.IntN(10)) * time.Millisecond)
+	if stray.result == "" {
+		stray.result = ResultDone // of a report
+	}
+	x.inFlight = append(x.inFlight, stray)
+	f.target = nil
+	switch x.rand.IntN(3) {
+	case 0:
+		x.inFlight = append(x.inFlight, f)
+	case 1:
+		f.at = x.now.Add(2*time.Second + time.Duration(x.rand.IntN(10000))*time.Millisecond)
+		x.inFlight = append(x.inFlight, f)
+	default:
+	}
+}
+
 func (x *exploration) deliver() {
 	var rest, due []delivery
 	for _, f := range x.inFlight {
@@ -100,6 +140,10 @@
 			f.answer, f.result = true, r
 			f.at = x.now.Add(time.Duration(1+x.rand.IntN(10)) * time.Millisecond)
 			x.inFlight = append(x.inFlight, f)
+			if x.stray > 0 && x.rand.Float64() < x.stray {
+				f.at = f.at.Add(time.Duration(x.rand.IntN(200)) * time.Millisecond)
+				x.inFlight = append(x.inFlight, f)
+			}
 		}
 	}
 }
@@ -120,11 +164,37 @@
 	l.deposed = l.deposed || f.result == ResultFenced
 }
 
+// reports returns the ranks' newest reports. Where they may be repeated, each rank reports every 30 ms, and a copy of the
+// report before may come in place of the next one, as if it were new.
+func (x *exploration) reports() []RankState {
+	if x.repeated == 0 {
+		return x.group.states(x.now)
+	}
+	if x.now.Before(x.nextReport) {
+		return x.reported
+	}
+	x.nextReport = x.now.Add(30 * time.Millisecond)
+	states := x.group.states(x.now)
+	next := make([]RankState, len(states))
+	for i, s := range states {
+		next[i] = s
+		if x.rand.Float64() < x.repeated && x.reported != nil && !x.wasRepeated[i] && s.Seen.Equal(x.now) {
+			next[i] = x.reported[i]
+			next[i].Seen = x.now
+			x.wasRepeated[i] = true // its connection ends
+			continue
+		}
+		x.wasRepeated[i] = false
+	}
+	x.reported = next
+	return next
+}
+
 func (x *exploration) runLeader(l *modelLeader) {
 	if l.deposed || x.now.Before(l.frozenUntil) {
 		return
 	}
-	ranks := x.group.states(x.now)
+	ranks := x.reports()
 	ready := true
 	for _, r := range ranks {
 		ready = ready && x.now.Sub(r.Seen) < 900*time.Millisecond
@@ -189,9 +259,10 @@
 	}
 }
 
-func explore(seed uint64, late, lost float64, length time.Duration) *exploration {
-	x := &exploration{lateShare: late, lostShare: lost, now: time.Unix(1000, 0), rand: rand.New(rand.NewPCG(seed, 1))}
+func explore(seed uint64, d disturbances, length time.Duration) *exploration {
+	x := &exploration{disturbances: d, now: time.Unix(1000, 0), rand: rand.New(rand.NewPCG(seed, 1))}
 	x.group = newModelGroup(modelRanks, x.now)
+	x.group.unfenced = d.unfenced
 	x.leaders = []*modelLeader{{token: 1, version: 1 << 20}}
 	for end := x.now.Add(length); x.now.Before(end) && x.group.violation == ""; x.now = x.now.Add(modelTick) {
 		x.injectFaults()
@@ -205,19 +276,23 @@
 }
 
 // Guards against a pass that begins while two ranks have different maps, when orders or answers are lost, orders are
-// carried out seconds later, leaders freeze and are replaced, and groups idle or restart.
+// carried out seconds later, a copy of an earlier answer or report comes in place of the next one or an answer comes twice,
+// leaders freeze and are replaced, and groups idle or restart.
 func TestNoPassWithTwoMaps(t *testing.T) {
-	for name, c := range map[string]struct{ late, lost float64 }{
+	for name, c := range map[string]disturbances{
 		"noLoss":    {},
 		"late":      {late: 0.1},
 		"lateOften": {late: 0.35},
 		"lossy":     {lost: 0.2},
 		"both":      {late: 0.2, lost: 0.2},
+		"stray":     {stray: 0.1},
+		"strayLate": {late: 0.1, lost: 0.1, stray: 0.1},
+		"repeated":  {late: 0.1, lost: 0.1, repeated: 0.1, stray: 0.1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			changes := 0
 			for seed := range uint64(*seeds) { //nolint:gosec // a small number
-				x := explore(seed, c.late, c.lost, 30*time.Second)
+				x := explore(seed, c, 30*time.Second)
 				assert.Equal(t, x.group.violation, "", "seed %d", seed)
 				for _, l := range x.leaders {
 					changes += l.endedChanges
@@ -232,7 +307,7 @@
 // treating an unreachable rank as not armed although an earlier controller armed it.
 func TestNoPassWithTwoMapsAfterRestarts(t *testing.T) {
 	for _, seed := range []uint64{984, 1287} {
-		x := explore(seed, 0, 0, 30*time.Second)
+		x := explore(seed, disturbances{}, 30*time.Second)
 		assert.Equal(t, x.group.violation, "", "seed %d", seed)
 	}
 }
--- a/core/tgmapchange/model_test.go
+++ b/core/tgmapchange/model_test.go
@@ -13,6 +13,7 @@
 	heldStep         int64
 	highestToken     int64
 	highestVersion   int64
+	lastResult       Result    // of the last order
 	loadedAt         time.Time // when the loading of the prepared map ends
 	prepared         int64
 	preparedBy       map[int64]int // by version: the leader that prepared it
@@ -29,6 +30,7 @@
 	nextPassAt time.Time
 	ranks      []modelRank
 	step       int64
+	unfenced   bool   // tokens are not compared
 	violation  string // description of a pass that began with different maps; empty if there is none
 }
 
@@ -78,13 +80,20 @@
 	}
 }
 
-// execute carries out an order; leaderID identifies the leader whose map an order to prepare brings.
+// execute carries out an order and notes its result.
 func (g *modelGroup) execute(o Order, token int64, leaderID int, now time.Time, r *rand.Rand) Result {
+	result := g.executeOrder(o, token, leaderID, now, r)
+	g.ranks[o.Rank].lastResult = result
+	return result
+}
+
+// executeOrder carries out an order; leaderID identifies the leader whose map an order to prepare brings.
+func (g *modelGroup) executeOrder(o Order, token int64, leaderID int, now time.Time, r *rand.Rand) Result {
 	k := &g.ranks[o.Rank]
 	if o.Epoch != g.epoch {
 		return ResultRefused
 	}
-	if token < k.highestToken {
+	if token < k.highestToken && !g.unfenced {
 		return ResultFenced
 	}
 	k.highestToken = token
--- a/core/tgmapchange/order.go
+++ b/core/tgmapchange/order.go
@@ -20,7 +20,8 @@
 // Result is the outcome of an order as its sender sees it.
 type Result string
 
-// Results of an order.
+// Results of an order. Answers do not say which order they are for, so done and refused may be those of another order,
+// and the order may still be carried out: only a report of the rank shows what became of it. A fence is the exception.
 const (
 	ResultDone    Result = "done"    // carried out or begun, or the rank is already in that state
 	ResultFenced  Result = "fenced"  // the rank has seen a controller with a higher token
@@ -37,6 +38,10 @@
 	Version   int64 // of the map
 }
 
+// IsFence reports whether the order is only to make the rank refuse lower tokens: no report shows that, so its answer has
+// to be certain.
+func (o Order) IsFence() bool { return o.Operation == Release && o.Step == 0 }
+
 // RankState is the state that a rank reported last.
 type RankState struct {
 	ArmedStep    int64
--- a/core/tgmapchange/recovery.go
+++ b/core/tgmapchange/recovery.go
@@ -26,8 +26,10 @@
 	epoch           int64
 	phase           RecoveryPhase
 	predecessor     Predecessor
+	lastSeen        []time.Time // by rank: time of the newest report that counts
 	ranks           []rankProgress
 	readAfter       time.Time // only reports after this time count
+	reports         []int     // by rank: number of reports that count
 	skipPredecessor bool      // its rank cannot be reached and is known not to be armed
 	step            int64     // earliest pass that a rank is armed for
 }
@@ -60,6 +62,7 @@
 }
 
 const (
+	minRecoveryReports = 2                     // of a rank: the first may be a copy of the one before, on the same connection
 	recoveryRetryDelay = 50 * time.Millisecond // between an answer or time-out and the next order to the rank
 
 	versionTokenShift = 20 // low bits of a version number the maps of a controller; the bits above them are its token
@@ -72,8 +75,8 @@
 // accepts orders of an earlier controller any more: ranks that restart forget the tokens that they have seen.
 func NewRecovery(n int, epoch int64, predecessor Predecessor) *Recovery {
 	return &Recovery{
-		disarmedAt: make([]time.Time, n), epoch: epoch, phase: RecoveryFencing, predecessor: predecessor,
-		ranks: make([]rankProgress, n),
+		disarmedAt: make([]time.Time, n), epoch: epoch, lastSeen: make([]time.Time, n), phase: RecoveryFencing,
+		predecessor: predecessor, ranks: make([]rankProgress, n), reports: make([]int, n),
 	}
 }
 
@@ -125,14 +128,36 @@
 		}
 	}
 	if all {
-		v.phase, v.readAfter = RecoveryReading, now
+		v.startReading(now)
 	}
 	return due
 }
 
+// startReading makes only reports from now on count.
+func (v *Recovery) startReading(now time.Time) {
+	v.phase, v.readAfter = RecoveryReading, now
+	clear(v.lastSeen)
+	clear(v.reports)
+}
+
+// countReports counts the reports of each rank since it was fenced.
+func (v *Recovery) countReports(ranks []RankState) {
+	for i, r := range ranks {
+		p := &v.ranks[i]
+		if i == v.predecessor.Rank && !p.done {
+			continue // not fenced yet
+		}
+		if r.Seen.After(v.readAfter) && r.Seen.After(p.sentAt) && r.Seen.After(v.lastSeen[i]) {
+			v.lastSeen[i] = r.Seen
+			v.reports[i]++
+		}
+	}
+}
+
 // read waits until the states of all ranks are known. Meanwhile the predecessor's rank is fenced as soon as it can be
 // reached again.
 func (v *Recovery) read(ranks []RankState, now time.Time) []Order {
+	v.countReports(ranks)
 	ranks = v.knownStates(ranks)
 	if ranks == nil {
 		if i := v.predecessor.Rank; i >= 0 && !v.ranks[i].done && v.ranks[i].mayIssue(now, recoveryRetryDelay) {
@@ -166,7 +191,7 @@
 		if i == v.predecessor.Rank {
 			continue
 		}
-		if !r.Seen.After(v.readAfter) {
+		if v.reports[i] < minRecoveryReports {
 			return nil
 		}
 		others++
@@ -177,7 +202,7 @@
 		predecessorChange = predecessorChange || r.ArmedVersion>>versionTokenShift == v.predecessor.Token ||
 			r.Prepared>>versionTokenShift == v.predecessor.Token
 	}
-	if v.predecessor.Rank < 0 || v.ranks[v.predecessor.Rank].done && ranks[v.predecessor.Rank].Seen.After(v.readAfter) {
+	if v.predecessor.Rank < 0 || v.reports[v.predecessor.Rank] >= minRecoveryReports {
 		return ranks
 	}
 	if !predecessorChange || foreignArmed || armed == others {
@@ -213,7 +238,7 @@
 		}
 	}
 	if newestStep(ranks) >= v.step {
-		v.phase, v.readAfter = RecoveryReading, now // the pass has begun: read the states again
+		v.startReading(now) // the pass has begun
 		return nil
 	}
 	if free < 0 || !v.ranks[free].mayIssue(now, recoveryRetryDelay) {
@@ -250,11 +275,11 @@
 	all := true
 	for i, r := range ranks {
 		p := &v.ranks[i]
-		if r.Held == 0 || p.done {
+		if r.Held == 0 {
 			continue
 		}
 		all = false
-		if p.mayIssue(now, recoveryRetryDelay) {
+		if !p.awaitsReport(now, reportTimeout) && p.mayIssue(now, recoveryRetryDelay) {
 			due = append(due, v.issue(Release, i, r.Held, 0, now))
 		}
 	}
--- a/core/tgmapchange/result.go
+++ b/core/tgmapchange/result.go
@@ -20,19 +20,19 @@
 		s.handlePrepare(p, o, r)
 	case Hold:
 		s.handleHold(o, r)
-	case Arm:
-		s.handleArm(p, r)
-	case Disarm:
-		s.handleDisarm(p, r)
+	case Arm: // the next report of the rank shows it, also if an earlier order has taken effect
+		p.done = r == ResultDone && s.phase == PhaseArming
+	case Disarm: // a rank refuses to disarm only the map in use, and the pass that would use this one is held
+		p.done = r != ResultUnknown && s.phase == PhaseAborting
 	case Release:
-		s.handleRelease(o, r, now)
+		p.done = r != ResultUnknown && s.phase == PhaseReleasing
 	}
 }
 
 func (s *Switch) handlePrepare(p *rankProgress, o Order, r Result) {
-	if s.phase == PhaseAborting && o.Version == s.RollbackVersion() {
+	if o.Version == s.RollbackVersion() {
 		p.replaced = r == ResultDone
-		p.done = r != ResultRefused // a refusal may mean that the late order has armed the rank: it is disarmed again
+		p.done = p.done && r != ResultRefused // the late order may have armed the rank: it is disarmed again
 		return
 	}
 	if s.phase != PhasePreparing {
@@ -61,30 +61,3 @@
 		s.step = 0 // the pass has begun or an earlier hold still applies; hold selects another pass
 	}
 }
-
-func (s *Switch) handleArm(p *rankProgress, r Result) {
-	switch {
-	case r == ResultUnknown:
-		p.armUnknown = true
-	case s.phase != PhaseArming:
-	case r == ResultDone:
-		p.done = true
-	case r == ResultRefused:
-		// An earlier order of this change may have taken effect; the next report of the rank shows it.
-	}
-}
-
-func (s *Switch) handleDisarm(p *rankProgress, r Result) {
-	// A rank refuses to disarm only the map in use, and the pass that would use this one is held.
-	p.done = r == ResultDone || r == ResultRefused
-}
-
-func (s *Switch) handleRelease(o Order, r Result, now time.Time) {
-	if s.phase != PhaseReleasing || o.Rank != s.holder || r == ResultUnknown {
-		return
-	}
-	s.phase, s.releasedAt = PhaseSettling, now
-	if s.failed {
-		s.phase = PhaseFailed
-	}
-}
--- a/core/tgmapchange/switch.go
+++ b/core/tgmapchange/switch.go
@@ -22,7 +22,7 @@
 
 const (
 	maxHoldAttempts     = 4                      // orders to hold before the change fails
-	holdReportTimeout   = 200 * time.Millisecond // wait for the report of an answered order to hold; then it is sent again
+	reportTimeout       = 200 * time.Millisecond // wait for a report that shows an answered order; then it is sent again
 	maxArmAttempts      = 6                      // orders to arm one rank before the change is undone
 	minLeadPasses       = 2                      // passes from the newest known one to that of the change, at least
 	minLeadAfterUnknown = 8                      // minLeadPasses if an order had no answer, so that repeats arrive in time
@@ -30,18 +30,19 @@
 	minLeadTime         = 170 * time.Millisecond // for the order to hold, its report and the orders to arm, so no pass waits
 	orderRetryDelay     = 10 * time.Millisecond  // between an answer or time-out and the next order to the rank
 	prepareTimeout      = 6 * time.Second        // for all ranks to load the map
+	prepareReportWait   = time.Second            // like reportTimeout, for orders to prepare: the report follows the loading
 	prepareRetryDelay   = 100 * time.Millisecond // like orderRetryDelay, for orders to prepare
 	settleTimeout       = 2 * time.Second        // after the release; an idle group begins no pass and its ranks stay armed
 )
 
 // rankProgress is the progress of one rank in the present phase.
 type rankProgress struct {
-	armUnknown     bool      // an order to arm had no answer; it may still be carried out
+	armSent        bool      // an order to arm was sent; it may still be carried out
 	attempts       int       // orders sent
-	done           bool      // the rank has done what the phase asks of it
+	done           bool      // the order of the phase was answered; a report has to show that it was carried out
 	pending        bool      // an order is in flight
-	prepareUnknown bool      // an order to prepare had no answer
-	replaced       bool      // the prepared map was replaced, so a late order to arm has no effect
+	prepareUnknown bool      // an order to prepare had no answer, or was sent again
+	replaced       bool      // the order to replace the prepared map was answered
 	sentAt         time.Time // of the last order or its result
 }
 
@@ -169,6 +170,11 @@
 	return !p.pending && (p.attempts == 0 || now.Sub(p.sentAt) >= delay)
 }
 
+// awaitsReport reports whether the last order was answered so recently that a report may still show what became of it.
+func (p *rankProgress) awaitsReport(now time.Time, timeout time.Duration) bool {
+	return p.done && now.Sub(p.sentAt) < timeout
+}
+
 func (s *Switch) prepare(ranks []RankState, now time.Time) []Order {
 	if now.Sub(s.startedAt) > prepareTimeout {
 		s.fail("prepareTimeout", PhaseFailed)
@@ -185,7 +191,8 @@
 			continue
 		}
 		ready = false
-		if !p.done && p.mayIssue(now, prepareRetryDelay) {
+		if !p.awaitsReport(now, prepareReportWait) && p.mayIssue(now, prepareRetryDelay) {
+			p.prepareUnknown = p.prepareUnknown || p.done
 			due = append(due, s.issue(Prepare, i, now))
 		}
 	}
@@ -226,7 +233,7 @@
 		s.enterPhase(PhaseArming)
 		return s.arm(ranks, now)
 	}
-	if !p.mayIssue(now, orderRetryDelay) || p.done && now.Sub(p.sentAt) < holdReportTimeout {
+	if !p.mayIssue(now, orderRetryDelay) || p.awaitsReport(now, reportTimeout) {
 		return nil
 	}
 	if s.step == 0 || newestStep(ranks) >= s.step {
@@ -236,23 +243,27 @@
 		// An order to hold that had no answer may still take effect before its pass begins, so it is released.
 		s.failed = true
 		s.fail("hold", PhaseReleasing)
-		return s.release(ranks, now)
+		return s.startRelease(ranks, now)
 	}
 	return []Order{s.issue(Hold, s.holder, now)}
 }
 
+// arm orders all ranks to use the new map. The hold ends only when all of them have reported that they are armed.
 func (s *Switch) arm(ranks []RankState, now time.Time) []Order {
 	var due []Order
 	all, others := true, true
+	isArmed := func(i int) bool { return ranks[i].ArmedVersion == s.version && ranks[i].ArmedStep == s.step }
 	for i := range s.ranks {
-		p := &s.ranks[i]
-		p.done = p.done || ranks[i].ArmedVersion == s.version && ranks[i].ArmedStep == s.step
-		others = others && (p.done || i == s.localRank)
-		all = all && p.done
+		others = others && (isArmed(i) || i == s.localRank)
+		all = all && isArmed(i)
+	}
+	if all {
+		return s.startRelease(ranks, now)
 	}
 	for i := range s.ranks {
 		p := &s.ranks[i]
-		if p.done || i == s.localRank && !others || !p.mayIssue(now, orderRetryDelay) {
+		if isArmed(i) || i == s.localRank && !others || p.awaitsReport(now, reportTimeout) ||
+			!p.mayIssue(now, orderRetryDelay) {
 			continue
 		}
 		if p.attempts >= maxArmAttempts {
@@ -261,11 +272,6 @@
 		}
 		due = append(due, s.issue(Arm, i, now))
 	}
-	if all {
-		s.phase = PhaseReleasing
-		s.ranks[s.holder].attempts, s.ranks[s.holder].pending = 0, false
-		return s.release(ranks, now)
-	}
 	return due
 }
 
@@ -275,26 +281,27 @@
 	s.fail(reason, PhaseAborting)
 	for i := range s.ranks {
 		p := &s.ranks[i]
-		*p = rankProgress{armUnknown: p.armUnknown, done: p.attempts == 0, pending: p.pending}
+		*p = rankProgress{armSent: p.attempts > 0, pending: p.pending}
 	}
 }
 
-// abort disarms all ranks that may be armed. If an order to arm a rank had no answer, the rank also prepares the map in
-// use under RollbackVersion, after which that order has no effect if it is carried out late.
+// abort disarms all ranks that were sent an order to arm, and lets them prepare the map in use under RollbackVersion. A
+// rank does so only if it is not armed, and afterwards an order to arm that is carried out late has no effect. So a report
+// of that version shows that the rank does not use the new map.
 func (s *Switch) abort(ranks []RankState, now time.Time) []Order {
 	var due []Order
 	all := true
 	for i := range s.ranks {
 		p := &s.ranks[i]
-		p.replaced = p.replaced || ranks[i].Prepared == s.RollbackVersion()
-		if p.done && (!p.armUnknown || p.replaced) {
+		if !p.armSent || ranks[i].Prepared == s.RollbackVersion() {
 			continue
 		}
 		all = false
-		if !p.mayIssue(now, orderRetryDelay) {
+		if !p.mayIssue(now, orderRetryDelay) || p.replaced && p.awaitsReport(now, reportTimeout) {
 			continue
 		}
-		if !p.done {
+		if !p.done || p.replaced {
+			p.done, p.replaced = false, false
 			due = append(due, s.issue(Disarm, i, now))
 			continue
 		}
@@ -303,10 +310,7 @@
 		due = append(due, o)
 	}
 	if all {
-		s.phase = PhaseReleasing
-		p := &s.ranks[s.holder]
-		p.attempts, p.pending = 0, false
-		return s.release(ranks, now)
+		return s.startRelease(ranks, now)
 	}
 	return due
 }
@@ -314,8 +318,24 @@
 // RollbackVersion returns the version under which the map in use is prepared again when a change is undone.
 func (s *Switch) RollbackVersion() int64 { return s.version + 1 }
 
-func (s *Switch) release(_ []RankState, now time.Time) []Order {
-	if !s.ranks[s.holder].mayIssue(now, orderRetryDelay) {
+func (s *Switch) startRelease(ranks []RankState, now time.Time) []Order {
+	s.phase = PhaseReleasing
+	s.ranks[s.holder] = rankProgress{}
+	return s.release(ranks, now)
+}
+
+// release ends the hold. It has ended when the rank reports so after an order, or when its pass has begun.
+func (s *Switch) release(ranks []RankState, now time.Time) []Order {
+	p, holder := &s.ranks[s.holder], ranks[s.holder]
+	ended := p.attempts > 0 && !p.pending && holder.Held != s.step && holder.Seen.After(p.sentAt)
+	if ended || newestStep(ranks) >= s.step {
+		s.phase, s.releasedAt = PhaseSettling, now
+		if s.failed {
+			s.phase = PhaseFailed
+		}
+		return nil
+	}
+	if !p.mayIssue(now, orderRetryDelay) || p.awaitsReport(now, reportTimeout) {
 		return nil
 	}
 	return []Order{s.issue(Release, s.holder, now)}
--- a/io/tgcommand/platform.go
+++ b/io/tgcommand/platform.go
@@ -73,6 +73,10 @@
 
 func dialStore(addr string) (net.Conn, error) { return tgproxy.NewDialer().Dial("tcp", addr) }
 
+func dialEngine(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+	return tgproxy.NewDialer().DialContext(ctx, "tcp", addr.String())
+}
+
 // peerAddr returns the address of the daemon's UDP socket for peers and of its admin server (TCP).
 func (d *platformDaemon) peerAddr() netip.AddrPort {
 	return netip.AddrPortFrom(d.settings.IP, d.settings.FirstPeerPort)
--- a/io/tgcommand/platform_companion.go
+++ b/io/tgcommand/platform_companion.go
@@ -64,7 +64,7 @@
 	if err != nil {
 		return err
 	}
-	engines := tgplatform.NewEngineClient(dialStore)
+	engines := tgplatform.NewEngineClient(dialEngine)
 	leader := tgrank.NewLeader()
 	leader.Peers = p.companions
 	leader.OnTermChange = func(leads bool) { p.followMembers(ctx, leads, leader.NotifyPeersChanged) }
--- a/io/tgproxy/conns.go
+++ b/io/tgproxy/conns.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"tanagergrade/core/tgcatalog"
+	"tanagergrade/io/tghttp"
 )
 
 const (
@@ -198,40 +199,11 @@
 // usable reports whether an idle connection can carry a request: it has not expired, the peer has not closed it, and
 // no unsolicited bytes have arrived on it.
 func (c *upstreamConn) usable() bool {
-	if !time.Now().Before(c.expires) || c.br.Buffered() > 0 {
-		return false
-	}
-	n, err := peek(c.Conn)
-	return n == 0 && (errors.Is(err, syscall.EAGAIN) || errors.Is(err, errors.ErrUnsupported))
+	return time.Now().Before(c.expires) && tghttp.IsQuiet(c.Conn, c.br)
 }
 
 // hasUnread reports whether the peer has sent bytes that were not read yet.
-func hasUnread(conn net.Conn) bool {
-	n, err := peek(conn)
-	return err == nil && n > 0
-}
-
-// peek looks at the next byte of a connection without reading it or waiting for it. It returns 0 bytes at the end of the
-// connection, syscall.EAGAIN if there is none yet, and errors.ErrUnsupported if the connection is not a socket.
-func peek(conn net.Conn) (n int, err error) {
-	sc, ok := conn.(syscall.Conn)
-	if !ok {
-		return 0, errors.ErrUnsupported
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	var peekErr error
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, peekErr = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	if err != nil {
-		return 0, err
-	}
-	return max(n, 0), peekErr
-}
+func hasUnread(conn net.Conn) bool { return tghttp.HasUnread(conn) }
 
 func isTimeout(err error) bool {
 	var ne net.Error
--- a/io/tgrank/agent.go
+++ b/io/tgrank/agent.go
@@ -113,10 +113,15 @@
 		a.Leader.ObserveToken(b.Token)
 	}
 	if reportNow {
-		select {
-		case a.wake <- struct{}{}:
-		default:
-		}
+		a.reportSoon()
+	}
+}
+
+// reportSoon makes reportLoop report without waiting for its interval.
+func (a *Agent) reportSoon() {
+	select {
+	case a.wake <- struct{}{}:
+	default: // it will
 	}
 }
 
@@ -273,6 +278,7 @@
 		reply.Error = err.Error()
 	}
 	a.send(envelope{Reply: &reply}, from)
+	a.reportSoon() // only a report shows the leader what became of the order
 }
 
 func (a *Agent) send(e envelope, to netip.AddrPort) {
--- a/io/tgrank/relay.go
+++ b/io/tgrank/relay.go
@@ -101,7 +101,11 @@
 ) (tgmapchange.Result, error) {
 	direct := o.Operation == tgmapchange.Hold || m.VM == l.VM || m.From == (netip.AddrPort{})
 	if direct || time.Since(m.State.Seen) > relayFreshness {
-		return l.Engines.Order(m.EngineAddress, o, term, plan.replicas)
+		r, err := l.Engines.Order(m.EngineAddress, o, term, plan.replicas)
+		if m.VM == l.VM {
+			a.reportSoon()
+		}
+		return r, err
 	}
 	q := Request{Group: group, Order: o, Token: term}
 	if o.Operation == tgmapchange.Prepare {
--- a/io/tgupstream/conn.go
+++ b/io/tgupstream/conn.go
@@ -5,10 +5,11 @@
 	"context"
 	"net"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"tanagergrade/io/tghttp"
 )
 
 // ErrReadTimeout reports that an upstream sent no byte within the read timeout.
@@ -79,23 +80,5 @@
 // usable reports whether an idle connection is still open and has no unread bytes. A request written to a connection that
 // the upstream has closed may or may not have run, so such connections must be found before the request is written.
 func (c *conn) usable() bool {
-	if time.Since(c.idleSince) > maxIdleTime || c.br.Buffered() > 0 {
-		return false
-	}
-	s, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	var b [1]byte
-	err = raw.Read(func(fd uintptr) bool {
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && open
+	return time.Since(c.idleSince) <= maxIdleTime && tghttp.IsQuiet(c.Conn, c.br)
 }
