Tell entries of the rank groups: members, state and loads

Entries knew nothing of groups: the failure of one group stopped a pool with several, and each entry balanced by its own streams. The leader now sends what the agents report: per group its epoch, state and a digest of its members, by rank the streams, used memory and their age. Members are told when they change and to entries that ask. core/tggroupview keeps the view of an entry; nothing decides by it yet.

--- a/core/tgview/view.go
+++ b/core/tgview/view.go
@@ -31,7 +31,9 @@
 
 // Change is the result of applying one record, for the log.
 type Change struct {
-	Err     error // why a record was rejected
+	Age     time.Duration // of what a change by the passage of time is based on
+	Epoch   int64         // of a rank group
+	Err     error         // why a record was rejected
 	Key     string
 	Offset  int64
 	Outcome string
--- a/io/tgcommand/platform_companion.go
+++ b/io/tgcommand/platform_companion.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
 	"sync"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"tanagergrade/core/tgcatalog"
+	"tanagergrade/core/tggroupview"
 	"tanagergrade/core/tglogtable"
 	"tanagergrade/core/tgview"
 	"tanagergrade/io/tgfleet"
@@ -75,6 +77,7 @@
 			p.Dependency("peers", "encodeFailed", err)
 		}
 	}
+	leader.PublishGroups = func(n tggroupview.Notice, to []netip.AddrPort) int { return p.sendGroups(conn, n, to) }
 	agent := &tgrank.Agent{
 		Conn: conn, EngineAddress: s.EngineAddr, Engines: engines, Leader: leader, Log: p, Pool: s.EnginePool, VM: s.VM,
 	}
@@ -91,6 +94,21 @@
 	return nil
 }
 
+// sendGroups sends a notice of the rank groups to some entries, or to all if to is nil.
+func (p *platformCompanion) sendGroups(conn *net.UDPConn, n tggroupview.Notice, to []netip.AddrPort) int {
+	if to == nil {
+		for _, m := range p.peers.List(tgfleet.RoleEntry, time.Now()) {
+			to = append(to, m.Address)
+		}
+	}
+	bytes, err := tgfleet.SendGroups(conn, to, n)
+	if err != nil {
+		p.Dependency("peers", "encodeFailed", err)
+	}
+	p.report.Counters.Add("groupNoticeBytes", int64(bytes))
+	return bytes
+}
+
 // handleAdmin returns the handler of the admin server.
 func (p *platformCompanion) handleAdmin(agent *tgrank.Agent) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
--- a/io/tgcommand/platform_entry.go
+++ b/io/tgcommand/platform_entry.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"tanagergrade/core/tgcatalog"
+	"tanagergrade/core/tggroupview"
 	"tanagergrade/core/tglogtable"
 	"tanagergrade/core/tgquarantine"
 	"tanagergrade/core/tgview"
@@ -51,6 +52,7 @@
 type platformEntry struct {
 	*platformDaemon
 	exchange   *tgfleet.Exchange
+	groups     *tggroupview.View
 	operator   *tglogtable.Table
 	proxy      *tgproxy.Server
 	quarantine *tgquarantine.Table
@@ -89,14 +91,14 @@
 
 func newPlatformEntry(d *platformDaemon) *platformEntry {
 	e := &platformEntry{
-		operator: tglogtable.NewTable(), platformDaemon: d, quarantine: tgquarantine.NewTable(d.settings.VM),
+		groups: tggroupview.NewView(), operator: tglogtable.NewTable(), platformDaemon: d, quarantine: tgquarantine.NewTable(d.settings.VM),
 		upstreams: tglogtable.NewTable(), view: tgview.NewView(tgplatform.Codec()),
 	}
 	e.quarantine.AwaitSaved(time.Now())
 	e.proxy = tgproxy.NewServer(d.settings.DataCentre, e, tgplatform.Headers(), proxyLimits(d.settings), d.report,
 		d.report.Counters, tgproxy.WithQuarantine(e.quarantine))
 	e.exchange = &tgfleet.Exchange{
-		Log: d.report, OperatorTable: e.operator, Peers: d.peers, Quarantine: e.quarantine, Streams: e.proxy.Streams,
+		Groups: e.groups, Log: d.report, OperatorTable: e.operator, Peers: d.peers, Quarantine: e.quarantine, Streams: e.proxy.Streams,
 		UpstreamsTable: e.upstreams, VM: d.settings.VM, View: e.view,
 	}
 	return e
@@ -238,7 +240,7 @@
 	}
 	e.handleDumpAndMetrics(ctx, func() map[string]any {
 		return map[string]any{
-			"proxy": e.proxy.State(), "quarantine": e.quarantine.States(time.Now()), "view": e.view.State(),
+			"groups": e.groups.States(time.Now()), "proxy": e.proxy.State(), "quarantine": e.quarantine.States(time.Now()), "view": e.view.State(),
 		}
 	})
 }
--- a/io/tgfleet/exchange.go
+++ b/io/tgfleet/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
+	"tanagergrade/core/tggroupview"
 	"tanagergrade/core/tglogtable"
 	"tanagergrade/core/tgquarantine"
 	"tanagergrade/core/tgview"
@@ -35,6 +36,7 @@
 // Exchange synchronises the tables of the entries: each entry announces to the others how far its tables reach, and one
 // that is behind and gets nothing from the store pulls the tables of a peer.
 type Exchange struct {
+	Groups         *tggroupview.View // rank groups, as their leader reports them; nil if nobody needs them
 	Log            Log
 	OperatorTable  *tglogtable.Table
 	Peers          *Peers
@@ -93,6 +95,9 @@
 		x.Log.ViewChange("clock", "upstreams", c)
 	}
 	x.logSlowdownChanges("clock", "usual", x.Slowdowns.Expire(now))
+	if x.Groups != nil {
+		x.logGroups("clock", x.Groups.Expire(now))
+	}
 	data, err := cbor.Marshal(Gossip{
 		Following: x.View.Following(), OperatorEnd: x.OperatorTable.End(), Streams: x.Streams(),
 		UpstreamsEnd: x.UpstreamsTable.End(), VM: x.VM,
@@ -125,6 +130,7 @@
 func (x *Exchange) handleDatagram(conn *net.UDPConn, data []byte, from netip.AddrPort, now time.Time) {
 	var g struct {
 		Gossip
+		GroupsNotice
 		QuarantineNotice
 		SlowdownNotice
 	}
@@ -134,6 +140,9 @@
 	if g.Slow != nil {
 		x.applySlowdowns(g.SlowdownNotice)
 	}
+	if g.Groups != nil && x.Groups != nil {
+		x.applyGroups(conn, *g.Groups, from, now)
+	}
 	if g.Quarantine != nil {
 		x.handleNotice(conn, g.Quarantine, from, now)
 	}
--- a/io/tgfleet/fuzz_test.go
+++ b/io/tgfleet/fuzz_test.go
@@ -1,6 +1,7 @@
 package tgfleet
 
 import (
+	"net"
 	"net/netip"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
+	"tanagergrade/core/tggroupview"
 	"tanagergrade/core/tglogtable"
 	"tanagergrade/core/tgquarantine"
 	"tanagergrade/core/tgview"
@@ -29,6 +31,9 @@
 func FuzzDatagram(f *testing.F) {
 	for _, m := range []any{
 		Gossip{OperatorEnd: 3, Streams: map[string]int{"p": 2}, VM: "peer"},
+		GroupsNotice{Groups: &tggroupview.Notice{Groups: []tggroupview.GroupNotice{{
+			Digest: 1, Loads: []tggroupview.RankLoad{{3, 1, 1}}, Members: []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:3")}, Name: "g",
+		}}, Number: 1, Token: 1}},
 		SlowdownNotice{Slow: []EngineSlowdown{{}}},
 		QuarantineNotice{Quarantine: &tgquarantine.Notice{
 			Claims: []tgquarantine.ClaimNotice{{Part: "a"}}, Cleared: []tgquarantine.ClearedNotice{{Part: "a"}},
@@ -42,12 +47,17 @@
 	now := time.Unix(1000, 0)
 	f.Fuzz(func(t *testing.T, data []byte) {
 		x := &Exchange{
-			Log: discardLog{}, OperatorTable: tglogtable.NewTable(), Peers: NewPeers("self"),
+			Groups: tggroupview.NewView(), Log: discardLog{}, OperatorTable: tglogtable.NewTable(), Peers: NewPeers("self"),
 			Quarantine:     tgquarantine.NewTable("self"),
 			UpstreamsTable: tglogtable.NewTable(), View: tgview.NewView(tgview.Codec{}), VM: "self",
 		}
 		x.pulling = true // a pull would need a peer
-		x.handleDatagram(nil, data, netip.MustParseAddrPort("127.0.0.1:2"), now)
+		x.handleDatagram(&net.UDPConn{}, data, netip.MustParseAddrPort("127.0.0.1:2"), now)
+		for _, g := range x.Groups.States(now) {
+			assert.Assert(t, g.Streams >= 0)
+		}
+		x.Groups.Expire(now.Add(time.Hour))
+		assert.Equal(t, len(x.Groups.States(now)), 0)
 		for _, n := range x.Peers.count(now).streams {
 			assert.Assert(t, n >= 0)
 		}
--- a/io/tgrank/agent.go
+++ b/io/tgrank/agent.go
@@ -84,6 +84,8 @@
 		go a.guard(from, func() { a.relayOrder(*e.Request, from) })
 	case e.Reply != nil:
 		a.Leader.handleReply(*e.Reply)
+	case e.Members:
+		a.Leader.requestMembers(from)
 	}
 }
 
@@ -200,8 +202,8 @@
 	}
 	a.engineLost, a.lastRank = false, s.Rank
 	r := Report{
-		EngineAddress: a.EngineAddress, Group: s.Group, Pool: a.Pool, Rank: s.Rank, Ranks: s.Ranks,
-		Slowdown: s.Slowdown, State: s.State, VM: a.VM,
+		EngineAddress: a.EngineAddress, Group: s.Group, Memory: memoryLevel(s.Memory), Pool: a.Pool, Rank: s.Rank,
+		Ranks: s.Ranks, Slowdown: s.Slowdown, State: s.State, Streams: &s.Streams, VM: a.VM,
 	}
 	if !s.Started.Equal(a.engineStarted) {
 		a.engineStarted, a.lastCounts, a.experts = s.Started, nil, nil
--- a/io/tgrank/engine.go
+++ b/io/tgrank/engine.go
@@ -10,11 +10,13 @@
 // EngineState is the state that an engine reports.
 type EngineState struct {
 	Group    string
+	Memory   float64 // share of its memory that is used, from 0 to 1
 	Slowdown float64 // factor by which its work takes longer than usual
 	Rank     int
 	Ranks    int       // of the group; 0 if the engine is in none
 	Started  time.Time // of the engine process
 	State    tgmapchange.RankState
+	Streams  int // running and queued
 }
 
 // EngineClient calls the engines. Calls to the engine on another VM cost more than to the one on this VM.
--- a/io/tgrank/leader.go
+++ b/io/tgrank/leader.go
@@ -35,6 +35,7 @@
 	OnTermChange     func(leads bool)                      // called when a term begins or ends
 	Peers            func() []Peer                         // all other agents
 	Pool             string                                // of the engine on this VM and of those it shares groups with
+	PublishGroups    GroupPublisher                        // tells the entries of the groups; nil if there are no entries
 	PublishSlowdowns func(slow map[netip.AddrPort]float64) // gets the factors of slow engines while there are any
 	VM               string
 
@@ -58,7 +59,8 @@
 	term           int64                // token of the term that the groups belong to
 	termStarted    time.Time            // when term last changed
 
-	relays pendingRequests
+	notices groupNotices
+	relays  pendingRequests
 }
 
 // result is an engine's answer to an order.
@@ -167,6 +169,7 @@
 			l.sendBeacons(a, g.hasVM)
 		}
 	}
+	l.publishGroups(now)
 	switch {
 	case now.Sub(l.lastBeacon) >= beaconInterval:
 		l.lastBeacon, l.lastFastBeacon = now, now
@@ -187,6 +190,7 @@
 	clear(l.lastReport)
 	l.termStarted, l.former = time.Now(), a.lastBeacon()
 	l.relays.clear()
+	l.notices.reset()
 	l.lastVersion = tgmapchange.FirstVersion(to)
 	state := "elected"
 	if to == 0 {
--- a/io/tgrank/message.go
+++ b/io/tgrank/message.go
@@ -34,11 +34,13 @@
 	From          netip.AddrPort        `cbor:"-"`                    // set by the receiver
 	Experts       [][]int               `cbor:"3,keyasint,omitempty"` // held by the rank, by set, in the map of State.Version
 	Group         string                `cbor:"4,keyasint"`
-	Slowdown      float64               `cbor:"11,keyasint"` // factor by which the engine's work takes longer than usual
+	Memory        byte                  `cbor:"12,keyasint,omitempty"` // used, in parts of 255
+	Slowdown      float64               `cbor:"11,keyasint"`           // factor by which the engine's work takes longer than usual
 	Pool          string                `cbor:"5,keyasint"`
 	Rank          int                   `cbor:"6,keyasint"`
 	Ranks         int                   `cbor:"7,keyasint"`
 	State         tgmapchange.RankState `cbor:"8,keyasint"`
+	Streams       *int                  `cbor:"13,keyasint,omitempty"` // of the engine, running and queued; nil from earlier versions
 	VM            string                `cbor:"9,keyasint"`
 }
 
@@ -65,6 +67,7 @@
 // envelope is a datagram; exactly one field is set.
 type envelope struct {
 	Beacon  *Beacon  `cbor:"1,keyasint,omitempty"`
+	Members bool     `cbor:"5,keyasint,omitempty"` // the request of an entry, see tggroupview.MembersRequest
 	Reply   *Reply   `cbor:"2,keyasint,omitempty"`
 	Report  *Report  `cbor:"3,keyasint,omitempty"`
 	Request *Request `cbor:"4,keyasint,omitempty"`
--- a/io/tgrank/relay.go
+++ b/io/tgrank/relay.go
@@ -171,7 +171,7 @@
 		return // the engine, and so its group, is down too, or it is in no group
 	}
 	l.EnqueueReport(Report{
-		EngineAddress: p.EngineAddress, Group: s.Group, Pool: l.Pool, Rank: s.Rank, Ranks: s.Ranks, Slowdown: s.Slowdown,
-		State: s.State, StateAge: time.Since(read), VM: p.VM,
+		EngineAddress: p.EngineAddress, Group: s.Group, Memory: memoryLevel(s.Memory), Pool: l.Pool, Rank: s.Rank,
+		Ranks: s.Ranks, Slowdown: s.Slowdown, State: s.State, StateAge: time.Since(read), Streams: &s.Streams, VM: p.VM,
 	})
 }
--- a/io/tgreport/report.go
+++ b/io/tgreport/report.go
@@ -122,6 +122,12 @@
 	if c.Version != 0 {
 		f["version"] = c.Version
 	}
+	if c.Epoch != 0 {
+		f["epoch"] = c.Epoch
+	}
+	if c.Age > 0 {
+		f["ageMs"] = c.Age.Milliseconds()
+	}
 	if c.Err != nil {
 		f["error"] = c.Err.Error()
 	}
