Break the circuit by rank group, place by the loads of all entries

A rank that failed in one group made the entries refuse the callers of the whole pool, and an entry with fewer streams than engines knew nearly nothing of the loads. Breakers are now by group: groups that have refused a request, or that the leader reports as broken, are left out while another group runs, and a request that was refused unexecuted is tried there at once. Pools of one group keep one breaker.

The picker takes the leader's count of the streams on each upstream, corrected by what this process has sent and ended since, and chooses the better of two upstreams drawn at random, as all entries see the same counts.

--- a/core/tgpicker/picker.go
+++ b/core/tgpicker/picker.go
@@ -1,5 +1,5 @@
-// Package tgpicker chooses the upstream of an attempt by the load from this process, by the results of earlier attempts,
-// and by the request rate allowed for a cold upstream.
+// Package tgpicker chooses the upstream of an attempt by the load from this process, or from all processes where that is
+// known, by the results of earlier attempts, and by the request rate allowed for a cold upstream.
 package tgpicker
 
 import (
@@ -57,11 +57,15 @@
 type Request struct {
 	Avoid    map[string]bool                     // IDs of upstreams that are chosen only if no other is left
 	ColdRate float64                             // requests per second of this process to one upstream; 0 if unbounded
+	Load     LoadFunc                            // nil if only the load from this process is known
 	Slowdown func(u *tgcatalog.Upstream) float64 // time per pass of an upstream relative to the usual; nil if none is slow
 	Tried    map[string]bool                     // IDs of upstreams that already had the request
 	Work     float64                             // load that the request adds; 1 for an average request
 }
 
+// LoadFunc returns the streams of all processes on an upstream and when they were counted.
+type LoadFunc func(u *tgcatalog.Upstream) (streams float64, counted time.Time, ok bool)
+
 // Choice is the upstream chosen for an attempt; Done ends the attempt.
 type Choice struct {
 	Load     float64 // load of this process on the upstream before this attempt
@@ -78,6 +82,7 @@
 	backoff             time.Duration // of the last ejection; zero after a success
 	consecutiveFailures int           // failures since the last success
 	ejectedUntil        time.Time     // zero if it was never ejected
+	events              []loadEvent   // of the last loadHistory, in order
 	failureRate         float64       // share of failed attempts, smoothed
 	lastOffered         time.Time     // last time it was a candidate
 	latency             float64       // time to the first byte in seconds, smoothed; 0 if unknown
@@ -95,7 +100,8 @@
 type Picker struct {
 	lastExpiry time.Time
 	local      string     // data centre of this process
-	mu         sync.Mutex // guards lastExpiry and states
+	meanWork   float64    // of a request, smoothed
+	mu         sync.Mutex // guards all fields except local and rand
 	rand       func() float64
 	states     map[string]*state // by upstream ID
 }
@@ -108,7 +114,7 @@
 
 // NewPicker returns a picker for a process in the data centre local.
 func NewPicker(local string, options ...Option) *Picker {
-	p := &Picker{local: local, rand: rand.Float64, states: map[string]*state{}}
+	p := &Picker{local: local, meanWork: 1, rand: rand.Float64, states: map[string]*state{}}
 	for _, o := range options {
 		o(p)
 	}
@@ -123,8 +129,10 @@
 	p.expireStates(now)
 	reason := ReasonNone
 	fastest := p.fastest(candidates)
+	shared := p.sharedLoads(candidates, r, now)
 	best, bestScore := -1, 0.0
 	fallback, fallbackScore := -1, 0.0 // the best ejected candidate
+	var free []scored                  // those without a penalty, if the load of all processes is known
 	for i := range candidates {
 		u := &candidates[i]
 		if r.Tried[u.ID] {
@@ -137,13 +145,11 @@
 			continue
 		}
 		ejected := now.Before(s.ejectedUntil)
-		score := p.score(u, s, r.Work, fastest)
-		if r.Slowdown != nil {
-			score = slowedScore(score, r.Slowdown(u))
-		}
-		if r.Avoid[u.ID] {
-			score += avoidPenalty
+		load := s.load
+		if shared != nil {
+			load = shared[i]
 		}
+		score, penalised := r.penalise(u, p.score(u, s, load+r.Work, fastest))
 		if ejected {
 			score += failurePenalty * s.failureRate
 			if fallback < 0 || score < fallbackScore {
@@ -151,10 +157,16 @@
 			}
 			continue
 		}
+		if shared != nil && !penalised {
+			free = append(free, scored{index: i, score: score})
+		}
 		if best < 0 || score < bestScore {
 			best, bestScore = i, score
 		}
 	}
+	if len(free) > 0 {
+		best = p.chooseByChance(free)
+	}
 	if best < 0 {
 		best = fallback
 	}
@@ -196,7 +208,10 @@
 	s := p.states[u.ID]
 	c := &Choice{Load: s.load, Upstream: u, picker: p, sent: now, state: s, work: r.Work}
 	s.load += r.Work
-	s.pending++
+	s.record(1, now)
+	if r.Load != nil {
+		p.meanWork = workSmoothing*p.meanWork + (1-workSmoothing)*r.Work
+	}
 	if r.ColdRate > 0 {
 		s.tokens--
 	}
@@ -205,8 +220,8 @@
 
 // score is the load of an upstream including the request, raised if its latency is high or it is in another data centre.
 // Random noise of up to 0.1 breaks ties.
-func (p *Picker) score(u *tgcatalog.Upstream, s *state, work, fastest float64) float64 {
-	score := s.load + work
+func (p *Picker) score(u *tgcatalog.Upstream, s *state, load, fastest float64) float64 {
+	score := load
 	if s.latency > 0 && fastest > 0 {
 		score *= max(1, s.latency/fastest/latencyTolerance)
 	}
@@ -216,6 +231,18 @@
 	return score + 0.1*p.rand()
 }
 
+// penalise raises the score of an upstream that is slow or that the request avoids.
+func (r *Request) penalise(u *tgcatalog.Upstream, score float64) (raised float64, penalised bool) {
+	if r.Slowdown != nil {
+		slowdown := r.Slowdown(u)
+		score, penalised = slowedScore(score, slowdown), slowdown >= slowThreshold
+	}
+	if r.Avoid[u.ID] {
+		return score + avoidPenalty, true
+	}
+	return score, penalised
+}
+
 // slowedScore raises the score of a slow upstream. All ranks of a group wait for the slowest one in each pass, so a slow
 // upstream gets new work only if all others have far more load.
 func slowedScore(score, slowdown float64) float64 {
@@ -285,7 +312,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s.load = max(0, s.load-c.work)
-	s.pending--
+	s.record(-1, now)
 	switch o {
 	case OutcomeAnswered:
 		s.failureRate *= failureSmoothing
--- a/io/tgcommand/platform_entry.go
+++ b/io/tgcommand/platform_entry.go
@@ -14,6 +14,7 @@
 	"tanagergrade/core/tglogtable"
 	"tanagergrade/core/tgquarantine"
 	"tanagergrade/core/tgview"
+	"tanagergrade/io/tgflag"
 	"tanagergrade/io/tgfleet"
 	"tanagergrade/io/tgproxy"
 	"tanagergrade/io/tgreport"
@@ -21,13 +22,16 @@
 )
 
 func (c *config) newPlatformEntryCmd() *cobra.Command {
-	return &cobra.Command{
+	placement := tgflag.NewEnum(tgproxy.PlacementAuto, tgproxy.Placements())
+	cmd := &cobra.Command{
 		Args:  cobra.NoArgs,
 		Long:  "Runs the daemon that takes callers' requests. SIGTERM starts a graceful shutdown.",
-		RunE:  c.runPlatformEntry,
+		RunE:  func(cmd *cobra.Command, _ []string) error { return c.runPlatformEntry(cmd, placement.Value) },
 		Short: "Run an entry daemon on the users' platform",
 		Use:   "entry",
 	}
+	cmd.Flags().Var(placement, "placement", "by whose streams the load of an upstream is judged: "+placement.Values())
+	return cmd
 }
 
 const (
@@ -79,24 +83,24 @@
 // Upstreams implements tgproxy.Catalog.
 func (e *platformEntry) Upstreams(pool string) []tgcatalog.Upstream { return e.view.Upstreams(pool) }
 
-func (c *config) runPlatformEntry(cmd *cobra.Command, _ []string) error {
+func (c *config) runPlatformEntry(cmd *cobra.Command, placement tgproxy.Placement) error {
 	d, err := c.newPlatformDaemon(tgfleet.RoleEntry)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = d.report.Close() }() // never fails
-	e := newPlatformEntry(d)
+	e := newPlatformEntry(d, placement)
 	return e.run(cmd.Context())
 }
 
-func newPlatformEntry(d *platformDaemon) *platformEntry {
+func newPlatformEntry(d *platformDaemon, placement tgproxy.Placement) *platformEntry {
 	e := &platformEntry{
 		groups: tggroupview.NewView(), operator: tglogtable.NewTable(), platformDaemon: d, quarantine: tgquarantine.NewTable(d.settings.VM),
 		upstreams: tglogtable.NewTable(), view: tgview.NewView(tgplatform.Codec()),
 	}
 	e.quarantine.AwaitSaved(time.Now())
 	e.proxy = tgproxy.NewServer(d.settings.DataCentre, e, tgplatform.Headers(), proxyLimits(d.settings), d.report,
-		d.report.Counters, tgproxy.WithQuarantine(e.quarantine))
+		d.report.Counters, tgproxy.WithGroups(e.groups, placement), tgproxy.WithQuarantine(e.quarantine))
 	e.exchange = &tgfleet.Exchange{
 		Groups: e.groups, Log: d.report, OperatorTable: e.operator, Peers: d.peers, Quarantine: e.quarantine, Streams: e.proxy.Streams,
 		UpstreamsTable: e.upstreams, VM: d.settings.VM, View: e.view,
--- a/io/tgproxy/call.go
+++ b/io/tgproxy/call.go
@@ -23,6 +23,7 @@
 	detail         string  // why the last attempt failed, for the log
 	events         eventTimes
 	expiresAt      time.Time // earlier of the caller's deadline and the end of the route's timeout
+	groups         callGroups
 	headers        *Headers
 	id             string // of the attempt, set by the caller
 	isRetry        bool   // the caller was presumably refused before; see Server.isRetry
--- a/io/tgproxy/forward.go
+++ b/io/tgproxy/forward.go
@@ -49,9 +49,8 @@
 		k.endQuarantined(a, c, d)
 		return
 	}
-	breaker := s.breaker(c.pool)
-	if now := time.Now(); !breaker.Allow(now) {
-		k.endUnanswered(a, c, "pool outage: no upstream runs requests at present", breaker.RetryAfter(now))
+	if !s.selectGroups(c, true) {
+		k.endUnanswered(a, c, "pool outage: no upstream runs requests at present", s.outageRetryAfter(c))
 		return
 	}
 	if !k.admit(a, c, upstreams) {
@@ -78,11 +77,12 @@
 			k.abandon(a, c)
 			return
 		}
-		choice, reason := s.picker.Pick(s.catalog.Upstreams(c.pool), s.pickRequest(c), now)
+		candidates := s.candidates(c)
+		choice, reason := s.picker.Pick(candidates, s.pickRequest(c), now)
 		if choice == nil {
 			wait := retryAfterNoUpstream
 			if reason == tgpicker.ReasonPaused {
-				wait = s.picker.PauseLeft(s.catalog.Upstreams(c.pool), now)
+				wait = s.picker.PauseLeft(candidates, now)
 			}
 			k.endUnanswered(a, c, "no upstream: "+string(reason), wait)
 			return
@@ -105,20 +105,33 @@
 				continue
 			}
 		}
-		if verdict == verdictOutage {
-			k.endUnanswered(a, c, c.detail, s.breaker(c.pool).RetryAfter(time.Now()))
-			return
-		}
-		if c.attempts >= c.route.MaxAttempts || verdict != verdictRetry {
-			k.endUnanswered(a, c, c.detail, retryAfterFullBase+time.Duration(s.rand()*float64(retryAfterFullJitter)))
+		if !k.mayTryAgain(a, c, verdict) {
 			return
 		}
 	}
 }
 
+// mayTryAgain reports whether another attempt may follow one that failed, and ends the call if not.
+func (k *callerConn) mayTryAgain(a *responseState, c *call, v verdict) bool {
+	s := k.server
+	again := v == verdictRetry || v == verdictOutage
+	switch {
+	case again && !s.selectOtherGroup(c, v):
+		k.endUnanswered(a, c, c.detail, s.outageRetryAfter(c))
+	case !again, c.attempts >= c.route.MaxAttempts:
+		k.endUnanswered(a, c, c.detail, retryAfterFullBase+time.Duration(s.rand()*float64(retryAfterFullJitter)))
+	default:
+		return true
+	}
+	return false
+}
+
 func (s *Server) pickRequest(c *call) tgpicker.Request {
 	rate := tgquota.ColdRate(c.config.Pools[c.pool].ColdRate, s.catalog.EntryCount())
 	r := tgpicker.Request{ColdRate: rate, Slowdown: s.catalog.Slowdown, Tried: c.tried, Work: c.cost}
+	if s.sharesLoads(c) {
+		r.Load = s.upstreamLoad
+	}
 	if c.trial != nil {
 		r.Avoid = s.quarantine.TrialUpstreams(time.Now())
 	}
@@ -130,7 +143,7 @@
 
 const (
 	verdictDone   verdict = "done"   // the call has ended
-	verdictOutage verdict = "outage" // no upstream of the pool can run requests at present
+	verdictOutage verdict = "outage" // no upstream of the group can run requests at present
 	verdictRetry  verdict = "retry"  // another upstream may be tried
 	verdictStop   verdict = "stop"   // no other upstream may be tried
 	verdictUnsent verdict = "unsent" // the request did not reach the upstream
@@ -178,7 +191,7 @@
 	s := k.server
 	switch x.kind {
 	case answerOK:
-		s.breaker(c.pool).RecordSuccess()
+		s.groupBreaker(c, &x.target).RecordSuccess()
 		return k.deliver(a, c, x)
 	case answerError:
 		if !k.canRetry(c) || a.headWritten {
@@ -191,7 +204,7 @@
 			return tgpicker.OutcomeReplaced, verdictRetry
 		}
 		if x.response.Header.Get(s.headers.FailedUpstream) != "" {
-			s.breaker(c.pool).RecordFailure(time.Now())
+			s.groupBreaker(c, &x.target).RecordFailure(time.Now())
 			return tgpicker.OutcomeFull, verdictOutage
 		}
 		return tgpicker.OutcomeFull, verdictRetry
--- a/io/tgproxy/server.go
+++ b/io/tgproxy/server.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"tanagergrade/core/tgcatalog"
+	"tanagergrade/core/tggroupview"
 	"tanagergrade/core/tgpicker"
 	"tanagergrade/core/tgquarantine"
 	"tanagergrade/core/tgquota"
@@ -25,16 +26,18 @@
 	counters    *expvar.Map
 	crashes     crashChecker
 	draining    atomic.Bool // each answer ends its connection
+	groups      *tggroupview.View
 	headers     Headers
 	limits      atomic.Pointer[Limits]
 	observer    Observer
+	placement   Placement
 	picker      *tgpicker.Picker
 	quarantine  *tgquarantine.Table
 	rand        func() float64
 	unbegun     unbegunExchanges
 
-	mu               sync.Mutex                        // guards the maps below
-	breakers         map[string]*tgstreamlimit.Breaker // by pool
+	mu               sync.Mutex                         // guards the maps below
+	poolBreakers     map[string]*tgstreamlimit.Breakers // by pool
 	callers          map[*callerConn]struct{}
 	longestDeadlines map[string]time.Duration          // longest time limit of a request so far, by route
 	retryBudgets     map[string]*tgretry.WindowBudget  // by pool
@@ -58,7 +61,7 @@
 ) *Server {
 	s := &Server{
 		callers: map[*callerConn]struct{}{}, catalog: catalog, conns: newConnPool(), counters: counters, headers: headers,
-		breakers: map[string]*tgstreamlimit.Breaker{}, crashes: crashChecker{checks: map[netip.AddrPort]*crashCheck{}}, longestDeadlines: map[string]time.Duration{}, observer: observer,
+		poolBreakers: map[string]*tgstreamlimit.Breakers{}, crashes: crashChecker{checks: map[netip.AddrPort]*crashCheck{}}, longestDeadlines: map[string]time.Duration{}, observer: observer,
 		picker: tgpicker.NewPicker(dataCentre), rand: rand.Float64, retryBudgets: map[string]*tgretry.WindowBudget{},
 		streamLimiters: map[string]*tgstreamlimit.Limiter{},
 		unbegun:        unbegunExchanges{m: map[*exchange]*call{}},
@@ -66,6 +69,9 @@
 	for _, o := range options {
 		o(s)
 	}
+	if s.groups == nil {
+		s.groups = tggroupview.NewView()
+	}
 	if s.quarantine == nil {
 		s.quarantine = tgquarantine.NewTable("")
 	}
@@ -117,14 +123,14 @@
 	return l
 }
 
-// breaker returns the circuit breaker of a pool.
-func (s *Server) breaker(pool string) *tgstreamlimit.Breaker {
+// breakers returns the circuit breakers of a pool.
+func (s *Server) breakers(pool string) *tgstreamlimit.Breakers {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	b, ok := s.breakers[pool]
+	b, ok := s.poolBreakers[pool]
 	if !ok {
-		b = tgstreamlimit.NewBreaker(s.rand)
-		s.breakers[pool] = b
+		b = tgstreamlimit.NewBreakers(s.rand)
+		s.poolBreakers[pool] = b
 	}
 	return b
 }
