--- a/io/tgcommand/platform_entry.go
+++ b/io/tgcommand/platform_entry.go
@@ -10,9 +10,11 @@
 	"github.com/valyala/fasthttp"
 
 	"tanagergrade/core/tgcatalog"
+	"tanagergrade/core/tggroupview"
 	"tanagergrade/core/tglogtable"
 	"tanagergrade/core/tgquarantine"
 	"tanagergrade/core/tgview"
+	"tanagergrade/io/tgflag"
 	"tanagergrade/io/tgfleet"
 	"tanagergrade/io/tgproxy"
 	"tanagergrade/io/tgreport"
@@ -20,13 +22,16 @@
 )
 
 func (c *config) newPlatformEntryCmd() *cobra.Command {
-	return &cobra.Command{
+	placement := tgflag.NewEnum(tgproxy.PlacementAuto, tgproxy.Placements())
+	cmd := &cobra.Command{
 		Args:  cobra.NoArgs,
 		Long:  "Runs the daemon that takes callers' requests. SIGTERM starts a graceful shutdown.",
-		RunE:  c.runPlatformEntry,
+		RunE:  func(cmd *cobra.Command, _ []string) error { return c.runPlatformEntry(cmd, placement.Value) },
 		Short: "Run an entry daemon on the users' platform",
 		Use:   "entry",
 	}
+	cmd.Flags().Var(placement, "placement", "by whose streams the load of an upstream is judged: "+placement.Values())
+	return cmd
 }
 
 const (
@@ -51,6 +56,7 @@
 type platformEntry struct {
 	*platformDaemon
 	exchange   *tgfleet.Exchange
+	groups     *tggroupview.View
 	operator   *tglogtable.Table
 	proxy      *tgproxy.Server
 	quarantine *tgquarantine.Table
@@ -77,26 +83,27 @@
 // Upstreams implements tgproxy.Catalog.
 func (e *platformEntry) Upstreams(pool string) []tgcatalog.Upstream { return e.view.Upstreams(pool) }
 
-func (c *config) runPlatformEntry(cmd *cobra.Command, _ []string) error {
+func (c *config) runPlatformEntry(cmd *cobra.Command, placement tgproxy.Placement) error {
 	d, err := c.newPlatformDaemon(tgfleet.RoleEntry)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = d.report.Close() }() // never fails
-	e := newPlatformEntry(d)
+	e := newPlatformEntry(d, placement)
 	return e.run(cmd.Context())
 }
 
-func newPlatformEntry(d *platformDaemon) *platformEntry {
+func newPlatformEntry(d *platformDaemon, placement tgproxy.Placement) *platformEntry {
 	e := &platformEntry{
-		operator: tglogtable.NewTable(), platformDaemon: d, quarantine: tgquarantine.NewTable(d.settings.VM),
+		groups: tggroupview.NewView(), operator: tglogtable.NewTable(), platformDaemon: d, quarantine: tgquarantine.NewTable(d.settings.VM),
 		upstreams: tglogtable.NewTable(), view: tgview.NewView(tgplatform.Codec()),
 	}
 	e.quarantine.AwaitSaved(time.Now())
 	e.proxy = tgproxy.NewServer(d.settings.DataCentre, e, tgplatform.Headers(), proxyLimits(d.settings), d.report,
-		d.report.Counters, tgproxy.WithQuarantine(e.quarantine))
+		d.report.Counters, tgproxy.WithGroups(e.groups, placement), tgproxy.WithQuarantine(e.quarantine))
 	e.exchange = &tgfleet.Exchange{
-		Costs: e.proxy.Costs(), Log: d.report, OperatorTable: e.operator, Peers: d.peers, Quarantine: e.quarantine, Streams: e.proxy.Streams,
+		Costs: e.proxy.Costs(), Groups: e.groups, Log: d.report, OperatorTable: e.operator, Peers: d.peers, Quarantine: e.quarantine,
+		Streams:        e.proxy.Streams,
 		UpstreamsTable: e.upstreams, VM: d.settings.VM, View: e.view,
 	}
 	return e
@@ -241,7 +248,7 @@
 	}
 	e.handleDumpAndMetrics(ctx, func() map[string]any {
 		return map[string]any{
-			"proxy": e.proxy.State(), "quarantine": e.quarantine.States(time.Now()), "view": e.view.State(),
+			"groups": e.groups.States(time.Now()), "proxy": e.proxy.State(), "quarantine": e.quarantine.States(time.Now()), "view": e.view.State(),
 		}
 	})
 }
--- a/io/tgproxy/call.go
+++ b/io/tgproxy/call.go
@@ -31,6 +31,7 @@
 	events         eventTimes
 	expiresAt      time.Time         // earlier of the caller's deadline and the end of the route's timeout
 	forecast       *tgdrain.Forecast // of the route's answers
+	groups         callGroups
 	headers        *Headers
 	id             string // of the attempt, set by the caller
 	isRetry        bool   // the caller was presumably refused before; see Server.isRetry
--- a/io/tgproxy/server.go
+++ b/io/tgproxy/server.go
@@ -11,6 +11,7 @@
 	"tanagergrade/core/tgcatalog"
 	"tanagergrade/core/tgcost"
 	"tanagergrade/core/tgdrain"
+	"tanagergrade/core/tggroupview"
 	"tanagergrade/core/tgpicker"
 	"tanagergrade/core/tgquarantine"
 	"tanagergrade/core/tgquota"
@@ -31,17 +32,19 @@
 	crashes      crashChecker
 	draining     atomic.Bool               // each answer ends its connection
 	drainEnd     atomic.Pointer[time.Time] // of the requests in progress; nil unless the server drains
+	groups       *tggroupview.View
 	headers      Headers
 	ledger       *tgworkload.Ledger
 	limits       atomic.Pointer[Limits]
 	observer     Observer
+	placement    Placement
 	picker       *tgpicker.Picker
 	quarantine   *tgquarantine.Table
 	rand         func() float64
 	unbegun      unbegunExchanges
 
-	mu               sync.Mutex                        // guards the maps below
-	breakers         map[string]*tgstreamlimit.Breaker // by pool
+	mu               sync.Mutex                         // guards the maps below
+	poolBreakers     map[string]*tgstreamlimit.Breakers // by pool
 	callers          map[*callerConn]struct{}
 	forecasts        map[string]*tgdrain.Forecast      // of answers, by route
 	longestDeadlines map[string]time.Duration          // longest time limit of a request so far, by route
@@ -65,11 +68,12 @@
 	options ...Option,
 ) *Server {
 	s := &Server{
-		breakers: map[string]*tgstreamlimit.Breaker{}, callers: map[*callerConn]struct{}{}, catalog: catalog,
+		callers: map[*callerConn]struct{}{}, catalog: catalog,
 		conns: newConnPool(), costs: tgcost.NewEstimator(), counters: counters,
 		crashes: crashChecker{checks: map[netip.AddrPort]*crashCheck{}}, forecasts: map[string]*tgdrain.Forecast{},
 		headers: headers, ledger: tgworkload.NewLedger(), longestDeadlines: map[string]time.Duration{}, observer: observer,
-		picker: tgpicker.NewPicker(dataCentre), rand: rand.Float64, retryBudgets: map[string]*tgretry.WindowBudget{},
+		poolBreakers: map[string]*tgstreamlimit.Breakers{},
+		picker:       tgpicker.NewPicker(dataCentre), rand: rand.Float64, retryBudgets: map[string]*tgretry.WindowBudget{},
 		streamLimiters: map[string]*tgstreamlimit.Limiter{},
 		unbegun:        unbegunExchanges{m: map[*exchange]*call{}},
 	}
@@ -77,6 +81,9 @@
 	for _, o := range options {
 		o(s)
 	}
+	if s.groups == nil {
+		s.groups = tggroupview.NewView()
+	}
 	if s.quarantine == nil {
 		s.quarantine = tgquarantine.NewTable("")
 	}
@@ -128,14 +135,14 @@
 	return l
 }
 
-// breaker returns the circuit breaker of a pool.
-func (s *Server) breaker(pool string) *tgstreamlimit.Breaker {
+// breakers returns the circuit breakers of a pool.
+func (s *Server) breakers(pool string) *tgstreamlimit.Breakers {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	b, ok := s.breakers[pool]
+	b, ok := s.poolBreakers[pool]
 	if !ok {
-		b = tgstreamlimit.NewBreaker(s.rand)
-		s.breakers[pool] = b
+		b = tgstreamlimit.NewBreakers(s.rand)
+		s.poolBreakers[pool] = b
 	}
 	return b
 }
