Place streams by cost where the answers of a route differ by much

An entry took each stream for as much work as its prompt has tokens. Log lines tell what an upstream was chosen by, its load, and the expected and actual tokens.

--- a/core/tgpicker/load.go
+++ b/core/tgpicker/load.go
@@ -40,6 +40,14 @@
 	return n
 }
 
+// ownLoad returns the load of this process on an upstream.
+func (r *Request) ownLoad(u *tgcatalog.Upstream, s *state) float64 {
+	if r.OwnLoad != nil {
+		return r.OwnLoad(u)
+	}
+	return s.load
+}
+
 // sharedLoads returns the load of each candidate from all processes, in the units of Request.Work: the work of this process
 // and the streams that the others had when they were last counted. Candidates without a count are taken to have the mean of
 // the others. It returns nil if there is no count.
@@ -53,7 +61,7 @@
 	for i := range candidates {
 		u := &candidates[i]
 		s := p.state(u.ID, now)
-		loads[i] = s.load
+		loads[i] = r.ownLoad(u, s)
 		streams, counted, ok := r.Load(u)
 		if unknown[i] = !ok || now.Sub(counted) > loadHistory; unknown[i] {
 			continue
--- a/core/tgpicker/picker.go
+++ b/core/tgpicker/picker.go
@@ -58,6 +58,7 @@
 	Avoid    map[string]bool                     // IDs of upstreams that are chosen only if no other is left
 	ColdRate float64                             // requests per second of this process to one upstream; 0 if unbounded
 	Load     LoadFunc                            // nil if only the load from this process is known
+	OwnLoad  func(u *tgcatalog.Upstream) float64 // load from this process; nil for the sum of the Work of its attempts
 	Slowdown func(u *tgcatalog.Upstream) float64 // time per pass of an upstream relative to the usual; nil if none is slow
 	Tried    map[string]bool                     // IDs of upstreams that already had the request
 	Work     float64                             // load that the request adds; 1 for an average request
@@ -145,7 +146,7 @@
 			continue
 		}
 		ejected := now.Before(s.ejectedUntil)
-		load := s.load
+		load := r.ownLoad(u, s)
 		if shared != nil {
 			load = shared[i]
 		}
--- a/io/tgcommand/platform_config_test.go
+++ b/io/tgcommand/platform_config_test.go
@@ -14,7 +14,6 @@
 
 	"tanagergrade/core/tglogtable"
 	"tanagergrade/io/tgfleet"
-	"tanagergrade/io/tgproxy"
 	"tanagergrade/io/tgreport"
 	tgplatform "tanagergrade/platform"
 )
@@ -27,7 +26,7 @@
 	assert.NilError(t, err)
 	d := &platformDaemon{peers: tgfleet.NewPeers(s.VM), report: tgreport.NewReporter(s.VM, io.Discard), settings: s}
 	t.Cleanup(func() { _ = d.report.Close() })
-	e := newPlatformEntry(d, tgproxy.PlacementAuto)
+	e := newPlatformEntry(d, newEntryFlags())
 	if edit != nil {
 		data, err := os.ReadFile("../../platform/testdata/config.json")
 		assert.NilError(t, err)
--- a/io/tgcommand/platform_entry.go
+++ b/io/tgcommand/platform_entry.go
@@ -22,18 +22,37 @@
 )
 
 func (c *config) newPlatformEntryCmd() *cobra.Command {
-	placement := tgflag.NewEnum(tgproxy.PlacementAuto, tgproxy.Placements())
+	flags := newEntryFlags()
 	cmd := &cobra.Command{
 		Args:  cobra.NoArgs,
 		Long:  "Runs the daemon that takes callers' requests. SIGTERM starts a graceful shutdown.",
-		RunE:  func(cmd *cobra.Command, _ []string) error { return c.runPlatformEntry(cmd, placement.Value) },
+		RunE:  func(cmd *cobra.Command, _ []string) error { return c.runPlatformEntry(cmd, flags) },
 		Short: "Run an entry daemon on the users' platform",
 		Use:   "entry",
 	}
-	cmd.Flags().Var(placement, "placement", "by whose streams the load of an upstream is judged: "+placement.Values())
+	cmd.Flags().Var(flags.placement, "placement",
+		"by whose streams the load of an upstream is judged: "+flags.placement.Values())
+	cmd.Flags().Float64Var(&flags.unevenSpread, "uneven-spread", flags.unevenSpread,
+		"spread of a route's answers (standard deviation of the logarithm) from which streams are placed by cost; 0: never")
 	return cmd
 }
 
+// defaultUnevenSpread is the spread of answers of which one in six is more than twice as long as the median.
+const defaultUnevenSpread = 0.8
+
+// entryFlags are the flags of an entry on the platform.
+type entryFlags struct {
+	placement    *tgflag.Enum[tgproxy.Placement]
+	unevenSpread float64 // see tgproxy.WithUnevenSpread
+}
+
+func newEntryFlags() *entryFlags {
+	return &entryFlags{
+		placement:    tgflag.NewEnum(tgproxy.PlacementAuto, tgproxy.Placements()),
+		unevenSpread: defaultUnevenSpread,
+	}
+}
+
 const (
 	bufferMemoryDivisor    = 16                     // part of the process's memory that bodies of requests and answers may take
 	shutdownReserve        = 400 * time.Millisecond // part of the drain grace period kept for ending the process
@@ -83,24 +102,25 @@
 // Upstreams implements tgproxy.Catalog.
 func (e *platformEntry) Upstreams(pool string) []tgcatalog.Upstream { return e.view.Upstreams(pool) }
 
-func (c *config) runPlatformEntry(cmd *cobra.Command, placement tgproxy.Placement) error {
+func (c *config) runPlatformEntry(cmd *cobra.Command, flags *entryFlags) error {
 	d, err := c.newPlatformDaemon(tgfleet.RoleEntry)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = d.report.Close() }() // never fails
-	e := newPlatformEntry(d, placement)
+	e := newPlatformEntry(d, flags)
 	return e.run(cmd.Context())
 }
 
-func newPlatformEntry(d *platformDaemon, placement tgproxy.Placement) *platformEntry {
+func newPlatformEntry(d *platformDaemon, flags *entryFlags) *platformEntry {
 	e := &platformEntry{
 		groups: tggroupview.NewView(), operator: tglogtable.NewTable(), platformDaemon: d, quarantine: tgquarantine.NewTable(d.settings.VM),
 		upstreams: tglogtable.NewTable(), view: tgview.NewView(tgplatform.Codec()),
 	}
 	e.quarantine.AwaitSaved(time.Now())
 	e.proxy = tgproxy.NewServer(d.settings.DataCentre, e, tgplatform.Headers(), proxyLimits(d.settings), d.report,
-		d.report.Counters, tgproxy.WithGroups(e.groups, placement), tgproxy.WithQuarantine(e.quarantine))
+		d.report.Counters, tgproxy.WithGroups(e.groups, flags.placement.Value),
+		tgproxy.WithQuarantine(e.quarantine), tgproxy.WithUnevenSpread(flags.unevenSpread))
 	e.exchange = &tgfleet.Exchange{
 		Costs: e.proxy.Costs(), Groups: e.groups, Log: d.report, OperatorTable: e.operator, Peers: d.peers, Quarantine: e.quarantine,
 		Streams:        e.proxy.Streams,
--- a/io/tgcommand/platform_test.go
+++ b/io/tgcommand/platform_test.go
@@ -17,7 +17,6 @@
 
 	"tanagergrade/core/tglogtable"
 	"tanagergrade/io/tgfleet"
-	"tanagergrade/io/tgproxy"
 	"tanagergrade/io/tgreport"
 	tgplatform "tanagergrade/platform"
 )
@@ -107,7 +106,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				report := tgreport.NewReporter(settings.VM, io.Discard)
 				defer func() { _ = report.Close() }()
-				e := newPlatformEntry(&platformDaemon{peers: tgfleet.NewPeers(settings.VM), report: report, settings: settings}, tgproxy.PlacementAuto)
+				e := newPlatformEntry(&platformDaemon{peers: tgfleet.NewPeers(settings.VM), report: report, settings: settings}, newEntryFlags())
 				f := follower(e)
 				f.Store = &lossyStore{}
 				ctx, stop := context.WithCancel(t.Context())
--- a/io/tgproxy/call.go
+++ b/io/tgproxy/call.go
@@ -36,6 +36,7 @@
 	id             string // of the attempt, set by the caller
 	isRetry        bool   // the caller was presumably refused before; see Server.isRetry
 	mayHaveRun     bool   // an upstream may have run it, so no refusal may claim that it has not run
+	placedBy       string // beside the streams of this process, what the present attempt's upstream was chosen by
 	pool           string
 	promptParts    []string // IDs of the parts of the prompt that other requests may share
 	produced       float64  // tokens of the answer so far, of a stream
@@ -46,6 +47,7 @@
 	trial          *tgquarantine.Trial // of the present attempt; nil if no part of its prompt is suspect
 	tried          map[string]bool     // IDs of the upstreams of earlier attempts
 	upstream       string
+	upstreamLoad   float64 // of this process on the upstream, before the present attempt
 }
 
 const (
@@ -154,6 +156,7 @@
 	if c.estimate.Basis != "" {
 		e.ExpectedBasis, e.ExpectedTokens, e.LikelyTokens = string(c.estimate.Basis), c.estimate.Median, c.estimate.P90
 		e.PromptTokens, e.Tokens = c.costRequest.Prompt, c.produced
+		e.PlacedBy, e.UpstreamLoad = c.placedBy, c.upstreamLoad
 	}
 	if c.config != nil {
 		e.ConfigVersion = c.config.Version
--- a/io/tgproxy/cost.go
+++ b/io/tgproxy/cost.go
@@ -10,6 +10,23 @@
 // Costs returns the estimator of the lengths of answers, which entries share.
 func (s *Server) Costs() *tgcost.Estimator { return s.costs }
 
+// What an upstream is chosen by beside the streams of this process, as it appears in logs.
+const (
+	placedByCost   = "cost"
+	placedByShared = "shared"
+)
+
+// WithUnevenSpread makes streams be placed by what they are expected to cost on routes whose answers differ by much: the
+// logarithm of their lengths has at least this standard deviation. 0 leaves costs out of account.
+func WithUnevenSpread(spread float64) Option {
+	return func(s *Server) { s.unevenSpread = spread }
+}
+
+// placesByCost reports whether the attempts of a call are placed by what streams are expected to cost.
+func (s *Server) placesByCost(c *call) bool {
+	return c.route.Kind == tgcatalog.KindStreaming && s.unevenSpread > 0 && s.costs.Uneven(c.route.Name, s.unevenSpread)
+}
+
 // estimate estimates what a stream costs.
 func (s *Server) estimate(c *call) {
 	if c.route.Kind != tgcatalog.KindStreaming {
--- a/io/tgproxy/forward.go
+++ b/io/tgproxy/forward.go
@@ -139,9 +139,16 @@
 
 func (s *Server) pickRequest(c *call) tgpicker.Request {
 	rate := tgquota.ColdRate(c.config.Pools[c.pool].ColdRate, s.catalog.EntryCount())
+	c.placedBy = ""
 	r := tgpicker.Request{ColdRate: rate, Slowdown: s.catalog.Slowdown, Tried: c.tried, Work: c.cost}
 	if s.sharesLoads(c) {
 		r.Load = s.upstreamLoad
+		c.placedBy = placedByShared
+	}
+	if s.placesByCost(c) {
+		length := c.estimate.Mean()
+		r.OwnLoad = func(u *tgcatalog.Upstream) float64 { return s.ledger.Load(u.ID, length).Units() }
+		c.placedBy += placedByCost
 	}
 	if c.trial != nil {
 		r.Avoid = s.quarantine.TrialUpstreams(time.Now())
@@ -164,7 +171,7 @@
 func (k *callerConn) attempt(a *responseState, c *call, choice *tgpicker.Choice) (v verdict) {
 	s := k.server
 	u := choice.Upstream
-	c.upstream = u.ID
+	c.upstream, c.upstreamLoad = u.ID, choice.Load
 	c.tried[u.ID] = true
 	if c.trial != nil {
 		c.trial.SetUpstream(u.ID)
--- a/io/tgproxy/options.go
+++ b/io/tgproxy/options.go
@@ -66,6 +66,7 @@
 	LikelyTokens     float64       // that nine of ten answers of this kind do not exceed
 	PeakGap          time.Duration // longest interval between events on which Limit is based
 	Limit            float64
+	PlacedBy         string // beside the streams of the entry, what the upstream was chosen by
 	Pool             string
 	PromptParts      string // IDs of the shared parts of the prompt, of an attempt that failed
 	RetryAfter       time.Duration
@@ -75,6 +76,7 @@
 	TimeToFirstEvent time.Duration // from the arrival of the request, of a stream
 	Tokens           float64       // of the answer
 	Upstream         string
+	UpstreamLoad     float64 // of the entry on the upstream before the last attempt, in streams
 }
 
 // Observer receives the events of the proxy; it must not block.
--- a/io/tgproxy/server.go
+++ b/io/tgproxy/server.go
@@ -42,6 +42,7 @@
 	quarantine   *tgquarantine.Table
 	rand         func() float64
 	unbegun      unbegunExchanges
+	unevenSpread float64 // see WithUnevenSpread
 
 	mu               sync.Mutex                         // guards the maps below
 	poolBreakers     map[string]*tgstreamlimit.Breakers // by pool
--- a/io/tgreport/report.go
+++ b/io/tgreport/report.go
@@ -4,6 +4,7 @@
 import (
 	"expvar"
 	"io"
+	"math"
 	"sync"
 	"time"
 
@@ -110,7 +111,11 @@
 	number("expectedTokens", int64(e.ExpectedTokens))
 	number("likelyTokens", int64(e.LikelyTokens))
 	number("promptTokens", int64(e.PromptTokens))
+	text("placedBy", e.PlacedBy)
 	number("tokens", int64(e.Tokens))
+	if e.UpstreamLoad > 0 {
+		f["load"] = math.Round(e.UpstreamLoad*10) / 10
+	}
 	if e.RetryAfter > 0 {
 		f["retryAfterMs"] = e.RetryAfter.Milliseconds()
 	}
