Undo the leader's own rank first when a change is undone

Cause: a successor takes the rank on the former leader's VM for not armed if another rank is not armed, since that rank is armed last. An abort disarmed all ranks at once: if the VM froze meanwhile, its rank could still be armed. Found by reading.

Change: the other ranks are disarmed once the leader's own rank reports that it is not armed. TestLocalRankIsDisarmedFirst failed before (three orders at once).

--- a/core/tgmapchange/stray_test.go
+++ b/core/tgmapchange/stray_test.go
@@ -57,6 +57,27 @@
 	}
 }
 
+// Guards against a rank that counts as not armed because its VM, the leader's, froze while a change was undone and other
+// ranks were no longer armed.
+func TestLocalRankIsDisarmedFirst(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := NewSwitch(3, 1, 10, 0, now)
+	s.phase, s.step = PhaseArming, 20
+	for i := range s.ranks {
+		s.ranks[i].attempts = 1
+	}
+	s.startAbort("arm")
+	ranks := make([]RankState, 3)
+	for i := range ranks {
+		ranks[i] = RankState{ArmedStep: 20, ArmedVersion: 10, Epoch: 1, Seen: now, Step: 1}
+	}
+	orders := s.NextOrders(ranks, now)
+	assert.Equal(t, len(orders), 1)
+	assert.Equal(t, orders[0].Rank, 0)
+	ranks[0].ArmedStep, ranks[0].ArmedVersion, ranks[0].Prepared = 0, 0, 11
+	assert.Equal(t, len(s.NextOrders(ranks, now)), 2)
+}
+
 // Guards against a recovery that ends a hold although a rank is armed: the first report after the fencing was a copy of the
 // one before, from a time at which the rank was not armed yet.
 func TestRecoveryNeedsReportsAfterFencing(t *testing.T) {
--- a/core/tgmapchange/switch.go
+++ b/core/tgmapchange/switch.go
@@ -287,16 +287,21 @@
 
 // abort disarms all ranks that were sent an order to arm, and lets them prepare the map in use under RollbackVersion. A
 // rank does so only if it is not armed, and afterwards an order to arm that is carried out late has no effect. So a report
-// of that version shows that the rank does not use the new map.
+// of that version shows that the rank does not use the new map. The rank on the controller's VM comes first: as long as
+// another rank is not armed, a successor takes it for not armed, either.
 func (s *Switch) abort(ranks []RankState, now time.Time) []Order {
 	var due []Order
 	all := true
+	isUndone := func(i int) bool { return !s.ranks[i].armSent || ranks[i].Prepared == s.RollbackVersion() }
 	for i := range s.ranks {
 		p := &s.ranks[i]
-		if !p.armSent || ranks[i].Prepared == s.RollbackVersion() {
+		if isUndone(i) {
 			continue
 		}
 		all = false
+		if i != s.localRank && !isUndone(s.localRank) {
+			continue
+		}
 		if !p.mayIssue(now, orderRetryDelay) || p.replaced && p.awaitsReport(now, reportTimeout) {
 			continue
 		}
