Take a relayed reply for the request of its term only

Cause: numbers of relayed requests begin anew when a process restarts, and a reply was matched by its number alone. A late one to the former process could pass for the answer to an order of the present one.

Change: number and token identify a request. TestReplyOfFormerTerm failed before (the reply was delivered).

--- a/io/tgrank/group_test.go
+++ b/io/tgrank/group_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"net"
+	"net/netip"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -94,6 +96,40 @@
 	})
 }
 
+// Guards against an order that counts as answered by the reply to an order of the former process, or of an earlier term:
+// numbers of requests begin anew with a process.
+func TestReplyOfFormerTerm(t *testing.T) {
+	l := newTestLeader()
+	key, replies := l.relays.open(7)
+	l.handleReply(Reply{Number: key.number, Result: tgmapchange.ResultDone, Token: 6})
+	assert.Equal(t, len(replies), 0)
+	l.handleReply(Reply{Number: key.number, Result: tgmapchange.ResultDone, Token: 7})
+	assert.Equal(t, len(replies), 1)
+}
+
+// Guards against a hold that lasts until the next periodic report, because the leader believes only reports: an agent
+// reports once it has passed on an order.
+func TestAgentReportsAfterOrder(t *testing.T) {
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	engines := &fakeGroup{ranks: make([]tgmapchange.RankState, 1)}
+	a := &Agent{
+		Conn: conn, EngineAddress: engineAddr(0), Engines: engines, Leader: newTestLeader(), Log: silentLog{}, VM: "vm-1",
+		wake: make(chan struct{}, 1),
+	}
+	q := Request{Order: tgmapchange.Order{Operation: tgmapchange.Hold, Step: 5}, Token: 7}
+	a.relayOrder(q, netip.MustParseAddrPort("127.0.0.1:9"))
+	assert.Equal(t, engines.ranks[0].Held, int64(5))
+	assert.Equal(t, len(a.wake), 1)
+	<-a.wake
+	m := Report{EngineAddress: a.EngineAddress, VM: a.Leader.VM}
+	a.Leader.Engines = engines
+	_, err = a.Leader.sendOrder(a, m, q.Order, q.Token, preparePlan{}, "g")
+	assert.NilError(t, err)
+	assert.Equal(t, len(a.wake), 1)
+}
+
 // Guards against dissolved groups that keep their share of the leader's link.
 func TestSilentGroup(t *testing.T) {
 	l := newTestLeader()
--- a/io/tgrank/relay.go
+++ b/io/tgrank/relay.go
@@ -21,25 +21,32 @@
 type pendingRequests struct {
 	lastNumber uint64
 	mu         sync.Mutex
-	replies    map[uint64]chan Reply // by number of the request
+	replies    map[requestKey]chan Reply
 }
 
-func (r *pendingRequests) open() (uint64, chan Reply) {
+// requestKey identifies a request. Numbers begin anew when the process restarts, which gets another token.
+type requestKey struct {
+	number uint64
+	token  int64
+}
+
+func (r *pendingRequests) open(token int64) (requestKey, chan Reply) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.replies == nil {
-		r.replies = map[uint64]chan Reply{}
+		r.replies = map[requestKey]chan Reply{}
 	}
 	r.lastNumber++
+	key := requestKey{number: r.lastNumber, token: token}
 	c := make(chan Reply, 1)
-	r.replies[r.lastNumber] = c
-	return r.lastNumber, c
+	r.replies[key] = c
+	return key, c
 }
 
-func (r *pendingRequests) close(number uint64) {
+func (r *pendingRequests) close(key requestKey) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.replies, number)
+	delete(r.replies, key)
 }
 
 func (r *pendingRequests) clear() {
@@ -51,7 +58,7 @@
 // handleReply delivers the reply of an agent to the request that awaits it; a reply without one is dropped.
 func (l *Leader) handleReply(r Reply) {
 	l.relays.mu.Lock()
-	c, ok := l.relays.replies[r.Number]
+	c, ok := l.relays.replies[requestKey{number: r.Number, token: r.Token}]
 	l.relays.mu.Unlock()
 	if !ok {
 		return
@@ -135,9 +142,9 @@
 
 // requestReply sends a request to an agent and waits for its reply.
 func (l *Leader) requestReply(a *Agent, m Report, q Request) (Reply, error) {
-	number, replies := l.relays.open()
-	defer l.relays.close(number)
-	q.Number = number
+	key, replies := l.relays.open(q.Token)
+	defer l.relays.close(key)
+	q.Number = key.number
 	a.send(envelope{Request: &q}, m.From)
 	timer := time.NewTimer(relayTimeout)
 	defer timer.Stop()
