Explore map changes where ranks take any token

TestNoPassWithTwoMapsUnfenced plays the exploration with ranks that do not compare tokens; a leader ends its term when it hears of a later one, within 0.3 s. It fails: an order of a former leader that comes late, or before it has heard, arms a rank.

--- a/core/tgmapchange/explore_test.go
+++ b/core/tgmapchange/explore_test.go
@@ -17,6 +17,7 @@
 	deposed             bool // a rank or a change reported a higher token
 	endedChanges        int
 	frozenUntil         time.Time // until then it does nothing
+	hearsAt             time.Time // when it hears of a later leader
 	id                  int
 	rank                int   // on the leader's VM
 	recoveredEpoch      int64 // epoch of the last recovery
@@ -190,7 +191,20 @@
 	return next
 }
 
+// hearBeacon ends the term of a leader that is awake and hears of a later one. Where ranks refuse lower tokens, a term ends
+// by their answers alone, so that earlier seeds play the same runs.
+func (x *exploration) hearBeacon(l *modelLeader) {
+	if !x.unfenced || l.id == len(x.leaders)-1 || x.now.Before(l.frozenUntil) {
+		return
+	}
+	if l.hearsAt.Before(l.frozenUntil) || l.hearsAt.IsZero() {
+		l.hearsAt = x.now.Add(time.Duration(x.rand.IntN(300)) * time.Millisecond)
+	}
+	l.deposed = l.deposed || !x.now.Before(l.hearsAt)
+}
+
 func (x *exploration) runLeader(l *modelLeader) {
+	x.hearBeacon(l)
 	if l.deposed || x.now.Before(l.frozenUntil) {
 		return
 	}
@@ -289,18 +303,36 @@
 		"strayLate": {late: 0.1, lost: 0.1, stray: 0.1},
 		"repeated":  {late: 0.1, lost: 0.1, repeated: 0.1, stray: 0.1},
 	} {
-		t.Run(name, func(t *testing.T) {
-			changes := 0
-			for seed := range uint64(*seeds) { //nolint:gosec // a small number
-				x := explore(seed, c, 30*time.Second)
-				assert.Equal(t, x.group.violation, "", "seed %d", seed)
-				for _, l := range x.leaders {
-					changes += l.endedChanges
-				}
-			}
-			assert.Assert(t, changes > *seeds, "only %d changes", changes)
-		})
+		t.Run(name, func(t *testing.T) { checkSeeds(t, c) })
+	}
+}
+
+// Guards against the same where ranks take orders with any token: an order of a former leader that comes late, or one that it
+// sends before it has heard of its successor, is carried out. Known to fail, see KNOWN-RED.txt.
+func TestNoPassWithTwoMapsUnfenced(t *testing.T) {
+	for name, c := range map[string]disturbances{
+		"noLoss":   {unfenced: true},
+		"late":     {late: 0.1, unfenced: true},
+		"lossy":    {lost: 0.2, unfenced: true},
+		"stray":    {stray: 0.1, unfenced: true},
+		"repeated": {late: 0.1, lost: 0.1, repeated: 0.1, stray: 0.1, unfenced: true},
+	} {
+		t.Run(name, func(t *testing.T) { checkSeeds(t, c) })
+	}
+}
+
+// checkSeeds plays runs with the same disturbances.
+func checkSeeds(t *testing.T, d disturbances) {
+	t.Helper()
+	changes := 0
+	for seed := range uint64(*seeds) { //nolint:gosec // a small number
+		x := explore(seed, d, 30*time.Second)
+		assert.Equal(t, x.group.violation, "", "seed %d", seed)
+		for _, l := range x.leaders {
+			changes += l.endedChanges
+		}
 	}
+	assert.Assert(t, changes > *seeds, "only %d changes", changes)
 }
 
 // Guards against two active controllers in an epoch, because restarted ranks have forgotten the higher token, and against
