Spread own attempts first when placing by shared loads

Two engines drawn from all gave up that an entry spreads its own streams at once; three drawn from those with the fewest of its own keep it.

--- a/core/tgpicker/load.go
+++ b/core/tgpicker/load.go
@@ -1,6 +1,7 @@
 package tgpicker
 
 import (
+	"slices"
 	"time"
 
 	"tanagergrade/core/tgcatalog"
@@ -9,7 +10,7 @@
 const (
 	// loadHistory is the longest age of a count of streams that can be corrected by what this process did since.
 	loadHistory   = 1500 * time.Millisecond
-	sharedChoices = 2    // candidates of which the best is chosen; with more, processes choose the same one
+	sharedChoices = 3    // candidates of which the best is chosen; with more, processes choose the same one
 	maxLoadEvents = 256  // kept for each upstream; the oldest are dropped first
 	workSmoothing = 0.95 // weight of the past, per attempt, in the work of a mean request
 )
@@ -76,13 +77,17 @@
 
 // scored is a candidate with its score.
 type scored struct {
-	index int // among the candidates
-	score float64
+	index   int // among the candidates
+	pending int // attempts of this process in flight
+	score   float64
 }
 
-// chooseByChance returns the candidate with the lowest score of sharedChoices that are drawn at random. All processes see
-// the same counts until the next ones come, so the best candidate would get a request of each of them.
+// chooseByChance returns the candidate with the lowest score of sharedChoices that are drawn at random from those with the
+// fewest attempts of this process. All processes see the same counts until the next ones come, so the best candidate would
+// get a request of each of them. The attempts of this process are known at once, and to spread them evens out the sum.
 func (p *Picker) chooseByChance(candidates []scored) (index int) {
+	fewest := slices.MinFunc(candidates, func(a, b scored) int { return a.pending - b.pending }).pending
+	candidates = slices.DeleteFunc(candidates, func(c scored) bool { return c.pending > fewest })
 	draw := func() scored { return candidates[int(p.rand()*float64(len(candidates)))] }
 	best := draw()
 	for range sharedChoices - 1 {
--- a/core/tgpicker/picker.go
+++ b/core/tgpicker/picker.go
@@ -158,7 +158,7 @@
 			continue
 		}
 		if shared != nil && !penalised {
-			free = append(free, scored{index: i, score: score})
+			free = append(free, scored{index: i, pending: s.pending, score: score})
 		}
 		if best < 0 || score < bestScore {
 			best, bestScore = i, score
--- a/io/tgproxy/forward.go
+++ b/io/tgproxy/forward.go
@@ -131,6 +131,7 @@
 	r := tgpicker.Request{ColdRate: rate, Slowdown: s.catalog.Slowdown, Tried: c.tried, Work: c.cost}
 	if s.sharesLoads(c) {
 		r.Load = s.upstreamLoad
+		s.counters.Add("attemptsPlacedBySharedLoad", 1)
 	}
 	if c.trial != nil {
 		r.Avoid = s.quarantine.TrialUpstreams(time.Now())
