Tell loads of groups in turn within a budget of bytes

A round of notices with the loads of 210 groups to 700 entries would be 23 MB at once. The leader now tells the loads of as many groups in turn as 50 kB/s allow, and repeats only the groups that are not open: an entry uses the others unless told otherwise. A group that is open and not told of for a while causes no log line any more.

--- a/core/tggroupview/view.go
+++ b/core/tggroupview/view.go
@@ -26,12 +26,11 @@
 type group struct {
 	digest  uint32 // of members
 	epoch   int64
-	expired bool // the expiry of state was returned by Expire
 	loads   []load
 	members []netip.AddrPort // by rank; empty if they are not known
 	number  uint64           // of the newest notice, of the view's term
 	seen    time.Time        // when the newest notice arrived
-	state   State            // valid for stateTTL after seen
+	state   State            // as last told; valid for stateTTL after seen
 }
 
 // load is the load of one engine.
@@ -123,8 +122,8 @@
 		g = &group{}
 		v.groups[n.Name] = g
 	}
-	state := g.stateAt(now)
-	g.number, g.seen, g.epoch, g.state, g.expired = number, now, n.Epoch, n.State, false
+	state := g.state
+	g.number, g.seen, g.epoch, g.state = number, now, n.Epoch, n.State
 	if state != n.State {
 		changes = append(changes, Change{Epoch: n.Epoch, Group: n.Name, Kind: changeOf[n.State]})
 	}
@@ -177,17 +176,15 @@
 	return g.state
 }
 
-// Expire forgets what is too old and returns the groups whose state became unknown by that.
+// Expire forgets what is too old and returns the groups that count as broken no longer because of that.
 func (v *View) Expire(now time.Time) (changes []Change) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for name, g := range v.groups {
 		age := now.Sub(g.seen)
-		if age > stateTTL && !g.expired {
-			g.expired = true
-			if g.state != StateUnknown {
-				changes = append(changes, Change{Age: age, Epoch: g.epoch, Group: name, Kind: ChangeUnknown})
-			}
+		if age > stateTTL && g.state == StateBroken {
+			g.state = StateUnknown
+			changes = append(changes, Change{Age: age, Epoch: g.epoch, Group: name, Kind: ChangeUnknown})
 		}
 		if age <= membersTTL {
 			continue
--- a/io/tgrank/notice.go
+++ b/io/tgrank/notice.go
@@ -1,7 +1,9 @@
 package tgrank
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,7 +12,7 @@
 
 const (
 	noticeInterval    = 200 * time.Millisecond // shortest time between notices with loads
-	heartbeatInterval = 500 * time.Millisecond // longest time between notices; entries forget the states after twice as long
+	heartbeatInterval = 500 * time.Millisecond // between notices of a group that is not open; entries forget states after twice as long
 	// noticeBytesPerSecond bounds what the notices with loads take of the leader's link, which also carries all reports.
 	noticeBytesPerSecond = 50_000
 	membersRepeats       = 2   // notices that tell changed members again, since datagrams get lost
@@ -26,10 +28,12 @@
 	requesters map[netip.AddrPort]bool // entries that have asked for the members
 
 	// The fields below belong to the goroutine of Leader.Run.
-	last      time.Time // of the last notice to all entries
-	nextLoads time.Time // earliest time of the next notice with loads
-	number    uint64
-	told      map[string]toldGroup // by name
+	groupBytes int       // that the notice of a group with loads took, on average; 0 if not known
+	heartbeat  time.Time // when groups that are not open were last told
+	lastLoads  string    // name of the group whose loads were last told
+	nextLoads  time.Time // earliest time of the next notice with loads
+	number     uint64
+	told       map[string]toldGroup // by name
 }
 
 // toldGroup is what the last notice told of a group.
@@ -41,7 +45,7 @@
 
 func (n *groupNotices) reset() {
 	n.takeRequesters()
-	n.last, n.nextLoads, n.told, n.number = time.Time{}, time.Time{}, map[string]toldGroup{}, 0
+	n.heartbeat, n.lastLoads, n.nextLoads, n.number, n.told = time.Time{}, "", time.Time{}, 0, map[string]toldGroup{}
 }
 
 func (n *groupNotices) takeRequesters() []netip.AddrPort {
@@ -68,26 +72,28 @@
 	}
 }
 
-// publishGroups tells the entries of the groups: at once if a group opens or breaks, of loads each noticeInterval or as
-// often as noticeBytesPerSecond allows, and of nothing else each heartbeatInterval.
+// publishGroups tells the entries of the groups: at once if a group opens or breaks, each heartbeatInterval of those that are
+// not open, and of the loads each noticeInterval, of as many groups in turn as noticeBytesPerSecond allows.
 func (l *Leader) publishGroups(now time.Time) {
 	n := &l.notices
 	requesters := n.takeRequesters() // also if they get no answer: they ask again
 	if l.PublishGroups == nil || len(l.groups) == 0 {
 		return
 	}
-	changed := false
-	for _, g := range l.groups {
-		told, ok := n.told[g.name]
-		changed = changed || !ok || told.state != g.noticeState(now)
-	}
-	withLoads := !now.Before(n.nextLoads)
-	if changed || withLoads || now.Sub(n.last) >= heartbeatInterval {
-		bytes := l.PublishGroups(l.notice(withLoads, now), nil)
-		n.last = now
-		if withLoads {
-			pause := time.Duration(bytes) * time.Second / noticeBytesPerSecond
-			n.nextLoads = now.Add(max(noticeInterval, pause))
+	var withLoads []string
+	if !now.Before(n.nextLoads) {
+		withLoads = l.nextWithLoads()
+	}
+	heartbeat := now.Sub(n.heartbeat) >= heartbeatInterval
+	if heartbeat {
+		n.heartbeat = now
+	}
+	notice := l.notice(withLoads, heartbeat, now)
+	if len(notice.Groups) > 0 {
+		bytes := l.PublishGroups(notice, nil)
+		if len(withLoads) > 0 {
+			n.groupBytes = bytes / len(withLoads)
+			n.nextLoads = now.Add(max(noticeInterval, time.Duration(bytes)*time.Second/noticeBytesPerSecond))
 		}
 	}
 	if len(requesters) > 0 {
@@ -95,23 +101,49 @@
 	}
 }
 
-// notice returns the notice to all entries. It has the members of groups in which they have changed.
-func (l *Leader) notice(withLoads bool, now time.Time) tggroupview.Notice {
+// nextWithLoads returns the groups whose loads are told next: those whose turn it is, as many as may be told in a
+// noticeInterval, and one until it is known how many bytes that takes.
+func (l *Leader) nextWithLoads() []string {
+	n := &l.notices
+	count := 1
+	if n.groupBytes > 0 {
+		count = int(max(1, noticeBytesPerSecond*noticeInterval/time.Second/time.Duration(n.groupBytes)))
+	}
+	names := slices.Sorted(maps.Keys(l.groups))
+	first, found := slices.BinarySearch(names, n.lastLoads)
+	if found {
+		first++
+	}
+	names = append(names[first:len(names):len(names)], names[:first]...)
+	names = names[:min(count, len(names))]
+	n.lastLoads = names[len(names)-1]
+	return names
+}
+
+// notice returns the notice to all entries on the groups whose loads are told, whose state or members are news, and, if it
+// is a heartbeat, on those that are not open. An entry needs no heartbeat of those that are: it uses them unless told
+// otherwise.
+func (l *Leader) notice(withLoads []string, heartbeat bool, now time.Time) tggroupview.Notice {
 	n := &l.notices
 	n.number++
 	notice := tggroupview.Notice{Number: n.number, Token: l.term}
 	for name, g := range l.groups {
 		members, digest := g.noticeMembers()
-		told := n.told[name]
+		told, known := n.told[name]
 		if digest != 0 && digest != told.digest {
 			told.digest, told.repeats = digest, membersRepeats+1
 		}
 		p := tggroupview.GroupNotice{Digest: digest, Epoch: g.epoch, Name: name, State: g.noticeState(now)}
+		tellLoads := slices.Contains(withLoads, name)
+		news := !known || told.state != p.State || told.repeats > 0
+		if !tellLoads && !news && (!heartbeat || p.State == tggroupview.StateOpen) {
+			continue
+		}
 		if digest != 0 && told.repeats > 0 {
 			p.Members = members
 			told.repeats--
 		}
-		if withLoads && digest != 0 {
+		if tellLoads && digest != 0 {
 			p.Loads = g.noticeLoads(now)
 		}
 		told.state = p.State
