--- a/io/tgproxy/forward.go
+++ b/io/tgproxy/forward.go
@@ -143,12 +143,14 @@
 	r := tgpicker.Request{ColdRate: rate, Slowdown: s.catalog.Slowdown, Tried: c.tried, Work: c.cost}
 	if s.sharesLoads(c) {
 		r.Load = s.upstreamLoad
+		s.counters.Add("attemptsPlacedBySharedLoad", 1)
 		c.placedBy = placedByShared
 	}
 	if s.placesByCost(c) {
 		length := c.estimate.Mean()
 		r.OwnLoad = func(u *tgcatalog.Upstream) float64 { return s.ledger.Load(u.ID, length).Units() }
 		c.placedBy += placedByCost
+		s.counters.Add("attemptsPlacedByCost", 1)
 	}
 	if c.trial != nil {
 		r.Avoid = s.quarantine.TrialUpstreams(time.Now())
