--- a/core/tgquarantine/derive.go
+++ b/core/tgquarantine/derive.go
@@ -1,6 +1,7 @@
 package tgquarantine
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -20,92 +21,141 @@
 		start = end
 	}
 	for p, r := range t.saved {
-		if r.LastCrash.After(t.cleared[p]) {
-			t.addSaved(p, r)
-		}
-	}
-	for p, s := range t.suspects {
-		t.convict(p, s)
+		t.addSaved(p, r)
 	}
+	t.convict()
+	t.groupUnknown()
 	t.noteChanges(old, now)
 }
 
 // addSaved adds the crashes in a record of the store that this entry has not heard of.
 func (t *Table) addSaved(part string, r Record) {
-	var unheard []string
+	cleared := t.cleared[part]
+	var unheard, begun []string
+	weight := 0
 	for _, id := range r.CrashIDs {
-		if !slices.ContainsFunc(t.crashes, func(c crash) bool { return c.ids[id] }) {
-			unheard = append(unheard, id)
+		progress := ProgressNone
+		if slices.Contains(r.BegunIDs, id) {
+			progress = ProgressBegun
+		}
+		isHeard := slices.ContainsFunc(t.crashes, func(c *crash) bool { return c.ids[id] && c.parts[part] != "" })
+		if isHeard || cleared.voids(r.LastCrash, progress) {
+			continue
+		}
+		if unheard = append(unheard, id); progress == ProgressBegun {
+			begun = append(begun, id)
 		}
+		weight += progress.weight()
 	}
 	if len(unheard) == 0 {
 		return
 	}
 	s := t.suspects[part]
 	if s == nil {
-		isCleared := func(c string) bool { return t.cleared[c].After(r.LastCrash) }
+		isCleared := func(c string) bool { return t.cleared[c].voids(r.LastCrash, ProgressNone) }
 		s = &suspect{
 			companions: slices.DeleteFunc(slices.Clone(r.Companions), isCleared), lastCrash: r.LastCrash, until: r.Until,
 		}
 		t.suspects[part] = s
 	}
-	s.crashIDs = append(s.crashIDs, unheard...)
-	s.strikes += len(unheard)
+	if s.last == nil {
+		s.lastID = unheard[len(unheard)-1]
+	}
+	s.crashIDs, s.begunIDs = append(s.crashIDs, unheard...), append(s.begunIDs, begun...)
+	strikes := max(r.Strikes, 1) // fewer than the crashes, if these came close to each other
+	s.strikes += min(len(unheard), strikes)
+	s.weight += min(weight, strikes*weightNone)
+	s.unbegun = s.unbegun || len(begun) < len(unheard)
 }
 
-// countBurst counts crashes that came close to each other. They count more than once only for a part that was at each of
-// them: when many upstreams end for another reason, a part that many requests share is at some of them by chance.
-func (t *Table) countBurst(burst []crash) {
-	seen := map[string]int{}
-	for i := range burst {
-		c := &burst[i]
-		for p := range c.parts {
-			if !c.at.After(t.cleared[p]) {
+// countBurst counts crashes that came close to each other.
+func (t *Table) countBurst(burst []*crash) {
+	seen := map[string]*strike{}
+	for _, c := range burst {
+		for p, progress := range c.parts {
+			if t.cleared[p].voids(c.at, progress) || c.knownMissing && t.proven[p] ||
+				progress != ProgressNone && t.answered[p] {
 				continue
 			}
-			seen[p]++
-			s := t.suspects[p]
-			if s == nil {
-				s = &suspect{}
-				t.suspects[p] = s
+			if seen[p] == nil {
+				seen[p] = &strike{}
 			}
-			s.lastCrash, s.local = c.at, c.local
-			s.crashIDs = append(s.crashIDs, c.id())
+			seen[p].add(c, progress)
+			t.addEvidence(p, c, progress)
 		}
 	}
 	for p, n := range seen {
-		if n < len(burst) {
-			n = 1
-		}
-		t.suspects[p].strikes += n
+		s := t.suspects[p]
+		strikes, weight := n.total(len(burst))
+		s.strikes += strikes
+		s.weight += weight
+		s.doubtful = s.doubtful || n.doubtful
 	}
 }
 
-// convict quarantines a part with enough strikes, unless another part at its last crash is more likely to blame: one with
-// as many strikes of which no answer is known.
-func (t *Table) convict(part string, s *suspect) {
-	if s.strikes < strikesToConvict {
-		return
+// addEvidence notes a crash that a part may have caused.
+func (t *Table) addEvidence(part string, c *crash, progress Progress) {
+	s := t.suspects[part]
+	if s == nil {
+		s = &suspect{}
+		t.suspects[part] = s
 	}
-	i := slices.IndexFunc(t.crashes, func(c crash) bool { return c.at.Equal(s.lastCrash) && c.parts[part] })
-	if i < 0 {
-		return // it is known from the store only, which says what it may be quarantined with
+	id := c.id()
+	s.crashIDs = append(s.crashIDs, id)
+	if progress == ProgressBegun {
+		s.begunIDs = append(s.begunIDs, id)
 	}
-	var companions []string
-	for p := range t.crashes[i].parts {
-		q := t.suspects[p]
-		if q == nil || q.strikes < strikesToConvict {
+	s.last, s.lastCrash, s.lastID, s.local = c, c.at, id, c.local
+	s.unbegun = s.unbegun || progress == ProgressNone
+}
+
+// convict quarantines the parts with enough weight, unless another part at their last crash is more likely to blame. Of a
+// part that is known from the store only, the store says what it may be quarantined with.
+func (t *Table) convict() {
+	blamed := map[*crash][]string{}
+	for p, s := range t.suspects {
+		if s.weight < convictWeight || s.last == nil {
 			continue
 		}
-		if t.proven[part] && !t.proven[p] {
-			return
+		if _, ok := blamed[s.last]; !ok {
+			blamed[s.last] = t.blamed(s.last)
 		}
-		if t.proven[p] == t.proven[part] {
-			companions = append(companions, p)
+		companions := blamed[s.last]
+		if t.proven[p] == t.proven[companions[0]] {
+			s.companions, s.until = companions, s.lastCrash.Add(t.duration(p, s.strikes))
 		}
 	}
-	slices.Sort(companions)
-	s.companions, s.until = companions, s.lastCrash.Add(t.duration(part, s.strikes))
+}
+
+// groupUnknown groups the unknown suspects by their last crash.
+func (t *Table) groupUnknown() {
+	t.unknown = map[string][]string{}
+	for p, s := range t.suspects {
+		if s.isSuspect() && s.unbegun && !t.proven[p] {
+			t.unknown[s.lastID] = append(t.unknown[s.lastID], p)
+		}
+	}
+}
+
+// blamed returns the parts of a crash, sorted, that have enough weight: those of which no answer is known, or all if there
+// are none.
+func (t *Table) blamed(c *crash) []string {
+	var known, unknown []string
+	for p := range c.parts {
+		switch s := t.suspects[p]; {
+		case s == nil || s.weight < convictWeight:
+		case t.proven[p]:
+			known = append(known, p)
+		default:
+			unknown = append(unknown, p)
+		}
+	}
+	slices.Sort(known)
+	slices.Sort(unknown)
+	if len(unknown) > 0 {
+		return unknown
+	}
+	return known
 }
 
 // duration returns how long a part with a number of strikes stays quarantined.
@@ -114,7 +164,7 @@
 		return quarantineTime
 	}
 	d := firstRetrial
-	for range strikes - strikesToConvict {
+	for range max(0, strikes-strikesToConvict) {
 		if d *= 2; d >= quarantineTime {
 			return quarantineTime
 		}
@@ -124,43 +174,59 @@
 
 // expire drops what is too old or too much. The caller holds t.mu.
 func (t *Table) expire(now time.Time) {
-	isOld := func(c crash) bool { return now.Sub(c.at) > crashRetention }
-	t.crashes = slices.DeleteFunc(t.crashes, isOld)
+	t.crashes = slices.DeleteFunc(t.crashes, func(c *crash) bool { return now.Sub(c.at) > crashRetention })
 	if excess := len(t.crashes) - maxCrashes; excess > 0 {
 		t.crashes = slices.Delete(t.crashes, 0, excess)
 	}
+	t.expireParts()
 	for p, r := range t.saved {
 		if now.Sub(r.LastCrash) > crashRetention {
 			delete(t.saved, p)
 			t.obsolete[p] = true
 		}
 	}
-	for p, at := range t.cleared {
-		if now.Sub(at) > crashRetention || len(t.cleared) > maxCleared {
+	for p, c := range t.cleared {
+		if now.Sub(c.latest()) > crashRetention || len(t.cleared) > maxCleared {
 			delete(t.cleared, p)
 		}
 	}
-	for p := range t.proven {
-		if !slices.ContainsFunc(t.crashes, func(c crash) bool { return c.parts[p] }) {
-			delete(t.proven, p)
+}
+
+// expireParts makes the oldest crashes lose all their parts, so that none of them is blamed for those, if there are too
+// many, and forgets what is known of parts that are at no crash.
+func (t *Table) expireParts() {
+	kept := map[string]bool{}
+	n := 0
+	for _, c := range slices.Backward(t.crashes) {
+		if n += len(c.parts); n > maxTableParts {
+			c.parts, c.knownMissing, c.partial = map[string]Progress{}, true, true
+		}
+		for p := range c.parts {
+			kept[p] = true
 		}
 	}
+	isUnused := func(p string, _ bool) bool { return !kept[p] }
+	maps.DeleteFunc(t.proven, isUnused)
+	maps.DeleteFunc(t.answered, isUnused)
 }
 
 // noteChanges notes for the log how the suspects differ from the old ones.
 func (t *Table) noteChanges(old map[string]*suspect, now time.Time) {
 	for p, s := range t.suspects {
+		if !s.isSuspect() {
+			continue
+		}
 		o := old[p]
 		outcome := OutcomeSuspect
 		if s.isQuarantined(now) {
 			outcome = OutcomeQuarantined
 		}
-		if o == nil || o.strikes != s.strikes || o.isQuarantined(now) != s.isQuarantined(now) {
+		if !o.isSuspect() || o.strikes != s.strikes || o.isQuarantined(now) != s.isQuarantined(now) {
 			t.note(Change{Outcome: outcome, Part: p, Strikes: s.strikes})
 		}
 	}
-	for p := range old {
-		if t.suspects[p] == nil {
+	for p, o := range old {
+		if o.isSuspect() && !t.suspects[p].isSuspect() {
 			t.note(Change{Outcome: OutcomeCleared, Part: p})
 		}
 	}
--- a/core/tgquarantine/history.go
+++ b/core/tgquarantine/history.go
@@ -1,54 +1,56 @@
 package tgquarantine
 
 import (
+	"hash/maphash"
 	"sync"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
 	historyShards   = 16
-	historyMaxParts = 2048            // of one generation of a shard
+	historyMaxParts = 4096            // of one generation of a shard
 	historyTime     = 5 * time.Minute // a part is remembered at least this long, unless there are too many
 )
 
-// history remembers the parts of answers that have begun, in two generations. Its zero value is empty.
+// historySeed keeps callers from finding parts with the same digest as a known one.
+var historySeed = maphash.MakeSeed()
+
+// history remembers digests of the parts of answers, in two generations. Its zero value is empty. A part that it has
+// forgotten counts as unknown.
 type history struct {
 	shards [historyShards]historyShard
 }
 
 type historyShard struct {
-	mu       sync.Mutex // guards the fields below
-	current  map[string]struct{}
-	previous map[string]struct{}
+	mu       sync.Mutex      // guards the fields below
+	current  map[uint64]bool // by digest: whether an answer was complete
+	previous map[uint64]bool
 	started  time.Time // of the current generation
 }
 
-func (h *history) shard(part string) *historyShard {
-	return &h.shards[xxhash.Sum64String(part)%historyShards]
-}
-
-func (h *history) add(parts []string, now time.Time) {
+func (h *history) add(parts []string, answered bool, now time.Time) {
 	for _, p := range parts {
-		h.shard(p).add(p, now)
+		digest := maphash.String(historySeed, p)
+		h.shards[digest%historyShards].add(digest, answered, now)
 	}
 }
 
-func (s *historyShard) add(part string, now time.Time) {
+func (s *historyShard) add(digest uint64, answered bool, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.current == nil || len(s.current) >= historyMaxParts || now.Sub(s.started) > historyTime {
-		s.previous, s.current, s.started = s.current, map[string]struct{}{}, now
+		s.previous, s.current, s.started = s.current, map[uint64]bool{}, now
 	}
-	s.current[part] = struct{}{}
+	s.current[digest] = s.current[digest] || answered
 }
 
-func (h *history) contains(part string) bool {
-	s := h.shard(part)
+// find reports whether an answer to a request with a part has gone on for ProofTime, and whether one was complete.
+func (h *history) find(part string) (proven, answered bool) {
+	digest := maphash.String(historySeed, part)
+	s := &h.shards[digest%historyShards]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, current := s.current[part]
-	_, previous := s.previous[part]
-	return current || previous
+	current, inCurrent := s.current[digest]
+	previous, inPrevious := s.previous[digest]
+	return inCurrent || inPrevious, current || previous
 }
--- a/core/tgquarantine/notice.go
+++ b/core/tgquarantine/notice.go
@@ -1,6 +1,7 @@
 package tgquarantine
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -8,14 +9,15 @@
 
 // Notice is what one entry tells the others. Times are sent as ages, because the clocks of VMs differ.
 type Notice struct {
-	Ask     bool            `cbor:"8,keyasint,omitempty"` // the sender has just started and asks for a notice; the rest is empty
-	Claims  []ClaimNotice   `cbor:"1,keyasint,omitempty"` // all trials of the sender
-	Cleared []ClearedNotice `cbor:"2,keyasint,omitempty"`
-	Crashes []CrashNotice   `cbor:"3,keyasint,omitempty"`
-	Loaded  bool            `cbor:"7,keyasint,omitempty"` // the sender has read the store, or heard from a peer that has
-	Proven  []string        `cbor:"4,keyasint,omitempty"` // parts of crashes of which answers are known
-	Saved   []SavedNotice   `cbor:"6,keyasint,omitempty"` // records of the store
-	VM      string          `cbor:"5,keyasint"`           // of the sender
+	Answered []string        `cbor:"9,keyasint,omitempty"` // those of Proven of which complete answers are known
+	Ask      bool            `cbor:"8,keyasint,omitempty"` // the sender has just started and asks for a notice; the rest is empty
+	Claims   []ClaimNotice   `cbor:"1,keyasint,omitempty"` // all trials of the sender
+	Cleared  []ClearedNotice `cbor:"2,keyasint,omitempty"`
+	Crashes  []CrashNotice   `cbor:"3,keyasint,omitempty"`
+	Loaded   bool            `cbor:"7,keyasint,omitempty"` // the sender has read the store, or heard from a peer that has
+	Proven   []string        `cbor:"4,keyasint,omitempty"` // parts of crashes of which answers are known
+	Saved    []SavedNotice   `cbor:"6,keyasint,omitempty"` // records of the store
+	VM       string          `cbor:"5,keyasint"`           // of the sender
 }
 
 // ClaimNotice is a trial in progress.
@@ -25,18 +27,23 @@
 	Upstream  string `cbor:"3,keyasint,omitempty"` // that has the request, once it is chosen
 }
 
-// ClearedNotice is a part that was suspect until an answer began.
+// ClearedNotice is a part that was at a crash until an answer began, or was complete.
 type ClearedNotice struct {
-	Age  time.Duration `cbor:"1,keyasint"`
-	Part string        `cbor:"2,keyasint"`
+	Age      time.Duration `cbor:"1,keyasint"`           // of the beginning
+	Answered time.Duration `cbor:"3,keyasint,omitempty"` // age of the complete answer; 0 if there was none
+	Part     string        `cbor:"2,keyasint"`
 }
 
 // CrashNotice is the crash of an upstream.
 type CrashNotice struct {
-	Age      time.Duration `cbor:"1,keyasint"`
-	IDs      []string      `cbor:"4,keyasint"`
-	Parts    []string      `cbor:"2,keyasint"`
-	Upstream string        `cbor:"3,keyasint"`
+	Age          time.Duration `cbor:"1,keyasint"`
+	Begun        []string      `cbor:"5,keyasint,omitempty"` // parts of requests whose answers had begun
+	IDs          []string      `cbor:"4,keyasint"`
+	KnownMissing bool          `cbor:"6,keyasint,omitempty"` // known parts are left out
+	Partial      bool          `cbor:"7,keyasint,omitempty"` // other parts are left out
+	Parts        []string      `cbor:"2,keyasint"`           // of requests whose answers had not begun
+	Resumed      []string      `cbor:"8,keyasint,omitempty"` // of requests whose answers had been resumed
+	Upstream     string        `cbor:"3,keyasint"`
 }
 
 // SavedNotice is a record of the store.
@@ -45,13 +52,19 @@
 	Record Record `cbor:"2,keyasint"`
 }
 
+// A notice has to fit into a datagram.
 const (
-	maxNoticeClaims  = 64
-	maxNoticeCleared = 64
-	maxNoticeCrashes = 64  // the latest ones
-	maxNoticeParts   = 512 // of all crashes of a notice
-	maxNoticeSaved   = 32
-	maxPartBytes     = 64
+	maxNoticeClaims     = 512
+	maxNoticeClaimBytes = 12 << 10
+	maxNoticeCleared    = 64
+	maxNoticeCrashes    = 64 // the latest ones
+	maxNoticePartBytes  = 36 << 10
+	maxNoticeParts      = 16384 // of a list of a received notice
+	maxNoticeSaved      = 32
+	maxNoticeSavedBytes = 8 << 10
+	maxPartBytes        = 64
+	noticePartOverhead  = 2 // bytes of a text beside its characters
+	claimOverhead       = 8 // bytes of a claim beside its texts
 )
 
 // Outgoing returns a notice for the other entries, or nil if they were sent all that this entry has observed.
@@ -73,40 +86,119 @@
 }
 
 func (t *Table) notice(now time.Time) *Notice {
-	n := &Notice{Loaded: t.loadEnd.IsZero(), VM: t.self}
-	for p, c := range t.claims {
-		if c.trial != nil && len(n.Claims) < maxNoticeClaims {
-			n.Claims = append(n.Claims, ClaimNotice{Confirmed: c.confirmed, Part: p, Upstream: c.upstream})
-		}
-	}
-	parts := 0
-	for i := len(t.crashes) - 1; i >= 0 && len(n.Crashes) < maxNoticeCrashes; i-- {
-		c := &t.crashes[i]
-		if parts += len(c.parts); parts > maxNoticeParts {
-			break
-		}
-		crash := CrashNotice{Age: now.Sub(c.at), IDs: slices.Collect(maps.Keys(c.ids)), Upstream: c.upstream}
-		for p := range c.parts {
-			crash.Parts = append(crash.Parts, p)
-			if t.proven[p] {
-				n.Proven = append(n.Proven, p)
-			}
-		}
-		n.Crashes = append(n.Crashes, crash)
+	n := &Notice{Claims: t.claimNotices(), Loaded: t.loadEnd.IsZero(), VM: t.self}
+	room := maxNoticePartBytes
+	for i := len(t.crashes) - 1; i >= 0 && len(n.Crashes) < maxNoticeCrashes && room > 0; i-- {
+		t.addCrashNotice(n, t.crashes[i], &room, now)
 	}
+	saved := 0
 	for p, r := range t.saved {
-		if len(n.Saved) < maxNoticeSaved {
+		size := noticeSize(p, len(r.Companions)+len(r.CrashIDs)+len(r.BegunIDs), maxPartBytes)
+		if len(n.Saved) < maxNoticeSaved && saved+size <= maxNoticeSavedBytes {
+			saved += size
 			n.Saved = append(n.Saved, SavedNotice{Part: p, Record: r})
 		}
 	}
-	for p, at := range t.cleared {
+	for p, c := range t.cleared {
 		if len(n.Cleared) < maxNoticeCleared {
-			n.Cleared = append(n.Cleared, ClearedNotice{Age: now.Sub(at), Part: p})
+			cleared := ClearedNotice{Age: now.Sub(c.latest()), Part: p}
+			if !c.answered.IsZero() {
+				cleared.Answered = max(now.Sub(c.answered), 1)
+			}
+			n.Cleared = append(n.Cleared, cleared)
 		}
 	}
 	return n
 }
 
+// noticeSize returns the bytes that a part takes with a number of further texts.
+func noticeSize(part string, texts, textBytes int) int {
+	return len(part) + noticePartOverhead + texts*(textBytes+noticePartOverhead)
+}
+
+// claimNotices returns the trials of this entry. If they are too many, those of parts without an answer come first.
+func (t *Table) claimNotices() []ClaimNotice {
+	var claims []ClaimNotice
+	for p, c := range t.claims {
+		if c.trial != nil {
+			claims = append(claims, ClaimNotice{Confirmed: c.confirmed, Part: p, Upstream: c.upstream})
+		}
+	}
+	slices.SortFunc(claims, func(a, b ClaimNotice) int {
+		return cmp.Or(t.compareKnown(a.Part, b.Part), cmp.Compare(a.Part, b.Part))
+	})
+	size := 0
+	for i, c := range claims {
+		if size += noticeSize(c.Part, 1, len(c.Upstream)) + claimOverhead; size > maxNoticeClaimBytes || i >= maxNoticeClaims {
+			return claims[:i]
+		}
+	}
+	return claims
+}
+
+// compareKnown sorts unknown parts before known ones.
+func (t *Table) compareKnown(a, b string) int {
+	switch {
+	case t.proven[a] == t.proven[b]:
+		return 0
+	case t.proven[a]:
+		return 1
+	default:
+		return -1
+	}
+}
+
+// addCrashNotice adds a crash to a notice. If its parts have no room, it leaves out all known ones and then others.
+func (t *Table) addCrashNotice(n *Notice, c *crash, room *int, now time.Time) {
+	crash := CrashNotice{
+		Age: now.Sub(c.at), IDs: slices.Collect(maps.Keys(c.ids)), KnownMissing: c.knownMissing, Partial: c.partial,
+		Upstream: c.upstream,
+	}
+	var known []string
+	left := *room
+	for p, progress := range c.parts {
+		if t.proven[p] {
+			known = append(known, p)
+			continue
+		}
+		if left -= noticeSize(p, 0, 0); left < 0 {
+			crash.Partial = true
+			continue
+		}
+		crash.add(p, progress)
+	}
+	left = max(left, 0)
+	knownSize := 0
+	for _, p := range known {
+		knownSize += noticeSize(p, 2, len(p)) // in up to three lists
+	}
+	if knownSize <= left {
+		left -= knownSize
+		for _, p := range known {
+			crash.add(p, c.parts[p])
+			n.Proven = append(n.Proven, p)
+			if t.answered[p] {
+				n.Answered = append(n.Answered, p)
+			}
+		}
+	} else {
+		crash.KnownMissing = true
+	}
+	*room = left
+	n.Crashes = append(n.Crashes, crash)
+}
+
+func (c *CrashNotice) add(part string, p Progress) {
+	switch p {
+	case ProgressNone:
+		c.Parts = append(c.Parts, part)
+	case ProgressBegun:
+		c.Begun = append(c.Begun, part)
+	case ProgressResumed:
+		c.Resumed = append(c.Resumed, part)
+	}
+}
+
 // Merge applies a notice of another entry.
 func (t *Table) Merge(n *Notice, now time.Time) {
 	if n.VM == t.self || n.VM == "" {
@@ -125,18 +217,18 @@
 
 // mergeParts applies what a notice says of crashes and parts. The caller holds t.mu.
 func (t *Table) mergeParts(n *Notice, now time.Time) {
-	for _, c := range n.Crashes[:min(len(n.Crashes), maxNoticeCrashes)] {
-		if c.Age >= 0 && c.Age < crashRetention {
-			t.addCrash(c.Upstream, c.IDs[:min(len(c.IDs), maxCrashIDs)], validParts(c.Parts), now.Add(-c.Age))
-		}
-	}
-	for _, p := range validParts(n.Proven) {
+	answered := validParts(n.Answered)
+	for _, p := range slices.Concat(validParts(n.Proven), answered) {
 		t.proven[p] = true
 	}
+	for _, p := range answered {
+		t.answered[p] = true
+	}
+	for i := range n.Crashes[:min(len(n.Crashes), maxNoticeCrashes)] {
+		t.mergeCrash(&n.Crashes[i], now)
+	}
 	for _, c := range n.Cleared[:min(len(n.Cleared), maxNoticeCleared)] {
-		if at := now.Add(-c.Age); c.Age >= 0 && c.Age < crashRetention && at.After(t.cleared[c.Part]) {
-			t.cleared[c.Part] = at
-		}
+		t.mergeCleared(c, now)
 	}
 	for _, s := range n.Saved[:min(len(n.Saved), maxNoticeSaved)] {
 		if _, ok := t.saved[s.Part]; !ok && len(t.saved) < maxSaved && len(s.Part) <= maxPartBytes {
@@ -145,6 +237,31 @@
 	}
 }
 
+func (t *Table) mergeCrash(n *CrashNotice, now time.Time) {
+	if n.Age < 0 || n.Age >= crashRetention {
+		return
+	}
+	c := t.addCrash(n.Upstream, n.IDs[:min(len(n.IDs), maxCrashIDs)], now.Add(-n.Age))
+	c.knownMissing, c.partial = c.knownMissing || n.KnownMissing, c.partial || n.Partial
+	t.addParts(c, validParts(n.Parts), ProgressNone)
+	t.addParts(c, validParts(n.Resumed), ProgressResumed)
+	t.addParts(c, validParts(n.Begun), ProgressBegun)
+}
+
+func (t *Table) mergeCleared(n ClearedNotice, now time.Time) {
+	if n.Age < 0 || n.Age >= crashRetention || n.Answered < 0 || len(n.Part) > maxPartBytes {
+		return
+	}
+	c := t.cleared[n.Part]
+	if at := now.Add(-n.Age); at.After(c.proven) {
+		c.proven = at
+	}
+	if at := now.Add(-n.Answered); n.Answered > 0 && at.After(c.answered) {
+		c.answered = at
+	}
+	t.cleared[n.Part] = c
+}
+
 // validParts returns the parts of a notice that may be kept.
 func validParts(parts []string) []string {
 	valid := make([]string, 0, min(len(parts), maxNoticeParts))
--- a/core/tgquarantine/saved.go
+++ b/core/tgquarantine/saved.go
@@ -10,7 +10,10 @@
 	"tanagergrade/core/tglogtable"
 )
 
-const maxSaved = 1024
+const (
+	maxSaved        = 1024
+	maxSavedOfCrash = 64 // unknown parts of a crash; an append takes milliseconds
+)
 
 // SaveDelay is how long after a crash a part of which answers are known is written to the store. When many upstreams end
 // at once, it may seem to be at fault until all of them are reported. Unknown parts are written at once, because all
@@ -19,7 +22,8 @@
 
 // Record is the value of a suspect part in the store, which outlives the entries; its key is the part.
 type Record struct {
-	Companions []string  `cbor:"1,keyasint" json:"companions,omitempty"` // parts that may be to blame, the key included; sorted, empty unless it is quarantined
+	BegunIDs   []string  `cbor:"6,keyasint,omitempty" json:"begunIds,omitempty"` // of the crashes in the middle of answers
+	Companions []string  `cbor:"1,keyasint" json:"companions,omitempty"`         // parts that may be to blame, the key included; sorted, empty unless it is quarantined
 	CrashIDs   []string  `cbor:"5,keyasint" json:"crashIds"`
 	LastCrash  time.Time `cbor:"2,keyasint" json:"lastCrash"`
 	Strikes    int       `cbor:"3,keyasint" json:"crashes"`
@@ -49,7 +53,7 @@
 			delete(t.obsolete, r.Key)
 			if _, known := t.saved[r.Key]; known {
 				delete(t.saved, r.Key)
-				t.cleared[r.Key] = now
+				t.cleared[r.Key] = clearing{answered: now, proven: now}
 			}
 			continue
 		}
@@ -67,7 +71,7 @@
 	t.loadEnd = time.Time{}
 	t.rebuild(now)
 	for _, r := range records { // a part may have been cleared while its record was being written
-		if _, ok := t.saved[r.Key]; ok && t.suspects[r.Key] == nil && !t.cleared[r.Key].IsZero() {
+		if _, ok := t.saved[r.Key]; ok && t.suspects[r.Key] == nil && !t.cleared[r.Key].latest().IsZero() {
 			t.obsolete[r.Key] = true
 		}
 	}
@@ -75,13 +79,24 @@
 	return failed
 }
 
-// ceilSecond rounds a time up to a second, the precision of a record. Rounded down, a crash could seem to come before an
-// answer that came before it.
-func ceilSecond(at time.Time) time.Time {
+// timePrecision is that of the times in a record.
+const timePrecision = time.Millisecond
+
+var recordEncoding = func() cbor.EncMode {
+	mode, err := cbor.EncOptions{Time: cbor.TimeUnixMicro}.EncMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return mode
+}()
+
+// ceilTime rounds a time up to timePrecision. Rounded down, a crash could seem to come before an answer that came before
+// it.
+func ceilTime(at time.Time) time.Time {
 	if at.IsZero() {
 		return at
 	}
-	return at.Add(time.Second - 1).Truncate(time.Second).UTC()
+	return at.Add(timePrecision - 1).Truncate(timePrecision).UTC()
 }
 
 // Unsaved returns the records that this entry has to write to the store: the unknown and quarantined parts of its own
@@ -89,17 +104,20 @@
 func (t *Table) Unsaved(now time.Time) ([]tglogtable.Record, error) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
+	unknown := map[*crash]int{} // suspect parts
+	for p, s := range t.suspects {
+		if s.isSuspect() && !t.proven[p] {
+			unknown[s.last]++
+		}
+	}
 	var records []tglogtable.Record
 	for p, s := range t.suspects {
-		saved := t.saved[p]
-		isSaved := len(saved.CrashIDs) >= len(s.crashIDs) && slices.Equal(saved.Companions, s.companions)
-		isDue := !t.proven[p] || s.isQuarantined(now) && now.Sub(s.lastCrash) >= SaveDelay
-		if !s.local || isSaved || !isDue {
+		if !t.isDue(p, s, unknown[s.last], now) {
 			continue
 		}
-		value, err := cbor.Marshal(Record{
-			Companions: s.companions, CrashIDs: s.crashIDs, LastCrash: ceilSecond(s.lastCrash), Strikes: s.strikes,
-			Until: ceilSecond(s.until),
+		value, err := recordEncoding.Marshal(Record{
+			BegunIDs: s.begunIDs, Companions: s.companions, CrashIDs: s.crashIDs, LastCrash: ceilTime(s.lastCrash),
+			Strikes: s.strikes, Until: ceilTime(s.until),
 		})
 		if err != nil {
 			return nil, errors.Wrapf(err, "quarantine of prompt part %q", p)
@@ -107,7 +125,25 @@
 		records = append(records, tglogtable.Record{Key: p, Value: value})
 	}
 	for p := range t.obsolete {
-		records = append(records, tglogtable.Record{Key: p})
+		if t.suspects[p] == nil {
+			records = append(records, tglogtable.Record{Key: p})
+		}
 	}
 	return records, nil
 }
+
+// isDue reports whether this entry has to save a suspect part. Of too many unknown parts of a crash it saves none: the
+// missing ones could be to blame in place of the others.
+func (t *Table) isDue(part string, s *suspect, unknown int, now time.Time) bool {
+	if !s.local || !s.isSuspect() || s.doubtful || len(s.companions) > maxSavedOfCrash {
+		return false
+	}
+	saved := t.saved[part]
+	if len(saved.CrashIDs) >= len(s.crashIDs) && slices.Equal(saved.Companions, s.companions) {
+		return false
+	}
+	if s.isQuarantined(now) {
+		return !t.proven[part] || now.Sub(s.lastCrash) >= SaveDelay
+	}
+	return !t.proven[part] && unknown <= maxSavedOfCrash
+}
--- a/core/tgquarantine/table.go
+++ b/core/tgquarantine/table.go
@@ -1,14 +1,13 @@
 // Package tgquarantine finds the parts of prompts that crash upstreams and decides which requests may be sent meanwhile.
 //
-// The parts of a request become suspect when its upstream crashes before the answer begins. Requests with suspect parts
-// are sent one at a time over all entries, as trials. An answer that begins clears all parts of its prompt; a part that
-// is at a second crash without having been cleared is quarantined.
+// The parts of a request become suspect when its upstream crashes before the answer begins, or repeatedly in the middle of
+// answers. Requests with suspect parts are sent one at a time over all entries, as trials. An answer that begins and goes on
+// voids the crashes before answers, and a complete answer all crashes; a part with enough crashes is quarantined.
 package tgquarantine
 
 import (
 	"cmp"
 	"fmt"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -26,7 +25,7 @@
 	quarantineTime   = time.Hour
 	firstRetrial     = 20 * time.Second       // quarantine of a part that was known to be sound; doubled by each further crash
 	sameCrashWindow  = 500 * time.Millisecond // in which entries notice one crash; no upstream is back so soon
-	strikesToConvict = 2
+	strikesToConvict = 2                      // of a part that was known to be sound; for its first retrial
 )
 
 // Table is what an entry knows of crashes and suspect parts. The entries exchange it by notices. It is safe for concurrent
@@ -35,66 +34,52 @@
 	history history // of the parts of answers that have begun
 	self    string  // VM of this entry
 
-	mu       sync.RWMutex // guards the fields below
+	mu       sync.RWMutex    // guards the fields below
+	answered map[string]bool // parts of crashes with complete answers, at this or another entry; they are proven, too
 	changed  chan struct{}
 	loadEnd  time.Time // until then, requests wait for the quarantines in the store; zero once these were read
 	changes  []Change
-	claims   map[string]claim     // trials in progress, by part
-	cleared  map[string]time.Time // last beginning of an answer, by part that was suspect at that time
-	crashes  []crash              // oldest first
-	obsolete map[string]bool      // parts whose records this entry has to remove from the store
-	outgoing bool                 // changes of this entry that the others have not been sent
-	proven   map[string]bool      // parts of crashes that answers had before, at this or another entry
-	saved    map[string]Record    // of the store, by part
-	suspects map[string]*suspect  // derived from the fields above
-	updated  chan struct{}        // capacity 1: changes are to be logged or sent
-}
-
-// crash is the end of an upstream. The entries that observe it name it independently.
-type crash struct {
-	at       time.Time // by this entry's clock, when it first heard of the crash, less the age that was stated
-	ids      map[string]bool
-	local    bool            // one of the requests was this entry's
-	parts    map[string]bool // of requests whose answers had not begun
-	upstream string          // ID
-}
-
-// id returns one of the IDs, the same at all entries that have heard of all of them.
-func (c *crash) id() string {
-	ids := slices.Collect(maps.Keys(c.ids))
-	if len(ids) == 0 {
-		return ""
-	}
-	return slices.Min(ids)
-}
-
-// isSame reports whether a report is of this crash. The clock of a VM does not count the time for which it was suspended,
-// so the ages that it states later are too low; only the IDs tell then that the crash is known.
-func (c *crash) isSame(upstream string, ids []string, at time.Time) bool {
-	return slices.ContainsFunc(ids, func(id string) bool { return c.ids[id] }) ||
-		c.upstream == upstream && c.at.Sub(at).Abs() < sameCrashWindow
+	claims   map[string]claim    // trials in progress, by part
+	cleared  map[string]clearing // by part that was suspect at that time
+	crashes  []*crash            // oldest first
+	obsolete map[string]bool     // parts whose records this entry has to remove from the store
+	outgoing bool                // changes of this entry that the others have not been sent
+	proven   map[string]bool     // parts of crashes with answers that went on for ProofTime, at this or another entry
+	saved    map[string]Record   // of the store, by part
+	suspects map[string]*suspect // derived from the fields above
+	unknown  map[string][]string // suspects of which no answer is known, by the ID of their last crash; derived
+	updated  chan struct{}       // capacity 1: changes are to be logged or sent
 }
 
-// suspect is a part that has not been cleared since it was at a crash.
+// suspect is a part that has not been cleared since it was at a crash. It is suspect only if isSuspect says so.
 type suspect struct {
+	begunIDs   []string // those of crashIDs that weigh less
 	companions []string // parts that may be to blame in its place, itself included; sorted, empty unless it is quarantined
-	lastCrash  time.Time
-	local      bool     // one of the requests at the last crash was this entry's
 	crashIDs   []string // one of each crash that the part was at
-	strikes    int      // crashes that the part may have caused
+	doubtful   bool     // it was at a crash of which not all parts are known
+	last       *crash   // nil if it is known from the store only
+	lastCrash  time.Time
+	lastID     string // of the last crash
+	local      bool   // one of the requests at the last crash was this entry's
+	strikes    int    // crashes that the part may have caused
+	unbegun    bool   // an answer to a request with the part had not begun at one of them
 	until      time.Time
+	weight     int // of the crashes
 }
 
+// isSuspect reports whether requests with the part are sent as trials.
+func (s *suspect) isSuspect() bool { return s != nil && (s.weight >= suspectWeight || s.doubtful) }
+
 func (s *suspect) isQuarantined(now time.Time) bool {
-	return len(s.companions) > 0 && now.Before(s.until)
+	return s != nil && len(s.companions) > 0 && now.Before(s.until)
 }
 
 // NewTable returns an empty table of the entry on the VM self.
 func NewTable(self string) *Table {
 	return &Table{
-		changed: make(chan struct{}), claims: map[string]claim{}, cleared: map[string]time.Time{}, obsolete: map[string]bool{},
-		proven: map[string]bool{}, saved: map[string]Record{}, self: self, suspects: map[string]*suspect{},
-		updated: make(chan struct{}, 1),
+		answered: map[string]bool{}, changed: make(chan struct{}), claims: map[string]claim{}, cleared: map[string]clearing{},
+		obsolete: map[string]bool{}, proven: map[string]bool{}, saved: map[string]Record{}, self: self,
+		suspects: map[string]*suspect{}, updated: make(chan struct{}, 1),
 	}
 }
 
@@ -111,70 +96,89 @@
 	})
 }
 
-// RecordCrash records that an upstream has crashed while an answer to a request with the given parts had not begun. The
-// crash counts without parts, too: it shows whether other upstreams ended at the same time.
-func (t *Table) RecordCrash(upstream string, parts []string, now time.Time) {
+// RecordCrash records that an upstream has crashed during a request with the given parts. The crash counts without parts,
+// too: it shows whether other upstreams ended at the same time.
+func (t *Table) RecordCrash(upstream string, parts []string, progress Progress, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c := t.addCrash(upstream, nil, parts, now)
+	c := t.addCrash(upstream, nil, now)
 	if len(c.ids) == 0 {
 		c.ids[fmt.Sprintf("%s/%x", t.self, rand.Uint64())] = true
 	}
+	t.addParts(c, parts, progress)
 	c.local = c.local || len(parts) > 0
 	t.rebuild(now)
 	t.notify(true)
 }
 
-// addCrash adds a report to the crash that it is of, which may be a new one, and returns that crash. The caller holds
-// t.mu.
-func (t *Table) addCrash(upstream string, ids, parts []string, at time.Time) *crash {
-	i := slices.IndexFunc(t.crashes, func(c crash) bool { return c.isSame(upstream, ids, at) })
-	if i < 0 {
-		i, _ = slices.BinarySearchFunc(t.crashes, at, func(c crash, at time.Time) int { return c.at.Compare(at) })
-		added := crash{at: at, ids: map[string]bool{}, parts: map[string]bool{}, upstream: upstream}
-		t.crashes = slices.Insert(t.crashes, i, added)
-	}
-	c := &t.crashes[i]
-	for _, id := range ids {
-		if len(c.ids) < maxCrashIDs {
-			c.ids[id] = true
-		}
-	}
+// Unanswered returns those of the given parts of which this entry knows no complete answer.
+func (t *Table) Unanswered(parts []string) []string {
+	var unanswered []string
 	for _, p := range parts {
-		c.parts[p] = true
-		if t.history.contains(p) && !t.proven[p] {
-			t.proven[p] = true
-			t.outgoing = true
+		if _, answered := t.history.find(p); !answered {
+			unanswered = append(unanswered, p)
 		}
 	}
-	return c
+	return unanswered
 }
 
-// Begun records that an answer to a request with the given parts has begun, which shows that they crash no upstream.
-func (t *Table) Begun(parts []string, now time.Time) {
-	if len(parts) == 0 {
-		return
+// Begun records that an answer to a request with the given parts has begun and has gone on for a time since. The first
+// event alone shows something only of a part that earlier answers had.
+func (t *Table) Begun(parts []string, age time.Duration, now time.Time) {
+	if age >= ProofTime {
+		t.history.add(parts, false, now)
 	}
-	t.history.add(parts, now)
-	if !t.anySuspect(parts) {
+	t.clear(parts, now, func(p string, c *clearing) bool {
+		if age < ProofTime && !t.proven[p] {
+			return false
+		}
+		c.proven = now
+		return true
+	})
+}
+
+// Answered records that an answer to a request with the given parts was complete: they crash no upstream.
+func (t *Table) Answered(parts []string, now time.Time) {
+	t.history.add(parts, true, now)
+	t.clear(parts, now, func(_ string, c *clearing) bool {
+		c.answered = now
+		return true
+	})
+}
+
+// clear updates the clearings of those of the given parts that were at crashes.
+func (t *Table) clear(parts []string, now time.Time, update func(part string, c *clearing) bool) {
+	if !t.hasEvidence(parts) {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	changed := false
 	for _, p := range parts {
 		if t.suspects[p] == nil {
 			continue
 		}
-		t.cleared[p] = now
-		if _, ok := t.saved[p]; ok {
-			t.obsolete[p] = true
+		c := t.cleared[p]
+		if !update(p, &c) {
+			continue
 		}
+		changed = true
+		t.cleared[p] = c
+		t.noteKnown(p)
+	}
+	if !changed {
+		return
 	}
 	t.rebuild(now)
+	for _, p := range parts {
+		if _, ok := t.saved[p]; ok && t.suspects[p] == nil {
+			t.obsolete[p] = true
+		}
+	}
 	t.notify(true)
 }
 
-func (t *Table) anySuspect(parts []string) bool {
+func (t *Table) hasEvidence(parts []string) bool {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	return slices.ContainsFunc(parts, func(p string) bool { return t.suspects[p] != nil })
@@ -243,6 +247,9 @@
 	defer t.mu.RUnlock()
 	states := make([]State, 0, len(t.suspects))
 	for p, s := range t.suspects {
+		if !s.isSuspect() {
+			continue
+		}
 		states = append(states, State{
 			Companions: s.companions, LastCrash: s.lastCrash, Part: p, Quarantined: s.isQuarantined(now), Strikes: s.strikes,
 			Until: s.until,
--- a/core/tgquarantine/table_test.go
+++ b/core/tgquarantine/table_test.go
@@ -13,11 +13,11 @@
 type step func(t *Table, now time.Time)
 
 func crashed(upstream string, parts ...string) step {
-	return func(t *Table, now time.Time) { t.RecordCrash(upstream, parts, now) }
+	return func(t *Table, now time.Time) { t.RecordCrash(upstream, parts, ProgressNone, now) }
 }
 
-func begun(parts ...string) step {
-	return func(t *Table, now time.Time) { t.Begun(parts, now) }
+func answered(parts ...string) step {
+	return func(t *Table, now time.Time) { t.Answered(parts, now) }
 }
 
 // Guards against sound requests that are refused because they share parts with requests at a crash, and against deadly
@@ -29,11 +29,11 @@
 		want  map[string]Verdict // by parts, separated by a space
 	}{
 		"alternating": {
-			steps: []step{begun("a"), crashed("u1", "a", "dead"), begun("a"), crashed("u2", "a", "dead")},
+			steps: []step{answered("a"), crashed("u1", "a", "dead"), answered("a"), crashed("u2", "a", "dead")},
 			want:  map[string]Verdict{"a": VerdictTry, "a dead": VerdictRefuse, "b dead": VerdictRefuse, "b": VerdictSend},
 		},
 		"clearedBetween": {
-			steps: []step{crashed("u1", "a"), begun("a"), crashed("u2", "a")},
+			steps: []step{crashed("u1", "a"), answered("a"), crashed("u2", "a")},
 			want:  map[string]Verdict{"a": VerdictTry},
 		},
 		"bothUnknown": {
@@ -41,7 +41,7 @@
 			want:  map[string]Verdict{"a": VerdictTry, "a dead": VerdictRefuse, "dead": VerdictTry},
 		},
 		"bothUnknownOneCleared": {
-			steps: []step{crashed("u1", "a", "dead"), crashed("u2", "a", "dead"), begun("a")},
+			steps: []step{crashed("u1", "a", "dead"), crashed("u2", "a", "dead"), answered("a")},
 			want:  map[string]Verdict{"a": VerdictSend, "a dead": VerdictRefuse, "dead": VerdictRefuse},
 		},
 		"herd": {
@@ -60,7 +60,7 @@
 		},
 		"twoAtOnce": {
 			burst: true,
-			steps: []step{begun("a"), crashed("u1", "a", "dead"), crashed("u2", "b", "dead")},
+			steps: []step{answered("a"), crashed("u1", "a", "dead"), crashed("u2", "b", "dead")},
 			want:  map[string]Verdict{"a": VerdictTry, "b": VerdictTry, "dead": VerdictRefuse},
 		},
 	} {
@@ -93,17 +93,17 @@
 		t.Run(name, func(t *testing.T) {
 			table, now := NewTable("vm"), time.Now()
 			if c.known {
-				table.Begun([]string{"a"}, now)
+				table.Answered([]string{"a"}, now)
 			}
-			table.RecordCrash("u1", []string{"a"}, now)
+			table.RecordCrash("u1", []string{"a"}, ProgressNone, now)
 			now = now.Add(5 * time.Second)
-			table.RecordCrash("u2", []string{"a"}, now)
+			table.RecordCrash("u2", []string{"a"}, ProgressNone, now)
 			d := table.Decide([]string{"a"}, now)
 			assert.Equal(t, d.Verdict, VerdictRefuse)
 			assert.Equal(t, d.RetryAfter, c.want)
 			now = now.Add(c.want)
 			assert.Equal(t, table.Decide([]string{"a"}, now).Verdict, VerdictTry)
-			table.Begun([]string{"a"}, now)
+			table.Answered([]string{"a"}, now)
 			assert.Equal(t, table.Decide([]string{"a"}, now).Verdict, VerdictSend)
 		})
 	}
@@ -112,7 +112,7 @@
 // Guards against two requests with the same suspect part at upstreams at one time, which may crash both.
 func TestOneTrialAtATime(t *testing.T) {
 	table, now := NewTable("vm"), time.Now()
-	table.RecordCrash("u1", []string{"a", "b"}, now)
+	table.RecordCrash("u1", []string{"a", "b"}, ProgressNone, now)
 	first := table.Claim([]string{"a", "x"}, now)
 	assert.Assert(t, first != nil)
 	assert.Assert(t, table.Claim([]string{"a"}, now) == nil)
@@ -130,16 +130,16 @@
 // Guards against a trial that is sent although its part was quarantined after the claim.
 func TestQuarantineEndsTrial(t *testing.T) {
 	table, now := NewTable("vm"), time.Now()
-	table.RecordCrash("u1", []string{"dead"}, now)
+	table.RecordCrash("u1", []string{"dead"}, ProgressNone, now)
 	trial := table.Claim([]string{"dead"}, now)
-	table.RecordCrash("u2", []string{"dead"}, now)
+	table.RecordCrash("u2", []string{"dead"}, ProgressNone, now)
 	assert.Assert(t, !trial.Confirm(now))
 }
 
 // Guards against two trials at one upstream, whose crash would not tell which of them is to blame.
 func TestTrialsAreAtDifferentUpstreams(t *testing.T) {
 	e, now := newEntries(2), time.Now()
-	e[0].RecordCrash("u1", []string{"a"}, now)
+	e[0].RecordCrash("u1", []string{"a"}, ProgressNone, now)
 	e.exchange(now)
 	trial := e[0].Claim([]string{"a"}, now)
 	assert.Assert(t, trial.Confirm(now))
@@ -188,8 +188,8 @@
 // Guards against a part that crashes two upstreams for each entry, and against trials of it at two entries at once.
 func TestEntriesShareEvidence(t *testing.T) {
 	e, now := newEntries(3), time.Now()
-	e[2].Begun([]string{"a"}, now)
-	e[0].RecordCrash("u1", []string{"a", "dead"}, now)
+	e[2].Answered([]string{"a"}, now)
+	e[0].RecordCrash("u1", []string{"a", "dead"}, ProgressNone, now)
 	e.exchange(now)
 	for _, table := range e {
 		assert.Equal(t, table.Decide([]string{"dead"}, now).Verdict, VerdictTry)
@@ -202,14 +202,14 @@
 	assert.Assert(t, !late.Confirm(now))
 	e.exchange(now)
 	assert.Equal(t, e[2].Decide([]string{"dead"}, now).Verdict, VerdictWait)
-	e[0].RecordCrash("u2", []string{"a", "dead"}, now)
+	e[0].RecordCrash("u2", []string{"a", "dead"}, ProgressNone, now)
 	early.End()
 	e.exchange(now)
 	for _, table := range e {
 		assert.Equal(t, table.Decide([]string{"b", "dead"}, now).Verdict, VerdictRefuse)
 		assert.Equal(t, table.Decide([]string{"a"}, now).Verdict, VerdictTry, "known at one entry")
 	}
-	e[1].Begun([]string{"a"}, now.Add(time.Millisecond))
+	e[1].Answered([]string{"a"}, now.Add(time.Millisecond))
 	e.exchange(now.Add(time.Millisecond))
 	assert.Equal(t, e[0].Decide([]string{"a"}, now).Verdict, VerdictSend)
 }
@@ -217,7 +217,7 @@
 // Guards against crashes that count twice because an entry whose VM was suspended reports them with ages that are too low.
 func TestSuspendedEntryRepeatsItsCrashes(t *testing.T) {
 	e, now := newEntries(2), time.Now()
-	e[0].RecordCrash("u1", []string{"a"}, now)
+	e[0].RecordCrash("u1", []string{"a"}, ProgressNone, now)
 	e.exchange(now)
 	const suspended = 5 * time.Second
 	now = now.Add(suspended)
@@ -243,11 +243,11 @@
 func TestQuarantineOutlivesEntries(t *testing.T) {
 	dead := []string{"dead"}
 	entry, now := NewTable("vm"), time.Now()
-	entry.RecordCrash("u1", dead, now)
+	entry.RecordCrash("u1", dead, ProgressNone, now)
 	now = now.Add(5 * time.Second)
 	entry = restart(t, entry, now)
 	assert.Equal(t, entry.Decide(dead, now).Verdict, VerdictTry)
-	entry.RecordCrash("u2", dead, now)
+	entry.RecordCrash("u2", dead, ProgressNone, now)
 	assert.Equal(t, entry.Decide(dead, now).Verdict, VerdictRefuse)
 	now = now.Add(SaveDelay)
 	entry = restart(t, entry, now)
@@ -260,8 +260,8 @@
 // Guards against records that are written again and again, and against a quarantine that an operator cannot end.
 func TestSaveAndRelease(t *testing.T) {
 	table, now := NewTable("vm"), time.Now()
-	table.RecordCrash("u1", []string{"dead"}, now)
-	table.RecordCrash("u2", []string{"dead"}, now.Add(time.Second))
+	table.RecordCrash("u1", []string{"dead"}, ProgressNone, now)
+	table.RecordCrash("u2", []string{"dead"}, ProgressNone, now.Add(time.Second))
 	now = now.Add(time.Second + SaveDelay)
 	records, err := table.Unsaved(now)
 	assert.NilError(t, err)
@@ -279,13 +279,13 @@
 // Guards against a part that was quarantined by chance for a moment, when many upstreams end at once, and is saved.
 func TestKnownPartIsSavedLate(t *testing.T) {
 	table, now := NewTable("vm"), time.Now()
-	table.Begun([]string{"a"}, now)
-	table.RecordCrash("u1", []string{"a"}, now)
-	table.RecordCrash("u2", []string{"a"}, now)
+	table.Answered([]string{"a"}, now)
+	table.RecordCrash("u1", []string{"a"}, ProgressNone, now)
+	table.RecordCrash("u2", []string{"a"}, ProgressNone, now)
 	records, err := table.Unsaved(now)
 	assert.NilError(t, err)
 	assert.Equal(t, len(records), 0)
-	table.RecordCrash("u3", nil, now)
+	table.RecordCrash("u3", nil, ProgressNone, now)
 	records, err = table.Unsaved(now.Add(SaveDelay))
 	assert.NilError(t, err)
 	assert.Equal(t, len(records), 0)
@@ -294,19 +294,19 @@
 // Guards against two crashes of an upstream that restarts quickly, which count as one.
 func TestUpstreamCrashesAgain(t *testing.T) {
 	table, now := NewTable("vm"), time.Now()
-	table.RecordCrash("u1", []string{"dead"}, now)
-	table.RecordCrash("u1", []string{"dead"}, now.Add(700*time.Millisecond))
+	table.RecordCrash("u1", []string{"dead"}, ProgressNone, now)
+	table.RecordCrash("u1", []string{"dead"}, ProgressNone, now.Add(700*time.Millisecond))
 	assert.Equal(t, table.Decide([]string{"dead"}, now.Add(time.Second)).Verdict, VerdictRefuse)
 }
 
 // Guards against a record that stays in the store because an answer cleared its part while the record was being written.
 func TestClearedWhileSaving(t *testing.T) {
 	table, now := NewTable("vm"), time.Now()
-	table.RecordCrash("u1", []string{"a"}, now)
+	table.RecordCrash("u1", []string{"a"}, ProgressNone, now)
 	records, err := table.Unsaved(now)
 	assert.NilError(t, err)
 	now = now.Add(time.Second)
-	table.Begun([]string{"a"}, now)
+	table.Answered([]string{"a"}, now)
 	assert.Equal(t, len(table.ApplySaved(records, now)), 0)
 	records, err = table.Unsaved(now)
 	assert.NilError(t, err)
@@ -329,12 +329,12 @@
 // next request that has one of them, or a sound part would be refused.
 func TestUnknownPartsAreTriedApart(t *testing.T) {
 	table, now := NewTable("vm"), time.Now()
-	table.RecordCrash("u1", []string{"a", "dead"}, now)
+	table.RecordCrash("u1", []string{"a", "dead"}, ProgressNone, now)
 	assert.Equal(t, table.Decide([]string{"a", "dead"}, now).Verdict, VerdictWait)
 	assert.Equal(t, table.Decide([]string{"b", "dead"}, now).Verdict, VerdictTry)
 	assert.Equal(t, table.Decide([]string{"a", "dead"}, now.Add(jointTrialDelay)).Verdict, VerdictTry)
 	now = now.Add(time.Second)
-	table.Begun([]string{"a"}, now)
+	table.Answered([]string{"a"}, now)
 	assert.Equal(t, table.Decide([]string{"a", "dead"}, now).Verdict, VerdictTry)
 }
 
--- a/core/tgquarantine/trial.go
+++ b/core/tgquarantine/trial.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// A crash in a trial of two unknown parts would not tell which is to blame. For this long after their crash, they wait
-	// for requests that have only one of them.
+	// A crash in a trial of all unknown parts of an earlier crash would not tell which is to blame. For this long after that
+	// crash, they wait for requests that have only some of them.
 	jointTrialDelay  = 10 * time.Second
 	pendingClaimTime = 300 * time.Millisecond // a claim that is not confirmed ends by itself
 	trialTime        = 3 * time.Second        // a trial that takes longer no longer holds others back
@@ -59,16 +59,13 @@
 	if len(parts) > 0 && now.Before(t.loadEnd) {
 		return Decision{Part: parts[0], Verdict: VerdictWait}
 	}
-	unknown := 0 // suspect parts of which no answer is known
+	contains := partSet(parts)
 	for _, p := range parts {
 		s := t.suspects[p]
-		if s == nil {
+		if !s.isSuspect() {
 			continue
 		}
-		if !t.proven[p] && now.Sub(s.lastCrash) < jointTrialDelay {
-			unknown++
-		}
-		if s.isQuarantined(now) && containsAll(parts, s.companions) {
+		if s.isQuarantined(now) && contains(s.companions) {
 			return Decision{Part: p, RetryAfter: s.until.Sub(now), Verdict: VerdictRefuse}
 		}
 		if d.Verdict == VerdictSend {
@@ -78,21 +75,51 @@
 			d = Decision{Part: p, Verdict: VerdictWait}
 		}
 	}
-	if unknown > 1 {
+	if d.Verdict == VerdictTry && t.isUndecided(parts, contains, now) {
 		d.Verdict = VerdictWait
 	}
 	return d
 }
 
+// isUndecided reports whether a crash in a trial of several unknown parts would not tell which is to blame. Parts of which
+// all crashes were in the middle of answers do not count: a stream that is resumed would be cut off if it waited.
+func (t *Table) isUndecided(parts []string, contains func(wanted []string) bool, now time.Time) bool {
+	unknown, undecided := 0, false
+	for _, p := range parts {
+		s := t.suspects[p]
+		if s.isSuspect() && s.unbegun && !t.proven[p] && now.Sub(s.lastCrash) < jointTrialDelay {
+			unknown++
+			undecided = undecided || contains(t.unknown[s.lastID])
+		}
+	}
+	return unknown > 1 && undecided
+}
+
 // HasUnknownSuspect reports whether one of the parts is suspect and no answer is known of it.
 func (t *Table) HasUnknownSuspect(parts []string) bool {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	return slices.ContainsFunc(parts, func(p string) bool { return t.suspects[p] != nil && !t.proven[p] })
+	return slices.ContainsFunc(parts, func(p string) bool { return t.suspects[p].isSuspect() && !t.proven[p] })
 }
 
-func containsAll(list, wanted []string) bool {
-	return !slices.ContainsFunc(wanted, func(w string) bool { return !slices.Contains(list, w) })
+// partSet returns a function that reports whether all parts of a sorted list are among those of a request.
+func partSet(parts []string) func(wanted []string) bool {
+	var set map[string]bool
+	var last []string // the suspect parts of one crash share their list
+	contained := false
+	return func(wanted []string) bool {
+		if len(last) > 0 && &last[0] == &wanted[0] {
+			return contained
+		}
+		if set == nil {
+			set = make(map[string]bool, len(parts))
+			for _, p := range parts {
+				set[p] = true
+			}
+		}
+		last, contained = wanted, !slices.ContainsFunc(wanted, func(w string) bool { return !set[w] })
+		return contained
+	}
 }
 
 // Claim starts a trial of a request with the given parts. It returns nil if the verdict on the request is another one by
@@ -105,7 +132,7 @@
 	}
 	trial := &Trial{prompt: parts, table: t}
 	for _, p := range parts {
-		if t.suspects[p] != nil {
+		if t.suspects[p].isSuspect() {
 			trial.parts = append(trial.parts, p)
 			t.claims[p] = claim{expires: now.Add(pendingClaimTime), holder: t.self, trial: trial}
 		}
--- a/io/tgfleet/fleet_test.go
+++ b/io/tgfleet/fleet_test.go
@@ -299,7 +299,7 @@
 	a, b := start("a"), start("b")
 	a.addPeer(b)
 	for _, upstream := range []string{"u1", "u2"} {
-		a.exchange.Quarantine.RecordCrash(upstream, []string{"dead"}, time.Now())
+		a.exchange.Quarantine.RecordCrash(upstream, []string{"dead"}, tgquarantine.ProgressNone, time.Now())
 	}
 	waitFor(t, "the notice", func() bool { return verdict(b) == tgquarantine.VerdictRefuse })
 	late := start("late")
@@ -332,10 +332,10 @@
 		return n
 	}
 	store.SetFault(tgemulator.StoreUnavailable, 0)
-	table.RecordCrash("u1", []string{"dead"}, time.Now())
+	table.RecordCrash("u1", []string{"dead"}, tgquarantine.ProgressNone, time.Now())
 	time.Sleep(time.Second)
 	store.SetFault(tgemulator.StoreHealthy, 0)
 	waitFor(t, "the record", func() bool { return saved() == 1 })
-	table.Begun([]string{"dead"}, time.Now())
+	table.Answered([]string{"dead"}, time.Now())
 	waitFor(t, "its removal", func() bool { return saved() == 0 })
 }
--- a/io/tgproxy/call.go
+++ b/io/tgproxy/call.go
@@ -14,7 +14,8 @@
 // call is one request of a caller, with its state while it is forwarded. A retry by the caller is another call.
 type call struct {
 	account        tgcatalog.Account
-	attempts       int // number of attempts, not counting those that did not reach an upstream
+	atCrash        bool // an earlier attempt was at an upstream that crashed
+	attempts       int  // number of attempts, not counting those that did not reach an upstream
 	body           []byte
 	buffers        *bufferLease
 	callerDeadline time.Time // as the caller declared it, or the default
--- a/io/tgproxy/crash.go
+++ b/io/tgproxy/crash.go
@@ -14,6 +14,8 @@
 	"github.com/cockroachdb/errors"
 
 	"tanagergrade/core/tgcatalog"
+	"tanagergrade/core/tgquarantine"
+	"tanagergrade/io/tghttp"
 )
 
 const (
@@ -130,22 +132,50 @@
 	if !x.connEnded && !x.withdrawn.Load() || a.ctx.Err() != nil || len(c.promptParts) == 0 && c.route.Kind != tgcatalog.KindStreaming {
 		return
 	}
+	parts, progress := c.promptParts, tgquarantine.ProgressNone
 	if x.begun {
-		go s.checkCrash(c.pool, x.target, nil) // the stream need not wait
+		parts, progress = s.quarantine.Unanswered(parts), tgquarantine.ProgressBegun
+		if c.atCrash {
+			progress = tgquarantine.ProgressResumed
+		}
+	}
+	if x.begun && len(parts) == 0 {
+		go s.checkCrash(c.pool, x.target, nil, progress) // the stream need not wait
 		return
 	}
-	s.checkCrash(c.pool, x.target, c.promptParts)
+	if s.checkCrash(c.pool, x.target, parts, progress) {
+		c.atCrash = true
+	}
 	if x.withdrawn.Load() { // an upstream may go on with a request whose connection has ended
-		time.AfterFunc(withdrawnCheckDelay, func() { s.checkCrash(c.pool, x.target, c.promptParts) })
+		time.AfterFunc(withdrawnCheckDelay, func() { s.checkCrash(c.pool, x.target, parts, progress) })
 	}
 }
 
-// checkCrash records a crash if an upstream has ended. The parts are those of a request whose answer had not begun.
-func (s *Server) checkCrash(pool string, target tgcatalog.Upstream, parts []string) {
+// checkCrash records a crash if an upstream has ended, and reports whether it has. The parts are those of a request, and
+// progress is how far its answer was.
+func (s *Server) checkCrash(pool string, target tgcatalog.Upstream, parts []string, progress tgquarantine.Progress) bool {
 	isListed := slices.ContainsFunc(s.catalog.Upstreams(pool), func(u tgcatalog.Upstream) bool { return u.ID == target.ID })
 	if !isListed || !s.crashes.hasEnded(s.conns, target.Address) {
-		return
+		return false
 	}
 	s.counters.Add("crashedAttempts", 1)
-	s.quarantine.RecordCrash(target.ID, parts, time.Now())
+	s.quarantine.RecordCrash(target.ID, parts, progress, time.Now())
+	return true
+}
+
+// recordAnswer records an answer that seems to be complete. One that ends with its connection may have been cut off by a
+// crash.
+func (s *Server) recordAnswer(c *call, x *exchange) {
+	parts := c.promptParts
+	unanswered := s.quarantine.Unanswered(parts)
+	if x.response.Framing != tghttp.FramingClose || len(unanswered) == 0 {
+		s.quarantine.Answered(parts, time.Now())
+		return
+	}
+	pool, target := c.pool, x.target
+	go func() {
+		if !s.checkCrash(pool, target, unanswered, tgquarantine.ProgressBegun) {
+			s.quarantine.Answered(parts, time.Now())
+		}
+	}()
 }
--- a/io/tgproxy/forward.go
+++ b/io/tgproxy/forward.go
@@ -17,6 +17,7 @@
 // responseState is the state of the response to a call.
 type responseState struct {
 	caller        *callerConn
+	begunAt       time.Time       // when this attempt forwarded its first event; zero before that
 	contentType   string          // of the response, once its head was written
 	ctx           context.Context //nolint:containedctx // lives as long as one call
 	headWritten   bool            // the head was written to the caller
@@ -24,6 +25,8 @@
 	lastEventAt   time.Time       // when this attempt last forwarded events; zero before that
 	lastEventID   int64           // highest ID of the events that the caller has; noEventID if it has none
 	limiter       *tgstreamlimit.Limiter
+	proven        bool           // this attempt has gone on for tgquarantine.ProofTime since its first event
+	resumes       bool           // this attempt resumes a stream
 	upstreamError *upstreamError // forwarded if no other upstream answers
 }
 
@@ -246,7 +249,7 @@
 		}
 		return tgpicker.OutcomeFailed, verdictStop
 	}
-	k.server.quarantine.Begun(c.promptParts, time.Now())
+	k.server.recordAnswer(c, x)
 	k.writeResponse(a, c, x.response, body, outcomeAnswered)
 	return tgpicker.OutcomeAnswered, verdictDone
 }
--- a/io/tgproxy/poison_test.go
+++ b/io/tgproxy/poison_test.go
@@ -75,6 +75,49 @@
 	assert.Check(t, sound == rounds, "%d of %d sound requests were served", sound, rounds)
 }
 
+// Guards against a part that crashes one engine after another because it does so after the first event of a stream, which
+// seemed to clear it, or because its ID is long or stands behind many others: with streams that say where they end, and
+// with streams that end with their connection. Sound requests have the same parts before it.
+func TestHiddenDeadlyPart(t *testing.T) {
+	for name, c := range map[string]struct {
+		before, events int
+		id             string
+		pause          time.Duration // between requests
+		unframed       bool
+	}{
+		"midStream":    {events: 1, id: deadlyPart},
+		"onlyFirstTry": {events: 4, id: deadlyPart, pause: 310 * time.Millisecond},
+		"unframed":     {events: 1, id: deadlyPart, pause: 310 * time.Millisecond, unframed: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newPoisonedProxy(t, 8)
+			for _, e := range b.engines {
+				e.ProcessingTime, e.Unframed = 0, c.unframed
+				e.EventInterval, e.StreamEvents = 5*time.Millisecond, c.events+3
+				e.SetDeadlyPart(c.id)
+				e.SetDeadlyEvents(c.events)
+			}
+			before := ""
+			for i := range c.before {
+				before += fmt.Sprintf("before%d:10,", i)
+			}
+			sound := 0
+			const rounds = 10
+			for i := range rounds {
+				time.Sleep(c.pause)
+				b.stream(t, fmt.Sprintf("poisoned%d", i), fmt.Sprintf("%s%s:160,own%d:300", before, c.id, i))
+				if b.stream(t, fmt.Sprintf("sound%d", i), fmt.Sprintf("%sother:10,own%d:300", before, i)) == http.StatusOK {
+					sound++
+				} else {
+					t.Logf("sound%d: %+v", i, b.lastEvent())
+				}
+			}
+			assert.Check(t, b.crashes() <= 4, "%d engines crashed", b.crashes())
+			assert.Check(t, sound == rounds, "%d of %d sound requests were served", sound, rounds)
+		})
+	}
+}
+
 // Guards against a third upstream that crashes because its request was on the way already when the first one crashed.
 func TestRequestsOnTheWayAreWithdrawn(t *testing.T) {
 	b := newPoisonedProxy(t, 4)
@@ -102,8 +145,8 @@
 	for len(b.engines[0].RequestHeaders()) == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	table.RecordCrash("another", []string{deadlyPart}, time.Now()) // as an entry reports it that has the first crash
-	time.Sleep(5 * time.Millisecond)                               // the request is withdrawn
+	table.RecordCrash("another", []string{deadlyPart}, tgquarantine.ProgressNone, time.Now()) // as an entry reports it that has the first crash
+	time.Sleep(5 * time.Millisecond)                                                          // the request is withdrawn
 	b.engines[0].Crash()
 	<-done
 	verdict := func() tgquarantine.Verdict { return table.Decide([]string{deadlyPart}, time.Now()).Verdict }
--- a/io/tgproxy/stream.go
+++ b/io/tgproxy/stream.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"tanagergrade/core/tgpicker"
+	"tanagergrade/core/tgquarantine"
 	"tanagergrade/io/tghttp"
 )
 
@@ -19,7 +20,7 @@
 		return k.failStream(a, c, fmt.Sprintf("resumed stream has content type %q, not %q", got, a.contentType))
 	}
 	var events eventSplitter
-	a.lastEventAt = time.Time{}
+	a.begunAt, a.lastEventAt, a.proven, a.resumes = time.Time{}, time.Time{}, false, a.headWritten
 	held := c.buffers.held
 	defer func() { c.buffers.releaseTo(held) }()
 	stall := c.route.StallTimeout()
@@ -123,12 +124,8 @@
 		a.limiter.ObserveGap(now.Sub(a.lastEventAt)/time.Duration(r.count), now)
 	}
 	a.lastEventAt = now
-	if r.count > 0 && !x.begun {
-		x.begun = true
-		k.server.unbegun.remove(x)
-		k.server.quarantine.Begun(c.promptParts, now)
-	}
 	if r.count > 0 {
+		k.noteProgress(a, c, x, now)
 		c.events.record(c.receivedAt, now)
 	}
 	if c.request.Minor > 0 {
@@ -145,6 +142,20 @@
 	return true
 }
 
+// noteProgress records what an event shows of the parts of the prompt.
+func (k *callerConn) noteProgress(a *responseState, c *call, x *exchange, now time.Time) {
+	isFirst := !x.begun
+	if isFirst {
+		x.begun, a.begunAt = true, now
+		k.server.unbegun.remove(x)
+	}
+	age := now.Sub(a.begunAt)
+	if isFirst || !a.proven && age >= tgquarantine.ProofTime {
+		a.proven = !isFirst
+		k.server.quarantine.Begun(c.promptParts, age, now)
+	}
+}
+
 // streamHead returns the head of a streamed response. A caller of HTTP/1.0 gets an unframed body, which ends with the
 // connection.
 func (k *callerConn) streamHead(a *responseState, c *call, x *exchange) []byte {
@@ -167,6 +178,9 @@
 	if c.request.Minor > 0 {
 		b = append(b, tghttp.LastChunk...)
 	}
+	if x.begun && (!a.resumes || !c.atCrash) { // the rest of an answer does not show that all of it crashes no upstream
+		k.server.recordAnswer(c, x)
+	}
 	err := k.write(b)
 	a.keepAlive = a.keepAlive && err == nil
 	k.server.observer.Request(c.newEvent(outcomeAnswered, http.StatusOK, time.Now()))
