--- a/io/tgproxy/call.go
+++ b/io/tgproxy/call.go
@@ -51,7 +51,7 @@
 func (s *Server) newCall(r *tghttp.Request, body []byte, buffers *bufferLease, receivedAt time.Time) *call {
 	c := &call{
 		body: body, buffers: buffers, cost: 1, headers: &s.headers, id: r.Header.Get(s.headers.AttemptID),
-		promptParts: sharedParts(r.Header.Get(s.headers.PromptParts)), receivedAt: receivedAt, request: r,
+		promptParts: sharedParts(promptHeader(r.Header, s.headers.PromptParts)), receivedAt: receivedAt, request: r,
 	}
 	wait := defaultDeadline
 	if ms, err := strconv.ParseFloat(r.Header.Get(s.headers.DeadlineMs), 64); err == nil && ms >= 0 {
--- a/io/tgproxy/poison_test.go
+++ b/io/tgproxy/poison_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -85,9 +86,12 @@
 		pause          time.Duration // between requests
 		unframed       bool
 	}{
-		"midStream":    {events: 1, id: deadlyPart},
-		"onlyFirstTry": {events: 4, id: deadlyPart, pause: 310 * time.Millisecond},
-		"unframed":     {events: 1, id: deadlyPart, pause: 310 * time.Millisecond, unframed: true},
+		"behindMany":       {before: 40, id: deadlyPart},
+		"long":             {id: strings.Repeat("dead", 30)},
+		"midStream":        {events: 1, id: deadlyPart},
+		"midStreamDerived": {before: 40, events: 2, id: strings.Repeat("dead", 30)},
+		"onlyFirstTry":     {events: 4, id: deadlyPart, pause: 310 * time.Millisecond},
+		"unframed":         {events: 1, id: deadlyPart, pause: 310 * time.Millisecond, unframed: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newPoisonedProxy(t, 8)
