Save crashes beside lost answers, and by peers

After all daemons were killed, a deadly part crashed a third engine: the store knew one crash of two. The record of the second one waited up to 2.5 s for the answer to the first, which the store had lost, and only the entry that had the request wrote it, although its peers knew it.

--- a/core/tgquarantine/saved.go
+++ b/core/tgquarantine/saved.go
@@ -1,6 +1,8 @@
 package tgquarantine
 
 import (
+	"cmp"
+	"hash/maphash"
 	"slices"
 	"time"
 
@@ -20,6 +22,16 @@
 // entries may be ended by what ended the upstream.
 const SaveDelay = burstGap
 
+// An entry writes what others have observed if it is not in the store a while after the crash: they may be cut off from it.
+// Each part has its own delay at each entry, so that usually one of them writes.
+const (
+	peerSaveDelay  = 200 * time.Millisecond
+	peerSaveSpread = 500 * time.Millisecond
+)
+
+// MaxSaveDelay is how long after a crash all that an entry has to write is due.
+const MaxSaveDelay = max(SaveDelay, peerSaveDelay+peerSaveSpread)
+
 // Record is the value of a suspect part in the store, which outlives the entries; its key is the part.
 type Record struct {
 	BegunIDs   []string  `cbor:"6,keyasint,omitempty" json:"begunIds,omitempty"` // of the crashes in the middle of answers
@@ -99,8 +111,8 @@
 	return at.Add(timePrecision - 1).Truncate(timePrecision).UTC()
 }
 
-// Unsaved returns the records that this entry has to write to the store: the unknown and quarantined parts of its own
-// requests at crashes, and, without a value, the records of parts that were cleared here or are too old.
+// Unsaved returns the records that this entry has to write to the store: the unknown and quarantined parts at crashes, at
+// first those of its own requests only, and, without a value, the records of parts that were cleared here or are too old.
 func (t *Table) Unsaved(now time.Time) ([]tglogtable.Record, error) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
@@ -135,11 +147,15 @@
 // isDue reports whether this entry has to save a suspect part. Of too many unknown parts of a crash it saves none: the
 // missing ones could be to blame in place of the others.
 func (t *Table) isDue(part string, s *suspect, unknown int, now time.Time) bool {
-	if !s.local || !s.isSuspect() || s.doubtful || len(s.companions) > maxSavedOfCrash {
+	if s.last == nil || !s.isSuspect() || s.doubtful || len(s.companions) > maxSavedOfCrash {
 		return false
 	}
 	saved := t.saved[part]
-	if len(saved.CrashIDs) >= len(s.crashIDs) && slices.Equal(saved.Companions, s.companions) {
+	known := cmp.Compare(len(saved.CrashIDs), len(s.crashIDs))
+	if known > 0 || known == 0 && (!s.local || slices.Equal(saved.Companions, s.companions)) {
+		return false
+	}
+	if !s.local && now.Sub(s.lastCrash) < peerSaveDelay+spread(part) {
 		return false
 	}
 	if s.isQuarantined(now) {
@@ -147,3 +163,8 @@
 	}
 	return !t.proven[part] && unknown <= maxSavedOfCrash
 }
+
+// spread returns the part of peerSaveSpread after which this entry writes a part that others have observed.
+func spread(part string) time.Duration {
+	return time.Duration(maphash.String(historySeed, part) % uint64(peerSaveSpread))
+}
--- a/io/tgfleet/quarantine.go
+++ b/io/tgfleet/quarantine.go
@@ -8,7 +8,6 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"tanagergrade/core/tglogtable"
 	"tanagergrade/core/tgquarantine"
 )
 
@@ -18,8 +17,6 @@
 	// Datagrams get lost, so a notice is sent again, with what is new by then.
 	noticeResends  = 2
 	noticeInterval = 100 * time.Millisecond // between these
-	saveMargin     = 20 * time.Millisecond  // timers may fire early by the clock of the table
-	saveRetryPause = time.Second
 )
 
 // QuarantineNotice is the datagram with which an entry tells the others of crashes, suspect parts and trials.
@@ -100,57 +97,3 @@
 		x.Log.Quarantine(c)
 	}
 }
-
-// QuarantineSaver writes what this entry has learnt of parts of prompts at crashes to the store, so that it outlives all
-// entries.
-type QuarantineSaver struct {
-	OnFailed func(err error) // a write failed; it is repeated
-	Store    Store
-	Table    *tgquarantine.Table
-	Topic    string
-}
-
-// Run saves parts until ctx ends.
-func (s *QuarantineSaver) Run(ctx context.Context) {
-	var delayed <-chan time.Time // when what is saved late has become due
-	for ctx.Err() == nil {
-		changed := s.Table.Watch()
-		s.saveAll(ctx)
-		select {
-		case <-ctx.Done():
-		case <-changed:
-			delayed = time.After(tgquarantine.SaveDelay + saveMargin)
-		case <-delayed:
-			delayed = nil
-		}
-	}
-}
-
-// saveAll writes all that is due, and repeats it until it succeeds.
-func (s *QuarantineSaver) saveAll(ctx context.Context) {
-	for ctx.Err() == nil {
-		err := s.save()
-		if err == nil {
-			return
-		}
-		s.OnFailed(err)
-		sleep(ctx, saveRetryPause)
-	}
-}
-
-func (s *QuarantineSaver) save() error {
-	records, err := s.Table.Unsaved(time.Now())
-	if err != nil {
-		return err
-	}
-	for _, r := range records {
-		if err := s.Store.Put(s.Topic, r.Key, r.Value); err != nil {
-			return err
-		}
-		// The store reports the record only later; until then it would be written again.
-		if failed := s.Table.ApplySaved([]tglogtable.Record{r}, time.Now()); len(failed) > 0 {
-			return failed[0]
-		}
-	}
-	return nil
-}
