--- a/io/tgproxy/call.go
+++ b/io/tgproxy/call.go
@@ -17,7 +17,8 @@
 // call is one request of a caller, with its state while it is forwarded. A retry by the caller is another call.
 type call struct {
 	account        tgcatalog.Account
-	attempts       int // number of attempts, not counting those that did not reach an upstream
+	atCrash        bool // an earlier attempt was at an upstream that crashed
+	attempts       int  // number of attempts, not counting those that did not reach an upstream
 	body           []byte
 	buffers        *bufferLease
 	callerDeadline time.Time // as the caller declared it, or the default
@@ -62,7 +63,7 @@
 func (s *Server) newCall(r *tghttp.Request, body []byte, buffers *bufferLease, receivedAt time.Time) *call {
 	c := &call{
 		body: body, buffers: buffers, cost: 1, headers: &s.headers, id: r.Header.Get(s.headers.AttemptID),
-		promptParts: sharedParts(r.Header.Get(s.headers.PromptParts)), receivedAt: receivedAt, request: r,
+		promptParts: sharedParts(promptHeader(r.Header, s.headers.PromptParts)), receivedAt: receivedAt, request: r,
 	}
 	wait := defaultDeadline
 	if ms, err := strconv.ParseFloat(r.Header.Get(s.headers.DeadlineMs), 64); err == nil && ms >= 0 {
