--- a/io/tgproxy/forward.go
+++ b/io/tgproxy/forward.go
@@ -50,16 +50,14 @@
 		return
 	}
 	breaker := s.breaker(c.pool)
-	if now := time.Now(); !breaker.Allow(now) {
+	if now := time.Now(); !s.waits(c) && !breaker.Allow(now) {
 		k.endUnanswered(a, c, "pool outage: no upstream runs requests at present", breaker.RetryAfter(now))
 		return
 	}
 	if !k.admit(a, c, upstreams) {
 		return
 	}
-	if c.ticket != nil {
-		defer func() { c.ticket.Done(time.Now()) }()
-	}
+	defer c.releasePlace()
 	k.tryUpstreams(a, c)
 }
 
@@ -106,6 +104,11 @@
 			}
 		}
 		if verdict == verdictOutage {
+			if waited, admitted := k.awaitReopening(a, c); admitted {
+				continue
+			} else if waited {
+				return
+			}
 			k.endUnanswered(a, c, c.detail, s.breaker(c.pool).RetryAfter(time.Now()))
 			return
 		}
