--- a/core/tgstreamlimit/limiter.go
+++ b/core/tgstreamlimit/limiter.go
@@ -75,6 +75,7 @@
 	limitReached bool       // the limit refused a stream since the last decision
 	meanInFlight float64    // streams in flight, smoothed
 	mu           sync.Mutex // guards all fields
+	observed     float64    // streams in flight at the last decision
 	peakGap      float64    // seconds, of the last decision, without outliers
 	priorities   priorityCounts
 	rand         func() float64 // in [0,1)
@@ -212,7 +213,7 @@
 	} else { // the first window, or the first one after an outage
 		l.arrivalRate, l.meanInFlight = float64(l.inFlight)/l.streamTime, float64(l.inFlight)
 	}
-	l.arrivals, l.lastDecision = 0, now
+	l.arrivals, l.lastDecision, l.observed = 0, now, float64(l.inFlight)
 	l.forecast.observe(window{gap: l.peakGap, duration: elapsed, streams: float64(l.inFlight)})
 }
 
--- a/io/tgproxy/admission.go
+++ b/io/tgproxy/admission.go
@@ -75,15 +75,12 @@
 	return states
 }
 
-// limits reports whether the concurrency limit of its pool applies to the call: it does to streams with a target for the
+// isLimited reports whether the concurrency limit of its pool applies to the call: it does to streams with a target for the
 // time between events.
 func (c *call) isLimited() bool {
 	return c.route.Kind == tgcatalog.KindStreaming && c.route.EventGapTarget > 0
 }
 
-// waits reports whether the call waits for a place if there is none.
-func (s *Server) waits(c *call) bool { return c.isLimited() && s.admission.isQueued(c.config, c.pool) }
-
 // admit reports whether the concurrency limit of the pool leaves room for a stream, and refuses the call if not.
 // Requests of other kinds are always admitted.
 func (k *callerConn) admit(a *responseState, c *call, upstreams []tgcatalog.Upstream) bool {
@@ -92,7 +89,7 @@
 	}
 	s := k.server
 	limiter := s.streamLimiter(c.config.Pools[c.pool], upstreams, c.route)
-	if s.waits(c) {
+	if c.waits {
 		return k.awaitPlace(a, c, limiter)
 	}
 	ticket, refusal := limiter.Admit(c.applicant(), time.Now())
--- a/io/tgproxy/call.go
+++ b/io/tgproxy/call.go
@@ -39,6 +39,7 @@
 	tried          map[string]bool     // IDs of the upstreams of earlier attempts
 	upstream       string
 	waited         time.Duration // for a place
+	waits          bool          // it waits for a place if there is none
 }
 
 const (
@@ -134,7 +135,7 @@
 func (c *call) newEvent(outcome string, status int, now time.Time) Event {
 	e := Event{
 		Account: c.account.Name, Attempts: c.attempts, Detail: c.detail, Elapsed: now.Sub(c.receivedAt), ID: c.id,
-		LongestPause: c.events.longestPause, Outcome: outcome, Pool: c.pool, Status: status,
+		LongestPause: c.events.longestPause, Outcome: outcome, Pool: c.pool, Returning: c.isRetry && c.waits, Status: status,
 		TimeToFirstEvent: c.events.first, Upstream: c.upstream, Waited: c.waited,
 	}
 	if c.config != nil {
--- a/io/tgproxy/forward.go
+++ b/io/tgproxy/forward.go
@@ -50,7 +50,7 @@
 		return
 	}
 	breaker := s.breaker(c.pool)
-	if now := time.Now(); !s.waits(c) && !breaker.Allow(now) {
+	if now := time.Now(); !c.waits && !breaker.Allow(now) {
 		k.endUnanswered(a, c, "pool outage: no upstream runs requests at present", breaker.RetryAfter(now))
 		return
 	}
--- a/io/tgproxy/options.go
+++ b/io/tgproxy/options.go
@@ -67,6 +67,7 @@
 	Position         int    // streams that were ahead of a refused one
 	PromptParts      string // IDs of the shared parts of the prompt, of an attempt that failed
 	RetryAfter       time.Duration
+	Returning        bool // the caller was presumably refused before
 	Route            string
 	Status           int
 	TimeToFirstEvent time.Duration // from the arrival of the request, of a stream
--- a/io/tgreport/report.go
+++ b/io/tgreport/report.go
@@ -109,6 +109,9 @@
 	number("longestPauseMs", e.LongestPause.Milliseconds())
 	number("position", int64(e.Position))
 	number("waitedMs", e.Waited.Milliseconds())
+	if e.Returning {
+		f["returning"] = true
+	}
 	if e.RetryAfter > 0 {
 		f["retryAfterMs"] = e.RetryAfter.Milliseconds()
 	}
