Order waiting streams by fair shares of their accounts; document the queue

Streams that can still be on time and late ones share the places of a rank, an account's streams share its tags. Refusals say where a stream stood and what wait was expected.

--- a/core/tgstreamlimit/places.go
+++ b/core/tgstreamlimit/places.go
@@ -11,7 +11,7 @@
 	Limit     float64
 	PeakGap   time.Duration
 	PerSecond float64 // rate at which places become free: streams end, and the limit grows or falls
-	Room      float64 // places free now, at most those that the slots leave; negative if the limit has fallen below the streams in flight
+	Room      float64 // free places, negative if the limit has fallen below the streams in flight
 }
 
 // Places returns what the limiter has room for.
--- a/core/tgwaitqueue/order.go
+++ b/core/tgwaitqueue/order.go
@@ -33,7 +33,7 @@
 
 // rank shares the places of one rank among accounts by start-time fair queueing: the start tag of a stream is the finish
 // tag of the previous one of its account, or the virtual time if that is later. The finish tag is the start tag plus the
-// cost.
+// cost. An account's place goes to the one of its streams that is first by being early or late; it takes the lowest tag.
 type rank struct {
 	arrived     float64            // streams, decayed; those of returning callers included
 	finishTags  map[string]float64 // of each account's last stream; later than virtualTime
@@ -114,25 +114,32 @@
 	if !ok {
 		return nil
 	}
-	lateFirst := q.ranks[of].lateCredit >= 1
-	var first *Ticket
+	var early, late *Ticket // the first of those that can be on time, and of the others
+	heads := map[string]float64{}
 	for _, t := range q.waiting {
-		if t.request.Rank != of || onlyReturning && !t.request.Returning {
+		if t.request.Rank != of {
 			continue
 		}
-		if first == nil {
-			first = t
+		account := t.request.Account
+		if _, ok := heads[account]; !ok {
+			heads[account] = t.start
+		}
+		if onlyReturning && !t.request.Returning {
 			continue
 		}
-		if late := t.isLate(now); late != first.isLate(now) {
-			if late == lateFirst {
-				first = t
-			}
-		} else if t.start < first.start {
-			first = t
+		first := &early
+		if t.isLate(now) {
+			first = &late
+		}
+		if *first == nil || heads[account] < heads[(*first).request.Account] {
+			*first = t
 		}
 	}
-	return first
+	if early == nil || late != nil && q.ranks[of].lateCredit >= 1 &&
+		heads[late.request.Account] <= heads[early.request.Account] {
+		return late
+	}
+	return early
 }
 
 // nextRank returns the rank that gets the next place: the highest that waits, unless a lower one is starved.
--- a/core/tgwaitqueue/queue.go
+++ b/core/tgwaitqueue/queue.go
@@ -96,7 +96,7 @@
 	if t.isDecided() {
 		return t
 	}
-	switch wait := q.expectedWait(t, now); {
+	switch wait := q.expectedWait(t, q.startTags(now), now); {
 	case !q.running && !r.Returning:
 		q.refuse(t, ReasonOutage, wait, now)
 	case len(q.waiting) > maxWaiting:
@@ -130,8 +130,9 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.grantPlaces(now)
+	tags := q.startTags(now)
 	for _, t := range slices.Clone(q.waiting) {
-		wait := q.expectedWait(t, now)
+		wait := q.expectedWait(t, tags, now)
 		left := t.request.LastStart.Sub(now)
 		if left <= 0 || !t.request.Returning && wait > hopelessFactor*left {
 			q.refuse(t, ReasonWait, wait, now)
@@ -153,8 +154,9 @@
 func (q *Queue) Drain(now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	tags := q.startTags(now)
 	for _, t := range slices.Clone(q.waiting) {
-		q.refuse(t, ReasonDrain, q.expectedWait(t, now), now)
+		q.refuse(t, ReasonDrain, q.expectedWait(t, tags, now), now)
 	}
 }
 
@@ -236,7 +238,7 @@
 }
 
 func (q *Queue) refuse(t *Ticket, reason Reason, wait time.Duration, now time.Time) {
-	position := q.ahead(t, now)
+	position := q.ahead(t, q.startTags(now), now)
 	q.remove(t)
 	t.refusal = &Refusal{
 		Places: q.limiter.Places(), Position: position, Reason: reason, RetryAfter: q.returnTime(t, wait, now), Wait: wait,
@@ -244,9 +246,15 @@
 	close(t.decided)
 }
 
-// take removes t, which has got a place.
+// take removes t, which has got a place for which it uses the lowest tag of its account. Those of its account that arrived
+// before t move up by one tag.
 func (q *Queue) take(t *Ticket) {
 	i := slices.Index(q.waiting, t)
+	for _, o := range slices.Backward(q.waiting[:i]) {
+		if o.request.Account == t.request.Account && o.request.Rank == t.request.Rank {
+			t.start, o.start = o.start, t.start
+		}
+	}
 	q.waiting = slices.Delete(q.waiting, i, i+1)
 	q.ranks[t.request.Rank].take(t)
 }
--- a/core/tgwaitqueue/wait.go
+++ b/core/tgwaitqueue/wait.go
@@ -33,8 +33,32 @@
 // high returns a time that few values exceed.
 func (d *duration) high() time.Duration { return d.mean + deviationsHigh*d.deviation }
 
+// startTags returns the tag with which each waiting stream is expected to get a place.
+func (q *Queue) startTags(now time.Time) map[*Ticket]float64 {
+	type flow struct {
+		account string
+		rank    Rank
+	}
+	type class struct {
+		flow
+		late bool
+	}
+	starts, used, tags := map[flow][]float64{}, map[class]int{}, make(map[*Ticket]float64, len(q.waiting))
+	for _, t := range q.waiting {
+		f := flow{account: t.request.Account, rank: t.request.Rank}
+		starts[f] = append(starts[f], t.start)
+	}
+	for _, t := range q.waiting {
+		f := flow{account: t.request.Account, rank: t.request.Rank}
+		c := class{flow: f, late: t.isLate(now)}
+		tags[t] = starts[f][used[c]]
+		used[c]++
+	}
+	return tags
+}
+
 // ahead returns how many waiting streams are expected to get a place before t.
-func (q *Queue) ahead(t *Ticket, now time.Time) int {
+func (q *Queue) ahead(t *Ticket, tags map[*Ticket]float64, now time.Time) int {
 	n, late, reached := 0, t.isLate(now), false
 	for _, o := range q.waiting {
 		if o == t {
@@ -44,17 +68,17 @@
 		switch c := o.request.Rank.Compare(t.request.Rank); {
 		case c < 0:
 			n++
-		case c == 0 && o.isLate(now) == late && (o.start < t.start || o.start == t.start && !reached):
+		case c == 0 && o.isLate(now) == late && (tags[o] < tags[t] || tags[o] == tags[t] && !reached):
 			n++
 		}
 	}
 	return n
 }
 
-// expectedWait returns the time until t is expected to get a place.
-func (q *Queue) expectedWait(t *Ticket, now time.Time) time.Duration {
+// expectedWait returns the time until t is expected to get a place; tags are those of startTags.
+func (q *Queue) expectedWait(t *Ticket, tags map[*Ticket]float64, now time.Time) time.Duration {
 	p := q.limiter.Places()
-	missing := float64(q.ahead(t, now)+1) - p.Room
+	missing := float64(q.ahead(t, tags, now)+1) - p.Room
 	if missing <= 0 {
 		return 0
 	}
--- a/io/tgproxy/admission.go
+++ b/io/tgproxy/admission.go
@@ -247,12 +247,16 @@
 	c.queue.Grant(now)
 }
 
-// awaitReopening makes a call that found its pool in an outage wait for the end of it, and reports whether the call has
-// got a place again. Only callers who have returned wait, as they would not come back another time.
-func (k *callerConn) awaitReopening(a *responseState, c *call) (waited, admitted bool) {
+// outlastOutage makes a call that found its pool in an outage wait for the end of it, and returns verdictRetry if the call
+// has got a place again. Only callers who have returned wait, as they would not come back another time; others are refused.
+func (k *callerConn) outlastOutage(a *responseState, c *call) verdict {
 	if c.queue == nil || !c.isRetry || c.mayHaveRun || a.headWritten || c.attempts >= c.route.MaxAttempts {
-		return false, false
+		k.endUnanswered(a, c, c.detail, k.server.breaker(c.pool).RetryAfter(time.Now()))
+		return verdictDone
 	}
 	c.releasePlace()
-	return true, k.awaitPlace(a, c, a.limiter)
+	if !k.awaitPlace(a, c, a.limiter) {
+		return verdictDone
+	}
+	return verdictRetry
 }
--- a/io/tgproxy/forward.go
+++ b/io/tgproxy/forward.go
@@ -94,6 +94,9 @@
 		}
 		c.attempts++
 		verdict := k.attempt(a, c, choice)
+		if verdict == verdictOutage {
+			verdict = k.outlastOutage(a, c)
+		}
 		if verdict == verdictDone {
 			return
 		}
@@ -103,15 +106,6 @@
 				continue
 			}
 		}
-		if verdict == verdictOutage {
-			if waited, admitted := k.awaitReopening(a, c); admitted {
-				continue
-			} else if waited {
-				return
-			}
-			k.endUnanswered(a, c, c.detail, s.breaker(c.pool).RetryAfter(time.Now()))
-			return
-		}
 		if c.attempts >= c.route.MaxAttempts || verdict != verdictRetry {
 			k.endUnanswered(a, c, c.detail, retryAfterFullBase+time.Duration(s.rand()*float64(retryAfterFullJitter)))
 			return
