--- a/core/tgstreamlimit/breakers.go
+++ b/core/tgstreamlimit/breakers.go
@@ -1,6 +1,7 @@
 package tgstreamlimit
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -48,7 +49,7 @@
 	}
 	excluded = map[string]bool{}
 	for _, g := range groups {
-		if g.Broken || b.Group(g.Name).isOpen() {
+		if g.Broken || b.Group(g.Name).IsOpen() {
 			excluded[g.Name] = true
 		}
 	}
@@ -58,7 +59,7 @@
 		if !excluded[g.Name] || runs && (g.Broken || !mayProbe) {
 			continue
 		}
-		if !breaker.isOpen() { // the leader knows of a failure that no request has met yet
+		if !breaker.IsOpen() { // the leader knows of a failure that no request has met yet
 			breaker.RecordFailure(now)
 		}
 		if breaker.Allow(now) {
@@ -68,6 +69,18 @@
 	return excluded, runs
 }
 
+// Runs reports whether any of the groups is known to run requests.
+func (b *Breakers) Runs(groups []Group) bool {
+	if len(groups) <= 1 {
+		name := ""
+		for _, g := range groups {
+			name = g.Name
+		}
+		return !b.Group(name).IsOpen()
+	}
+	return slices.ContainsFunc(groups, func(g Group) bool { return !g.Broken && !b.Group(g.Name).IsOpen() })
+}
+
 // RetryAfter returns the time after which a caller should retry that was refused because no group runs.
 func (b *Breakers) RetryAfter(groups []Group, now time.Time) time.Duration {
 	if len(groups) == 0 {
@@ -89,10 +102,3 @@
 	}
 	return excluded
 }
-
-// isOpen reports whether the last request to the group failed because the group could not run it.
-func (b *Breaker) isOpen() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return !b.openSince.IsZero()
-}
--- a/io/tgcommand/platform_entry.go
+++ b/io/tgcommand/platform_entry.go
@@ -30,6 +30,8 @@
 		Short: "Run an entry daemon on the users' platform",
 		Use:   "entry",
 	}
+	cmd.Flags().Var(flags.admission, "admission",
+		"streams without a place: "+flags.admission.Values()+" (auto: queue where streams differ in priority)")
 	cmd.Flags().Var(flags.placement, "placement",
 		"by whose streams the load of an upstream is judged: "+flags.placement.Values())
 	cmd.Flags().Float64Var(&flags.unevenSpread, "uneven-spread", flags.unevenSpread,
@@ -42,12 +44,14 @@
 
 // entryFlags are the flags of an entry on the platform.
 type entryFlags struct {
+	admission    *tgflag.Enum[tgproxy.Admission]
 	placement    *tgflag.Enum[tgproxy.Placement]
 	unevenSpread float64 // see tgproxy.WithUnevenSpread
 }
 
 func newEntryFlags() *entryFlags {
 	return &entryFlags{
+		admission:    tgflag.NewEnum(tgproxy.AdmissionAuto, tgproxy.Admissions()),
 		placement:    tgflag.NewEnum(tgproxy.PlacementAuto, tgproxy.Placements()),
 		unevenSpread: defaultUnevenSpread,
 	}
@@ -119,7 +123,7 @@
 	}
 	e.quarantine.AwaitSaved(time.Now())
 	e.proxy = tgproxy.NewServer(d.settings.DataCentre, e, tgplatform.Headers(), proxyLimits(d.settings), d.report,
-		d.report.Counters, tgproxy.WithGroups(e.groups, flags.placement.Value),
+		d.report.Counters, tgproxy.WithAdmission(flags.admission.Value), tgproxy.WithGroups(e.groups, flags.placement.Value),
 		tgproxy.WithQuarantine(e.quarantine), tgproxy.WithUnevenSpread(flags.unevenSpread))
 	e.exchange = &tgfleet.Exchange{
 		Costs: e.proxy.Costs(), Groups: e.groups, Log: d.report, OperatorTable: e.operator, Peers: d.peers, Quarantine: e.quarantine,
--- a/io/tgproxy/call.go
+++ b/io/tgproxy/call.go
@@ -34,13 +34,15 @@
 	forecast       *tgdrain.Forecast // of the route's answers
 	groups         callGroups
 	headers        *Headers
-	id             string // of the attempt, set by the caller
-	isRetry        bool   // the caller was presumably refused before; see Server.isRetry
-	mayHaveRun     bool   // an upstream may have run it, so no refusal may claim that it has not run
-	placedBy       string // beside the streams of this process, what the present attempt's upstream was chosen by
+	id             string    // of the attempt, set by the caller
+	isRetry        bool      // the caller was presumably refused before; see Server.isRetry
+	mayHaveRun     bool      // an upstream may have run it, so no refusal may claim that it has not run
+	placedAt       time.Time // when it got its place
+	placedBy       string    // beside the streams of this process, what the present attempt's upstream was chosen by
 	pool           string
-	promptParts    []string // IDs of the parts of the prompt that other requests may share
-	produced       float64  // tokens of the answer so far, of a stream
+	promptParts    []string   // IDs of the parts of the prompt that other requests may share
+	produced       float64    // tokens of the answer so far, of a stream
+	queue          *waitQueue // from which it got its place; nil if it did not come by a queue
 	receivedAt     time.Time
 	request        *tghttp.Request
 	route          *tgcatalog.Route
@@ -48,7 +50,9 @@
 	trial          *tgquarantine.Trial // of the present attempt; nil if no part of its prompt is suspect
 	tried          map[string]bool     // IDs of the upstreams of earlier attempts
 	upstream       string
-	upstreamLoad   float64 // of this process on the upstream, before the present attempt
+	upstreamLoad   float64       // of this process on the upstream, before the present attempt
+	waited         time.Duration // for a place
+	waits          bool          // it waits for a place if there is none
 }
 
 const (
@@ -151,8 +155,8 @@
 func (c *call) newEvent(outcome string, status int, now time.Time) Event {
 	e := Event{
 		Account: c.account.Name, Attempts: c.attempts, Detail: c.detail, Elapsed: now.Sub(c.receivedAt), ID: c.id,
-		LongestPause: c.events.longestPause, Outcome: outcome, Pool: c.pool, Status: status,
-		TimeToFirstEvent: c.events.first, Upstream: c.upstream,
+		LongestPause: c.events.longestPause, Outcome: outcome, Pool: c.pool, Returning: c.isRetry && c.waits, Status: status,
+		TimeToFirstEvent: c.events.first, Upstream: c.upstream, Waited: c.waited,
 	}
 	if c.estimate.Basis != "" {
 		e.ExpectedBasis, e.ExpectedTokens, e.LikelyTokens = string(c.estimate.Basis), c.estimate.Median, c.estimate.P90
--- a/io/tgproxy/forward.go
+++ b/io/tgproxy/forward.go
@@ -52,17 +52,14 @@
 		k.endQuarantined(a, c, d)
 		return
 	}
-	if !s.selectGroups(c, true) {
+	if !c.waits && !s.selectGroups(c, true) {
 		k.endUnanswered(a, c, "pool outage: no upstream runs requests at present", s.outageRetryAfter(c))
 		return
 	}
 	if !k.admit(a, c, upstreams) {
 		return
 	}
-	if c.ticket != nil {
-		defer func() { c.ticket.Done(time.Now()) }()
-	}
-	s.estimate(c)
+	defer c.releasePlace()
 	k.tryUpstreams(a, c)
 }
 
@@ -131,7 +128,7 @@
 	again := v == verdictRetry || v == verdictOutage
 	switch {
 	case again && !s.selectOtherGroup(c, v):
-		k.endUnanswered(a, c, c.detail, s.outageRetryAfter(c))
+		return k.outlastOutage(a, c)
 	case !again, c.attempts >= c.route.MaxAttempts:
 		k.endUnanswered(a, c, c.detail, retryAfterFullBase+time.Duration(s.rand()*float64(retryAfterFullJitter)))
 	default:
--- a/io/tgproxy/groups.go
+++ b/io/tgproxy/groups.go
@@ -56,6 +56,17 @@
 	return groups
 }
 
+// poolRuns reports whether any group of a pool is known to run requests.
+func (s *Server) poolRuns(pool string, now time.Time) bool {
+	return s.breakers(pool).Runs(s.poolGroups(s.catalog.Upstreams(pool), now))
+}
+
+// mayProbe reports whether a request may test a pool of which no group runs.
+func (s *Server) mayProbe(pool string, now time.Time) bool {
+	_, ok := s.breakers(pool).Select(s.poolGroups(s.catalog.Upstreams(pool), now), true, now)
+	return ok
+}
+
 // selectGroups chooses the groups that the next attempt may go to. It returns false if no group of the pool runs.
 func (s *Server) selectGroups(c *call, mayProbe bool) bool {
 	now := time.Now()
--- a/io/tgproxy/options.go
+++ b/io/tgproxy/options.go
@@ -57,8 +57,9 @@
 	ConfigVersion    int64
 	Detail           string
 	Elapsed          time.Duration
-	ExpectedTokens   float64 // of the answer, at the median; 0 if no length was estimated
-	ExpectedBasis    string  // what the expectation is based on
+	ExpectedTokens   float64       // of the answer, at the median; 0 if no length was estimated
+	ExpectedBasis    string        // what the expectation is based on
+	ExpectedWait     time.Duration // for a place, of a stream that was refused one
 	ID               string
 	InFlight         int
 	LongestPause     time.Duration // between events of a stream
@@ -68,15 +69,18 @@
 	Limit            float64
 	PlacedBy         string // beside the streams of the entry, what the upstream was chosen by
 	Pool             string
+	Position         int    // streams that were ahead of a refused one
 	PromptParts      string // IDs of the shared parts of the prompt, of an attempt that failed
 	RetryAfter       time.Duration
 	PromptTokens     float64
+	Returning        bool // the caller was presumably refused before
 	Route            string
 	Status           int
 	TimeToFirstEvent time.Duration // from the arrival of the request, of a stream
 	Tokens           float64       // of the answer
 	Upstream         string
-	UpstreamLoad     float64 // of the entry on the upstream before the last attempt, in streams
+	UpstreamLoad     float64       // of the entry on the upstream before the last attempt, in streams
+	Waited           time.Duration // for a place
 }
 
 // Observer receives the events of the proxy; it must not block.
--- a/io/tgproxy/state.go
+++ b/io/tgproxy/state.go
@@ -1,9 +1,12 @@
 package tgproxy
 
 import (
+	"time"
+
 	"tanagergrade/core/tgcost"
 	"tanagergrade/core/tgpicker"
 	"tanagergrade/core/tgstreamlimit"
+	"tanagergrade/core/tgwaitqueue"
 	"tanagergrade/core/tgworkload"
 )
 
@@ -13,7 +16,8 @@
 	Costs     map[string]tgcost.RouteState   `json:"costs"`   // lengths of answers, by route
 	Draining  bool                           `json:"draining"`
 	Pools     map[string]tgstreamlimit.State `json:"pools"`
-	Work      map[string]tgworkload.State    `json:"work"` // left for the streams of this process, by upstream
+	Queues    map[string]tgwaitqueue.State   `json:"queues,omitempty"` // by pool; those of streams that wait for a place
+	Work      map[string]tgworkload.State    `json:"work"`             // left for the streams of this process, by upstream
 	Upstreams []tgpicker.UpstreamState       `json:"upstreams"`
 }
 
@@ -21,7 +25,7 @@
 func (s *Server) State() State {
 	state := State{
 		Costs: s.costs.States(), Draining: s.isDraining(), Pools: map[string]tgstreamlimit.State{},
-		Upstreams: s.picker.States(), Work: s.ledger.States(),
+		Queues: s.admission.states(time.Now()), Upstreams: s.picker.States(), Work: s.ledger.States(),
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/tgreport/report.go
+++ b/io/tgreport/report.go
@@ -105,6 +105,7 @@
 	number("attempts", int64(e.Attempts))
 	number("config", e.ConfigVersion)
 	number("status", int64(e.Status))
+	number("expectedWaitMs", e.ExpectedWait.Milliseconds())
 	number("firstEventMs", e.TimeToFirstEvent.Milliseconds())
 	number("longestPauseMs", e.LongestPause.Milliseconds())
 	text("basis", e.ExpectedBasis)
@@ -116,6 +117,11 @@
 	if e.UpstreamLoad > 0 {
 		f["load"] = math.Round(e.UpstreamLoad*10) / 10
 	}
+	number("position", int64(e.Position))
+	number("waitedMs", e.Waited.Milliseconds())
+	if e.Returning {
+		f["returning"] = true
+	}
 	if e.RetryAfter > 0 {
 		f["retryAfterMs"] = e.RetryAfter.Milliseconds()
 	}
