--- a/io/tgcommand/platform_status.go
+++ b/io/tgcommand/platform_status.go
@@ -34,7 +34,7 @@
 
 // platformFlags are the flags of the queries of daemons on the platform.
 type platformFlags struct {
-	output    tgflag.Output
+	output tgflag.Output
 }
 
 // platformStatus is the part of a daemon's dump that the status command shows.
