--- a/io/tgproxy/server.go
+++ b/io/tgproxy/server.go
@@ -31,7 +31,6 @@
 	costs        *tgcost.Estimator
 	counters     *expvar.Map
 	crashes      crashChecker
-	draining     atomic.Bool               // each answer ends its connection
 	drainEnd     atomic.Pointer[time.Time] // of the requests in progress; nil unless the server drains
 	groups       *tggroupview.View
 	headers      Headers
