Leave out groups that stall while others pass

A group whose pass is held by a frozen leader neither answers nor refuses, and no leader tells of it: new streams waited there, and the pauses of those in progress lowered the limit of the whole pool for ten seconds. An entry now counts a group as broken once the streams that it has there have been silent for twice the pause on time while those of another group of the pool go on. Pauses that span such a stall do not count as load. Pools of one group are as before.

--- a/io/tgproxy/exchange.go
+++ b/io/tgproxy/exchange.go
@@ -34,6 +34,7 @@
 	conn            *upstreamConn
 	connEnded       bool   // the upstream ended the connection before the end of the answer
 	detail          string // reason for kind, for the log
+	group           string // of the target, once events count as its progress; see Server.recordProgress
 	kind            answerKind
 	pool            *connPool
 	response        *tghttp.Response
--- a/io/tgproxy/forward.go
+++ b/io/tgproxy/forward.go
@@ -163,6 +163,7 @@
 	defer func() { choice.Done(outcome, latency, time.Now()) }() // also after a panic
 	x := s.startExchange(a.ctx, u, s.connectionShare(c), c, c.requestHead(u, a.lastEventID, time.Now()))
 	defer x.finish()
+	defer s.endProgress(c, x)
 	defer s.unbegun.remove(x)
 	latency = x.timeToFirstByte
 	choice.Note(x.hints(&s.headers), time.Now())
--- a/io/tgproxy/groups.go
+++ b/io/tgproxy/groups.go
@@ -34,7 +34,8 @@
 
 // poolGroups returns the groups of a pool's upstreams, or none if they are not known to be in more than one: then a
 // failure counts for the whole pool.
-func (s *Server) poolGroups(upstreams []tgcatalog.Upstream, now time.Time) []tgstreamlimit.Group {
+func (s *Server) poolGroups(pool string, now time.Time) []tgstreamlimit.Group {
+	upstreams, progress := s.catalog.Upstreams(pool), s.progress(pool)
 	index := map[string]int{}
 	var groups []tgstreamlimit.Group
 	known := 0
@@ -48,7 +49,7 @@
 		}
 		index[name] = len(groups)
 		open, told := s.groups.Open(upstreams[i].Address, now)
-		groups = append(groups, tgstreamlimit.Group{Broken: told && !open, Name: name})
+		groups = append(groups, tgstreamlimit.Group{Broken: told && !open || progress.Stalled(name), Name: name})
 	}
 	if known <= 1 {
 		return nil
@@ -59,7 +60,7 @@
 // selectGroups chooses the groups that the next attempt may go to. It returns false if no group of the pool runs.
 func (s *Server) selectGroups(c *call, mayProbe bool) bool {
 	now := time.Now()
-	c.groups.all = s.poolGroups(s.catalog.Upstreams(c.pool), now)
+	c.groups.all = s.poolGroups(c.pool, now)
 	var ok bool
 	c.groups.excluded, ok = s.breakers(c.pool).Select(c.groups.all, mayProbe, now)
 	return ok
@@ -127,3 +128,42 @@
 	streams, age, ok := s.groups.Load(u.Address, now)
 	return streams, now.Add(-age), ok
 }
+
+// progress returns what this process sees of the passes of a pool's groups.
+func (s *Server) progress(pool string) *tggroupview.Progress {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p, ok := s.poolProgress[pool]
+	if !ok {
+		p = tggroupview.NewProgress()
+		s.poolProgress[pool] = p
+	}
+	return p
+}
+
+const stallGapFactor = 2 // times the longest pause on time after which a silent group counts as stalled
+
+// recordProgress notes events of a stream as progress of its group, if the pool has several.
+func (s *Server) recordProgress(c *call, x *exchange, now time.Time) {
+	switch {
+	case x.group != "":
+		s.progress(c.pool).Event(x.group, now)
+	case len(c.groups.all) > 1 && c.route.EventGapTarget > 0:
+		if name, ok := s.groups.Group(x.target.Address); ok {
+			x.group = name
+			s.progress(c.pool).Begin(name, stallGapFactor*c.route.EventGapTarget, now)
+		}
+	}
+}
+
+// endProgress ends what recordProgress has noted of a stream.
+func (s *Server) endProgress(c *call, x *exchange) {
+	if x.group != "" {
+		s.progress(c.pool).End(x.group)
+	}
+}
+
+// spansStall reports whether the pause of a stream since an event is due to a stall of its group, not to the load.
+func (s *Server) spansStall(c *call, x *exchange, since time.Time) bool {
+	return x.group != "" && s.progress(c.pool).StalledSince(x.group, since)
+}
--- a/io/tgproxy/groups_test.go
+++ b/io/tgproxy/groups_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"tanagergrade/core/tgcatalog"
 	"tanagergrade/core/tggroupview"
 	"tanagergrade/io/tgproxy"
 	"tanagergrade/platform/tgemulator"
@@ -25,6 +26,7 @@
 	t.Helper()
 	v := tggroupview.NewView()
 	b := newTestProxy(t, 4, func(s *proxySetup) {
+		s.config.Pools["pool"] = tgcatalog.Pool{Engine: tgcatalog.Engine{Slots: 10}, MaxConnections: 100, Name: "pool"}
 		s.options = append(s.options, tgproxy.WithGroups(v, tgproxy.PlacementAuto))
 	})
 	loseRank(b.engines[:2])
@@ -125,3 +127,34 @@
 	}
 	assert.Assert(t, len(b.engines[0].RequestHeaders())+len(b.engines[1].RequestHeaders()) > 0)
 }
+
+// Guards against new streams that wait at a group whose pass is held: its engines send nothing, and the leader, which froze
+// with the hold, tells nothing. The streams of the other group show that it is not this process that has stopped.
+func TestStalledGroupGetsNoStreams(t *testing.T) {
+	b := newGroupsProxy(t)
+	for i, e := range b.engines {
+		e.SetDefaultFault(tgemulator.FaultNone)
+		e.EventInterval, e.StreamEvents = 20*time.Millisecond, 200
+		if i < 2 {
+			e.SetDefaultFault(tgemulator.FaultStalledStream)
+		}
+	}
+	b.tell(tggroupview.StateOpen)
+	send := func(id string) {
+		b.dial(t).send(request("POST", "/stream/x", id, "{}", streamHeader))
+	}
+	for i := range 8 { // four at each group, as they are spread by the streams in flight
+		send("before" + strconv.Itoa(i))
+		time.Sleep(10 * time.Millisecond)
+	}
+	stalled := func() int { return len(b.engines[0].RequestHeaders()) + len(b.engines[1].RequestHeaders()) }
+	time.Sleep(1200 * time.Millisecond) // until the silence is longer than stallGapFactor times the pause on time
+	before := stalled()
+	assert.Assert(t, before >= 2, "%d", before)
+	for i := range 8 {
+		b.tell(tggroupview.StateOpen)
+		send("later" + strconv.Itoa(i))
+		time.Sleep(10 * time.Millisecond)
+	}
+	assert.Equal(t, stalled(), before)
+}
--- a/io/tgproxy/server.go
+++ b/io/tgproxy/server.go
@@ -38,6 +38,7 @@
 
 	mu               sync.Mutex                         // guards the maps below
 	poolBreakers     map[string]*tgstreamlimit.Breakers // by pool
+	poolProgress     map[string]*tggroupview.Progress   // by pool
 	callers          map[*callerConn]struct{}
 	longestDeadlines map[string]time.Duration          // longest time limit of a request so far, by route
 	retryBudgets     map[string]*tgretry.WindowBudget  // by pool
@@ -61,7 +62,8 @@
 ) *Server {
 	s := &Server{
 		callers: map[*callerConn]struct{}{}, catalog: catalog, conns: newConnPool(), counters: counters, headers: headers,
-		poolBreakers: map[string]*tgstreamlimit.Breakers{}, crashes: crashChecker{checks: map[netip.AddrPort]*crashCheck{}}, longestDeadlines: map[string]time.Duration{}, observer: observer,
+		poolBreakers: map[string]*tgstreamlimit.Breakers{}, poolProgress: map[string]*tggroupview.Progress{},
+		crashes: crashChecker{checks: map[netip.AddrPort]*crashCheck{}}, longestDeadlines: map[string]time.Duration{}, observer: observer,
 		picker: tgpicker.NewPicker(dataCentre), rand: rand.Float64, retryBudgets: map[string]*tgretry.WindowBudget{},
 		streamLimiters: map[string]*tgstreamlimit.Limiter{},
 		unbegun:        unbegunExchanges{m: map[*exchange]*call{}},
--- a/io/tgproxy/stream.go
+++ b/io/tgproxy/stream.go
@@ -119,10 +119,13 @@
 	if !a.headWritten {
 		b = k.streamHead(a, c, x)
 		a.headWritten = true
-	} else if a.limiter != nil && r.count > 0 && !a.lastEventAt.IsZero() {
+	} else if a.limiter != nil && r.count > 0 && !a.lastEventAt.IsZero() && !k.server.spansStall(c, x, a.lastEventAt) {
 		a.limiter.ObserveGap(now.Sub(a.lastEventAt)/time.Duration(r.count), now)
 	}
 	a.lastEventAt = now
+	if r.count > 0 {
+		k.server.recordProgress(c, x, now)
+	}
 	if r.count > 0 && !x.begun {
 		x.begun = true
 		k.server.unbegun.remove(x)
