--- a/io/tgproxy/groups_test.go
+++ b/io/tgproxy/groups_test.go
@@ -157,4 +157,6 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 	assert.Equal(t, stalled(), before)
+	running := len(b.engines[2].RequestHeaders()) + len(b.engines[3].RequestHeaders())
+	assert.Assert(t, running >= 16-before, "%d", running)
 }
