--- a/io/tgrank/group_test.go
+++ b/io/tgrank/group_test.go
@@ -171,6 +171,9 @@
 			g.snapshot(time.Now())
 			g.slowdowns()
 		}
+		l.notices.reset()
+		l.membersNotice(time.Now())
+		l.notice(l.nextWithLoads(), true, time.Now())
 	})
 }
 
