--- a/io/tgproxy/server.go
+++ b/io/tgproxy/server.go
@@ -46,6 +46,7 @@
 
 	mu               sync.Mutex                         // guards the maps below
 	poolBreakers     map[string]*tgstreamlimit.Breakers // by pool
+	poolProgress     map[string]*tggroupview.Progress   // by pool
 	callers          map[*callerConn]struct{}
 	forecasts        map[string]*tgdrain.Forecast      // of answers, by route
 	longestDeadlines map[string]time.Duration          // longest time limit of a request so far, by route
@@ -73,8 +74,8 @@
 		conns: newConnPool(), costs: tgcost.NewEstimator(), counters: counters,
 		crashes: crashChecker{checks: map[netip.AddrPort]*crashCheck{}}, forecasts: map[string]*tgdrain.Forecast{},
 		headers: headers, ledger: tgworkload.NewLedger(), longestDeadlines: map[string]time.Duration{}, observer: observer,
-		poolBreakers: map[string]*tgstreamlimit.Breakers{},
-		picker:       tgpicker.NewPicker(dataCentre), rand: rand.Float64, retryBudgets: map[string]*tgretry.WindowBudget{},
+		poolBreakers: map[string]*tgstreamlimit.Breakers{}, poolProgress: map[string]*tggroupview.Progress{},
+		picker: tgpicker.NewPicker(dataCentre), rand: rand.Float64, retryBudgets: map[string]*tgretry.WindowBudget{},
 		streamLimiters: map[string]*tgstreamlimit.Limiter{},
 		unbegun:        unbegunExchanges{m: map[*exchange]*call{}},
 	}
--- a/io/tgproxy/stream.go
+++ b/io/tgproxy/stream.go
@@ -120,7 +120,7 @@
 	if !a.headWritten {
 		b = k.streamHead(a, c, x)
 		a.headWritten = true
-	} else if a.limiter != nil && r.count > 0 && !a.lastEventAt.IsZero() {
+	} else if a.limiter != nil && r.count > 0 && !a.lastEventAt.IsZero() && !k.server.spansStall(c, x, a.lastEventAt) {
 		a.limiter.ObserveGap(now.Sub(a.lastEventAt)/time.Duration(r.count), now)
 	}
 	if r.count > 0 && !a.lastEventAt.IsZero() {
@@ -128,6 +128,7 @@
 	}
 	a.lastEventAt = now
 	if r.count > 0 {
+		k.server.recordProgress(c, x, now)
 		k.noteProgress(a, c, x, now)
 		c.events.record(r.count, c.receivedAt, now)
 		c.recordTokens(r.count)
