--- a/core/tgwaitqueue/order.go
+++ b/core/tgwaitqueue/order.go
@@ -13,7 +13,7 @@
 	floorRatio = 0.5
 	// lateShare is the part of a rank's places that go to callers who can no longer be on time, while others still can.
 	// With all of them, an overload that lasts would make every stream late.
-	lateShare = 0.5
+	lateShare = 1.0 / 3
 	// minServed is the number of served streams of a higher rank below which it says nothing about the shares.
 	minServed     = 5
 	rankDecayTime = 5 * time.Second // time in which the counts of a rank decay to 1/e
@@ -36,8 +36,8 @@
 // cost. An account's place goes to the one of its streams that is first by being early or late; it takes the lowest tag.
 type rank struct {
 	arrived     float64            // streams, decayed; those of returning callers included
-	finishTags  map[string]float64 // of each account's last stream; later than virtualTime
-	lateCredit  float64            // places owed to callers who are late already; below 1 after each place
+	finishTags  map[string]float64 // of each account's last stream; later than virtualTime after each place
+	lateCredit  float64            // places owed to callers who are late already
 	served      float64            // streams that got a place, decayed
 	since       time.Time          // start of the counts
 	updated     time.Time          // time to which the counts are decayed
--- a/core/tgwaitqueue/queue.go
+++ b/core/tgwaitqueue/queue.go
@@ -3,6 +3,7 @@
 package tgwaitqueue
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -19,10 +20,10 @@
 // Request is a stream that asks for a place.
 type Request struct {
 	Account    string
-	Cost       float64   // load that it adds, relative to other streams; positive
+	Cost       float64   // load that it adds, relative to other streams; 1 if it is not positive and finite
 	LastStart  time.Time // its caller leaves if it gets a place later
 	OnTimeBy   time.Time // a place by then lets it be on time
-	Probe      bool      // it tests a pool in an outage: it gets a place at once
+	Probe      bool      // it tests a pool in an outage: it goes first
 	Rank       Rank
 	Returning  bool          // the caller was refused before and will not come back
 	RetryAfter time.Duration // longest time to return that its caller follows
@@ -83,6 +84,9 @@
 
 // Submit queues a stream. The ticket is decided at once if there is a place for it, or if none is expected in time.
 func (q *Queue) Submit(r Request, now time.Time) *Ticket {
+	if !(r.Cost > 0 && r.Cost < math.Inf(1)) {
+		r.Cost = 1
+	}
 	q.limiter.RecordArrival(now)
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -96,12 +100,16 @@
 	if t.isDecided() {
 		return t
 	}
+	left := r.LastStart.Sub(now)
+	if r.Returning { // a refusal loses the request
+		left *= hopelessFactor
+	}
 	switch wait := q.expectedWait(t, q.startTags(now), now); {
 	case !q.running && !r.Returning:
 		q.refuse(t, ReasonOutage, wait, now)
 	case len(q.waiting) > maxWaiting:
 		q.refuse(t, ReasonFull, wait, now)
-	case now.Add(wait).After(r.LastStart):
+	case wait > left:
 		q.refuse(t, ReasonWait, wait, now)
 	}
 	return t
@@ -132,9 +140,11 @@
 	q.grantPlaces(now)
 	tags := q.startTags(now)
 	for _, t := range slices.Clone(q.waiting) {
-		wait := q.expectedWait(t, tags, now)
 		left := t.request.LastStart.Sub(now)
-		if left <= 0 || !t.request.Returning && wait > hopelessFactor*left {
+		if left > 0 && t.request.Returning {
+			continue
+		}
+		if wait := q.expectedWait(t, tags, now); wait >= hopelessFactor*left {
 			q.refuse(t, ReasonWait, wait, now)
 		}
 	}
@@ -150,12 +160,16 @@
 	}
 }
 
-// Drain refuses all who wait.
+// Drain ends all waits, as the process shuts down: callers who returned get a place if there is any, also one beyond the
+// limit, and others are refused.
 func (q *Queue) Drain(now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	tags := q.startTags(now)
 	for _, t := range slices.Clone(q.waiting) {
+		if t.request.Returning && q.running && q.grant(t, now) {
+			continue
+		}
 		q.refuse(t, ReasonDrain, q.expectedWait(t, tags, now), now)
 	}
 }
