--- a/io/tgproxy/groups.go
+++ b/io/tgproxy/groups.go
@@ -59,12 +59,12 @@
 
 // poolRuns reports whether any group of a pool is known to run requests.
 func (s *Server) poolRuns(pool string, now time.Time) bool {
-	return s.breakers(pool).Runs(s.poolGroups(pool, s.catalog.Upstreams(pool), now))
+	return s.breakers(pool).Runs(s.poolGroups(pool, now))
 }
 
 // mayProbe reports whether a request may test a pool of which no group runs.
 func (s *Server) mayProbe(pool string, now time.Time) bool {
-	_, ok := s.breakers(pool).Select(s.poolGroups(pool, s.catalog.Upstreams(pool), now), true, now)
+	_, ok := s.breakers(pool).Select(s.poolGroups(pool, now), true, now)
 	return ok
 }
 
