Send earlier crashes whole or not at all

With several crashes of prompts with many parts, a notice left out parts of the earlier ones, and peers that had heard of all of these before took them for unknown again: a quarantined part was tried once more. Only the newest crash is shortened now. TestEarlierCrashesStayKnown failed before.

--- a/core/tgquarantine/evidence_test.go
+++ b/core/tgquarantine/evidence_test.go
@@ -165,6 +165,21 @@
 	}
 }
 
+// Guards against peers that forget what they know of earlier crashes, because later notices have no room for their parts.
+func TestEarlierCrashesStayKnown(t *testing.T) {
+	e, now := newEntries(2), time.Now()
+	for i := range 8 {
+		parts := numbered(fmt.Sprintf("%052d", i), 200)
+		if i < 2 {
+			parts = append(parts, "dead")
+		}
+		e[0].RecordCrash(fmt.Sprintf("u%d", i), parts, ProgressNone, now)
+		now = now.Add(time.Second)
+		e.exchange(now)
+	}
+	assert.Equal(t, e[1].Decide([]string{"dead"}, now).Verdict, VerdictRefuse)
+}
+
 // Guards against a notice that fits into no datagram.
 func TestLargestNotice(t *testing.T) {
 	table, now := NewTable("vm"), time.Now()
--- a/core/tgquarantine/notice.go
+++ b/core/tgquarantine/notice.go
@@ -9,15 +9,14 @@
 
 // Notice is what one entry tells the others. Times are sent as ages, because the clocks of VMs differ.
 type Notice struct {
-	Answered []string        `cbor:"9,keyasint,omitempty"` // those of Proven of which complete answers are known
-	Ask      bool            `cbor:"8,keyasint,omitempty"` // the sender has just started and asks for a notice; the rest is empty
-	Claims   []ClaimNotice   `cbor:"1,keyasint,omitempty"` // all trials of the sender
-	Cleared  []ClearedNotice `cbor:"2,keyasint,omitempty"`
-	Crashes  []CrashNotice   `cbor:"3,keyasint,omitempty"`
-	Loaded   bool            `cbor:"7,keyasint,omitempty"` // the sender has read the store, or heard from a peer that has
-	Proven   []string        `cbor:"4,keyasint,omitempty"` // parts of crashes of which answers are known
-	Saved    []SavedNotice   `cbor:"6,keyasint,omitempty"` // records of the store
-	VM       string          `cbor:"5,keyasint"`           // of the sender
+	Ask     bool            `cbor:"8,keyasint,omitempty"` // the sender has just started and asks for a notice; the rest is empty
+	Claims  []ClaimNotice   `cbor:"1,keyasint,omitempty"` // all trials of the sender
+	Cleared []ClearedNotice `cbor:"2,keyasint,omitempty"`
+	Crashes []CrashNotice   `cbor:"3,keyasint,omitempty"`
+	Loaded  bool            `cbor:"7,keyasint,omitempty"` // the sender has read the store, or heard from a peer that has
+	Proven  []string        `cbor:"4,keyasint,omitempty"` // parts of crashes of which answers are known; of the previous version only
+	Saved   []SavedNotice   `cbor:"6,keyasint,omitempty"` // records of the store
+	VM      string          `cbor:"5,keyasint"`           // of the sender
 }
 
 // ClaimNotice is a trial in progress.
@@ -39,6 +38,7 @@
 	Age          time.Duration `cbor:"1,keyasint"`
 	Begun        []string      `cbor:"5,keyasint,omitempty"` // parts of requests whose answers had begun
 	IDs          []string      `cbor:"4,keyasint"`
+	Knowledge    []byte        `cbor:"9,keyasint,omitempty"` // of Parts, Begun and Resumed, in this order: a byte for each part
 	KnownMissing bool          `cbor:"6,keyasint,omitempty"` // known parts are left out
 	Partial      bool          `cbor:"7,keyasint,omitempty"` // other parts are left out
 	Parts        []string      `cbor:"2,keyasint"`           // of requests whose answers had not begun
@@ -63,7 +63,7 @@
 	maxNoticeSaved      = 32
 	maxNoticeSavedBytes = 8 << 10
 	maxPartBytes        = 64
-	noticePartOverhead  = 2 // bytes of a text beside its characters
+	noticePartOverhead  = 3 // bytes of a part beside its ID
 	claimOverhead       = 8 // bytes of a claim beside its texts
 )
 
@@ -88,8 +88,11 @@
 func (t *Table) notice(now time.Time) *Notice {
 	n := &Notice{Claims: t.claimNotices(), Loaded: t.loadEnd.IsZero(), VM: t.self}
 	room := maxNoticePartBytes
-	for i := len(t.crashes) - 1; i >= 0 && len(n.Crashes) < maxNoticeCrashes && room > 0; i-- {
-		t.addCrashNotice(n, t.crashes[i], &room, now)
+	for _, c := range slices.Backward(t.crashes) {
+		// The others had the parts of the earlier crashes when these were new.
+		if len(n.Crashes) == 0 || len(n.Crashes) < maxNoticeCrashes && c.partsSize() <= room {
+			t.addCrashNotice(n, c, &room, now)
+		}
 	}
 	saved := 0
 	for p, r := range t.saved {
@@ -148,57 +151,55 @@
 	}
 }
 
+// partsSize returns the bytes that all parts of a crash take in a notice.
+func (c *crash) partsSize() int {
+	size := 0
+	for p := range c.parts {
+		size += noticeSize(p, 0, 0)
+	}
+	return size
+}
+
+// Values of CrashNotice.Knowledge.
+const (
+	knowsNothing  = iota
+	knowsProven   // an answer went on for ProofTime
+	knowsAnswered // an answer was complete
+)
+
 // addCrashNotice adds a crash to a notice. If its parts have no room, it leaves out all known ones and then others.
 func (t *Table) addCrashNotice(n *Notice, c *crash, room *int, now time.Time) {
 	crash := CrashNotice{
-		Age: now.Sub(c.at), IDs: slices.Collect(maps.Keys(c.ids)), KnownMissing: c.knownMissing, Partial: c.partial,
-		Upstream: c.upstream,
+		Age: now.Sub(c.at), IDs: slices.Collect(maps.Keys(c.ids)), Partial: c.partial, Upstream: c.upstream,
+		KnownMissing: c.knownMissing || c.partsSize() > *room,
+	}
+	lists := map[Progress]*[]string{
+		ProgressBegun: &crash.Begun, ProgressNone: &crash.Parts, ProgressResumed: &crash.Resumed,
 	}
-	var known []string
-	left := *room
 	for p, progress := range c.parts {
-		if t.proven[p] {
-			known = append(known, p)
+		if crash.KnownMissing && t.proven[p] {
 			continue
 		}
-		if left -= noticeSize(p, 0, 0); left < 0 {
+		if *room < noticeSize(p, 0, 0) {
 			crash.Partial = true
 			continue
 		}
-		crash.add(p, progress)
-	}
-	left = max(left, 0)
-	knownSize := 0
-	for _, p := range known {
-		knownSize += noticeSize(p, 2, len(p)) // in up to three lists
+		*room -= noticeSize(p, 0, 0)
+		*lists[progress] = append(*lists[progress], p)
 	}
-	if knownSize <= left {
-		left -= knownSize
-		for _, p := range known {
-			crash.add(p, c.parts[p])
-			n.Proven = append(n.Proven, p)
-			if t.answered[p] {
-				n.Answered = append(n.Answered, p)
-			}
+	for _, p := range slices.Concat(crash.Parts, crash.Begun, crash.Resumed) {
+		knowledge := byte(knowsNothing)
+		switch {
+		case t.answered[p]:
+			knowledge = knowsAnswered
+		case t.proven[p]:
+			knowledge = knowsProven
 		}
-	} else {
-		crash.KnownMissing = true
+		crash.Knowledge = append(crash.Knowledge, knowledge)
 	}
-	*room = left
 	n.Crashes = append(n.Crashes, crash)
 }
 
-func (c *CrashNotice) add(part string, p Progress) {
-	switch p {
-	case ProgressNone:
-		c.Parts = append(c.Parts, part)
-	case ProgressBegun:
-		c.Begun = append(c.Begun, part)
-	case ProgressResumed:
-		c.Resumed = append(c.Resumed, part)
-	}
-}
-
 // Merge applies a notice of another entry.
 func (t *Table) Merge(n *Notice, now time.Time) {
 	if n.VM == t.self || n.VM == "" {
@@ -217,13 +218,9 @@
 
 // mergeParts applies what a notice says of crashes and parts. The caller holds t.mu.
 func (t *Table) mergeParts(n *Notice, now time.Time) {
-	answered := validParts(n.Answered)
-	for _, p := range slices.Concat(validParts(n.Proven), answered) {
+	for _, p := range validParts(n.Proven) {
 		t.proven[p] = true
 	}
-	for _, p := range answered {
-		t.answered[p] = true
-	}
 	for i := range n.Crashes[:min(len(n.Crashes), maxNoticeCrashes)] {
 		t.mergeCrash(&n.Crashes[i], now)
 	}
@@ -243,6 +240,15 @@
 	}
 	c := t.addCrash(n.Upstream, n.IDs[:min(len(n.IDs), maxCrashIDs)], now.Add(-n.Age))
 	c.knownMissing, c.partial = c.knownMissing || n.KnownMissing, c.partial || n.Partial
+	for i, p := range slices.Concat(n.Parts, n.Begun, n.Resumed) {
+		if i >= len(n.Knowledge) || n.Knowledge[i] == knowsNothing || len(p) > maxPartBytes {
+			continue
+		}
+		t.proven[p] = true
+		if n.Knowledge[i] == knowsAnswered {
+			t.answered[p] = true
+		}
+	}
 	t.addParts(c, validParts(n.Parts), ProgressNone)
 	t.addParts(c, validParts(n.Resumed), ProgressResumed)
 	t.addParts(c, validParts(n.Begun), ProgressBegun)
--- a/io/tgproxy/crash.go
+++ b/io/tgproxy/crash.go
@@ -167,8 +167,11 @@
 // crash.
 func (s *Server) recordAnswer(c *call, x *exchange) {
 	parts := c.promptParts
-	unanswered := s.quarantine.Unanswered(parts)
-	if x.response.Framing != tghttp.FramingClose || len(unanswered) == 0 {
+	var unanswered []string
+	if x.response.Framing == tghttp.FramingClose {
+		unanswered = s.quarantine.Unanswered(parts)
+	}
+	if len(unanswered) == 0 {
 		s.quarantine.Answered(parts, time.Now())
 		return
 	}
