Tell callers to return after an outage of the length of earlier ones

Cause: the loss of a rank stops a group for 2.1 s from the first refusal of its engines on, each time. The outage guard told callers to come back 1 to 2 s later; most met the outage again and were lost, while a third of the places stayed empty in the first seconds after it. Change: Breaker keeps the lengths of the last four outages; callers are told to come back 0.5 to 1.5 s after the longest of them. Test: TestNoReturnInOutageOfKnownLength, failed before (62 of 220 early).

--- a/core/tgstreamlimit/breaker.go
+++ b/core/tgstreamlimit/breaker.go
@@ -10,6 +10,9 @@
 	// A pool that has lost an engine rarely runs again within a second, and most callers come back only once.
 	minOutageRetryAfter = time.Second
 	maxOutageRetryAfter = 3 * time.Second
+	outagesKept         = 4                      // that tell how long one lasts; engines come back after similar times
+	returnMargin        = 500 * time.Millisecond // from the end of an outage until all entries know of it and new callers are in
+	returnSpread        = time.Second            // callers come back spread over this time, since the pool can't take all at once
 )
 
 // Breaker is the circuit breaker of a whole pool, for failures that stop all of its work, such as the loss of a rank of
@@ -17,9 +20,10 @@
 // safe for concurrent use.
 type Breaker struct {
 	mu        sync.Mutex
-	nextProbe time.Time // earliest time of the next probe while open
+	nextProbe time.Time       // earliest time of the next probe while open
+	openSince time.Time       // when the first failure was recorded; zero while closed
+	outages   []time.Duration // from the first failure to the first success, the last outagesKept of them
 	rand      func() float64
-	openSince time.Time // when the first failure was recorded; zero while closed
 }
 
 // NewBreaker returns a closed breaker; random returns values in [0,1).
@@ -36,9 +40,14 @@
 }
 
 // RecordSuccess closes the breaker: the pool ran a request.
-func (b *Breaker) RecordSuccess() {
+func (b *Breaker) RecordSuccess(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.openSince.IsZero() {
+		return
+	}
+	b.outages = append(b.outages, now.Sub(b.openSince))
+	b.outages = b.outages[max(0, len(b.outages)-outagesKept):]
 	b.openSince = time.Time{}
 }
 
@@ -57,14 +66,21 @@
 }
 
 // RetryAfter returns the time after which a refused caller should retry. An outage is expected to last as long again as
-// it has lasted, and random jitter keeps callers from returning at the same moment.
+// it has lasted, and at least as long as the longest of those before. Random jitter keeps callers from returning at the same
+// moment.
 func (b *Breaker) RetryAfter(now time.Time) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	wait := minOutageRetryAfter
+	elapsed := time.Duration(0)
 	if !b.openSince.IsZero() {
-		wait = max(wait, now.Sub(b.openSince))
+		elapsed = now.Sub(b.openSince)
+	}
+	jitter := b.rand()
+	wait := time.Duration(float64(max(minOutageRetryAfter, elapsed)) * (1 + jitter))
+	for _, d := range b.outages {
+		if left := d - elapsed; left > 0 {
+			wait = max(wait, left+returnMargin+time.Duration(jitter*float64(returnSpread)))
+		}
 	}
-	wait = time.Duration(float64(wait) * (1 + b.rand()))
 	return min(wait, maxOutageRetryAfter)
 }
--- a/core/tgstreamlimit/breaker_test.go
+++ b/core/tgstreamlimit/breaker_test.go
@@ -24,7 +24,7 @@
 		}
 	}
 	assert.Assert(t, sent >= 30 && sent <= 41, "%d of 400 were sent", sent)
-	b.RecordSuccess()
+	b.RecordSuccess(now)
 	assert.Assert(t, b.Allow(now))
 }
 
@@ -45,6 +45,31 @@
 	assert.Equal(t, lost, 0)
 }
 
+// Guards against callers that are lost in an outage that lasts as long as an earlier one: the loss of a rank stops a group for
+// more than two seconds each time, and those who were refused early came back before its end and were refused again.
+func TestNoReturnInOutageOfKnownLength(t *testing.T) {
+	const outage = 2200 * time.Millisecond
+	start := time.Unix(1000, 0)
+	r := rand.New(rand.NewPCG(1, 2))
+	b := NewBreaker(r.Float64)
+	b.RecordFailure(start)
+	b.RecordSuccess(start.Add(outage))
+	b.RecordFailure(start.Add(time.Minute)) // a short one hides nothing
+	b.RecordSuccess(start.Add(time.Minute + time.Second))
+	start = start.Add(2 * time.Minute)
+	b.RecordFailure(start)
+	early, latest := 0, time.Duration(0)
+	for at := time.Duration(0); at < outage; at += 10 * time.Millisecond {
+		wait := b.RetryAfter(start.Add(at))
+		if at+wait < outage {
+			early++
+		}
+		latest = max(latest, wait)
+	}
+	assert.Equal(t, early, 0)
+	assert.Assert(t, latest <= maxOutageRetryAfter, "%s", latest)
+}
+
 // Guards against a Retry-After that ends before the pool can be expected to recover.
 func TestOutageRetryAfterGrows(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/io/tgproxy/forward.go
+++ b/io/tgproxy/forward.go
@@ -188,7 +188,7 @@
 	s := k.server
 	switch x.kind {
 	case answerOK:
-		s.breaker(c.pool).RecordSuccess()
+		s.breaker(c.pool).RecordSuccess(time.Now())
 		return k.deliver(a, c, x)
 	case answerError:
 		if !k.canRetry(c) || a.headWritten {
