--- a/io/tgproxy/forward.go
+++ b/io/tgproxy/forward.go
@@ -215,7 +215,7 @@
 	s := k.server
 	switch x.kind {
 	case answerOK:
-		s.groupBreaker(c, &x.target).RecordSuccess()
+		s.groupBreaker(c, &x.target).RecordSuccess(time.Now())
 		return k.deliver(a, c, x)
 	case answerError:
 		if !k.canRetry(c) || a.headWritten {
