--- a/io/tgproxy/forward.go
+++ b/io/tgproxy/forward.go
@@ -143,7 +143,7 @@
 	c.placedBy = ""
 	r := tgpicker.Request{ColdRate: rate, Slowdown: s.catalog.Slowdown, Tried: c.tried, Work: c.cost}
 	if s.sharesLoads(c) {
-		r.Load = s.upstreamLoad
+		r.Load = s.upstreamLoads()
 		s.counters.Add("attemptsPlacedBySharedLoad", 1)
 		c.placedBy = placedByShared
 	}
