Let callers who have returned wait for the end of an outage

A caller who comes back while the pool is still in an outage was refused a second time and is lost then. A request for the rest of a stream counts as a return, too.

--- a/core/tgstreamlimit/breakers_test.go
+++ b/core/tgstreamlimit/breakers_test.go
@@ -76,7 +76,7 @@
 		}
 	}
 	assert.Assert(t, probes >= 30 && probes <= 41, "%d of 400 were sent", probes)
-	b.Group("a").RecordSuccess()
+	b.Group("a").RecordSuccess(now)
 	excluded, ok := b.Select(groups, true, now)
 	assert.Assert(t, ok && len(excluded) == 0)
 }
--- a/io/tgproxy/call.go
+++ b/io/tgproxy/call.go
@@ -95,6 +95,10 @@
 	}
 }
 
+// resumes reports whether the caller asks for the rest of a stream that was broken off. After a restart, the time limits of
+// requests do not tell yet which ones are retries.
+func (c *call) resumes() bool { return c.request.Header.Get(c.headers.LastEventID) != "" }
+
 // priority returns the priority of the client account, or that of the route if the account has none of its own.
 func (c *call) priority() int {
 	if c.account.HasPriority {
--- a/io/tgproxy/handle.go
+++ b/io/tgproxy/handle.go
@@ -76,8 +76,8 @@
 		c.account = a
 	}
 	c.pool = route.ChoosePool(s.rand())
-	c.waits = c.isLimited() && s.admission.isQueued(cfg, c.pool)
-	c.isRetry = s.isRetry(route.Name, c.callerDeadline.Sub(c.receivedAt))
+	c.isRetry = s.isRetry(route.Name, c.callerDeadline.Sub(c.receivedAt)) || c.resumes()
+	c.waits = s.mayWait(c)
 	return 0, ""
 }
 
