--- a/core/tgstreamlimit/breaker.go
+++ b/core/tgstreamlimit/breaker.go
@@ -13,6 +13,8 @@
 	outagesKept         = 4                      // that tell how long one lasts; engines come back after similar times
 	returnMargin        = 500 * time.Millisecond // from the end of an outage until all entries know of it and new callers are in
 	returnSpread        = time.Second            // callers come back spread over this time, since the pool can't take all at once
+	// So many upstreams in a row that were replaced by others have all started again, and the new ones are not registered yet.
+	maxReplacedInRow = 4
 )
 
 // Breaker is the circuit breaker of a whole pool, for failures that stop all of its work, such as the loss of a rank of
@@ -24,6 +26,7 @@
 	openSince time.Time       // when the first failure was recorded; zero while closed
 	outages   []time.Duration // from the first failure to the first success, the last outagesKept of them
 	rand      func() float64
+	replaced  int // upstreams in a row that were replaced by others; the pool ran no request since
 }
 
 // NewBreaker returns a closed breaker; random returns values in [0,1).
@@ -39,10 +42,24 @@
 	b.nextProbe = now.Add(probeInterval)
 }
 
+// RecordReplaced notes that another incarnation answered at an upstream's address, and reports whether that opened the
+// breaker: after a loss of all upstreams, each request would otherwise meet one former upstream after another.
+func (b *Breaker) RecordReplaced(now time.Time) (opened bool) {
+	b.mu.Lock()
+	b.replaced++
+	opened = b.replaced >= maxReplacedInRow
+	b.mu.Unlock()
+	if opened {
+		b.RecordFailure(now)
+	}
+	return opened
+}
+
 // RecordSuccess closes the breaker: the pool ran a request.
 func (b *Breaker) RecordSuccess(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.replaced = 0
 	if b.openSince.IsZero() {
 		return
 	}
--- a/core/tgstreamlimit/breaker_test.go
+++ b/core/tgstreamlimit/breaker_test.go
@@ -79,3 +79,26 @@
 	assert.Equal(t, b.RetryAfter(now.Add(1500*time.Millisecond)), 2250*time.Millisecond)
 	assert.Equal(t, b.RetryAfter(now.Add(time.Minute)), maxOutageRetryAfter)
 }
+
+// Guards against requests that meet one former upstream after another once all of them have started again, until the
+// retries are used up: 211 callers were refused in two seconds (kuehlhof-oberland-grown trouble-2), most of them twice.
+// Single upstreams that are replaced must not stop a pool.
+func TestReplacedUpstreamsOpenBreaker(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := NewBreaker(func() float64 { return 0 })
+	for range 10 {
+		for range maxReplacedInRow - 1 {
+			assert.Assert(t, !b.RecordReplaced(now))
+		}
+		assert.Assert(t, b.Allow(now))
+		b.RecordSuccess(now)
+	}
+	for range maxReplacedInRow - 1 {
+		b.RecordReplaced(now)
+	}
+	assert.Assert(t, b.RecordReplaced(now))
+	assert.Assert(t, !b.Allow(now))
+	assert.Assert(t, b.Allow(now.Add(probeInterval)))
+	b.RecordSuccess(now.Add(probeInterval))
+	assert.Assert(t, b.Allow(now.Add(probeInterval)))
+}
--- a/io/tgproxy/forward.go
+++ b/io/tgproxy/forward.go
@@ -225,6 +225,9 @@
 		return tgpicker.OutcomeFailed, verdictRetry
 	case answerNotExecuted:
 		if x.response.Status == statusMisdirected {
+			if s.groupBreaker(c, &x.target).RecordReplaced(time.Now()) {
+				return tgpicker.OutcomeReplaced, verdictOutage
+			}
 			return tgpicker.OutcomeReplaced, verdictRetry
 		}
 		if x.response.Header.Get(s.headers.FailedUpstream) != "" {
