--- a/io/tgproxy/groups.go
+++ b/io/tgproxy/groups.go
@@ -128,7 +128,7 @@
 	case PlacementShared:
 		return true
 	case PlacementAuto:
-		return len(c.groups.all) > 1
+		return len(c.groups.all) > 1 || c.config.RanksStreams(c.pool)
 	case PlacementOwn:
 	}
 	return false
