--- a/core/tgwaitqueue/queue.go
+++ b/core/tgwaitqueue/queue.go
@@ -174,11 +174,14 @@
 	}
 }
 
-// RecordFirstEvent records the time from a place to the first event of a stream.
-func (q *Queue) RecordFirstEvent(d time.Duration) {
+// RecordFirstEvent records the time from a place to the first event of a stream, or to its end if no event has come: such
+// a time only shows that the first event takes longer.
+func (q *Queue) RecordFirstEvent(d time.Duration, hasCome bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.first.record(d)
+	if hasCome || d > q.first.mean {
+		q.first.record(d)
+	}
 }
 
 // FirstEvent returns the usual and the longest time to expect from a place to the first event.
--- a/core/tgwaitqueue/wait.go
+++ b/core/tgwaitqueue/wait.go
@@ -20,7 +20,7 @@
 
 const (
 	durationGain   = 16 // a new value moves the averages by this part of its distance from them
-	deviationsHigh = 2
+	deviationsHigh = 4
 )
 
 func newDuration(mean time.Duration) duration { return duration{deviation: mean / 4, mean: mean} }
--- a/io/tgproxy/admission.go
+++ b/io/tgproxy/admission.go
@@ -242,7 +242,9 @@
 		return
 	}
 	if c.events.first > 0 {
-		c.queue.RecordFirstEvent(c.events.first - c.placedAt.Sub(c.receivedAt))
+		c.queue.RecordFirstEvent(c.events.first-c.placedAt.Sub(c.receivedAt), true)
+	} else {
+		c.queue.RecordFirstEvent(now.Sub(c.placedAt), false)
 	}
 	c.queue.Grant(now)
 }
