--- a/core/tgwaitqueue/order.go
+++ b/core/tgwaitqueue/order.go
@@ -36,6 +36,7 @@
 // cost. An account's place goes to the one of its streams that is first by being early or late; it takes the lowest tag.
 type rank struct {
 	arrived     float64            // streams, decayed; those of returning callers included
+	early       float64            // those of them that could be on time when they arrived, decayed
 	finishTags  map[string]float64 // of each account's last stream; later than virtualTime after each place
 	lateCredit  float64            // places owed to callers who are late already
 	served      float64            // streams that got a place, decayed
@@ -55,19 +56,22 @@
 
 func (r *rank) decay(now time.Time) {
 	weight := math.Exp(-now.Sub(r.updated).Seconds() / rankDecayTime.Seconds())
-	r.arrived, r.served, r.updated = r.arrived*weight, r.served*weight, now
+	r.arrived, r.early, r.served, r.updated = r.arrived*weight, r.early*weight, r.served*weight, now
 }
 
-// arrivalRate returns the arrivals per second.
-func (r *rank) arrivalRate(now time.Time) float64 {
+// arrivalRates returns the arrivals per second, and those of streams that could be on time.
+func (r *rank) arrivalRates(now time.Time) (all, early float64) {
 	r.decay(now)
-	seen := 1 - math.Exp(-now.Sub(r.since).Seconds()/rankDecayTime.Seconds())
-	return r.arrived / (rankDecayTime.Seconds() * max(seen, 0.1))
+	seen := rankDecayTime.Seconds() * max(0.1, 1-math.Exp(-now.Sub(r.since).Seconds()/rankDecayTime.Seconds()))
+	return r.arrived / seen, r.early / seen
 }
 
 func (r *rank) arrive(t *Ticket, now time.Time) {
 	r.decay(now)
 	r.arrived++
+	if !t.isLate(now) {
+		r.early++
+	}
 	account := t.request.Account
 	t.start = max(r.virtualTime, r.finishTags[account])
 	r.finishTags[account] = t.start + t.request.Cost
--- a/core/tgwaitqueue/wait.go
+++ b/core/tgwaitqueue/wait.go
@@ -92,17 +92,17 @@
 	of := t.request.Rank
 	all, higher := 0.0, 0.0
 	for other, r := range q.ranks {
-		rate := r.arrivalRate(now)
+		rate, _ := r.arrivalRates(now)
 		all += rate
 		if other.Compare(of) < 0 {
 			higher += rate
 		}
 	}
-	own := q.ranks[of].arrivalRate(now)
+	own, early := q.ranks[of].arrivalRates(now)
 	places := max(total-higher, floorRatio*own*min(1, total/max(all, minPlacesPerS)))
 	switch {
 	case t.isLate(now):
-		return max(lateShare*places, places-own)
+		return max(lateShare*places, places-early)
 	case q.hasLate(of, now):
 		return (1 - lateShare) * places
 	default:
