--- a/core/tgcatalog/catalog.go
+++ b/core/tgcatalog/catalog.go
@@ -59,6 +59,14 @@
 	return max(minStallTimeout, stallFirstFactor*r.FirstByteTarget, stallGapFactor*r.EventGapTarget)
 }
 
+// patienceFraction is the part of StallTimeout after which callers leave.
+const patienceFraction = 0.8
+
+// Patience returns how long a caller waits for the first event of a stream before it leaves.
+func (r *Route) Patience() time.Duration {
+	return time.Duration(patienceFraction * float64(r.StallTimeout()))
+}
+
 // ChoosePool returns the pool of a request, by weight; random is uniform in [0,1).
 func (r *Route) ChoosePool(random float64) string {
 	total := 0.0
@@ -140,12 +148,16 @@
 	Pools       map[string]Pool
 	Version     int64
 
+	rankedPools  map[string]bool    // pools whose streams have more than one priority, by their routes
 	routesByHost map[string][]Route // longest prefix first
 }
 
 // NewConfig returns a configuration with its routes indexed.
 func NewConfig(version int64, routes []Route) *Config {
-	c := &Config{Accounts: map[string]Account{}, Pools: map[string]Pool{}, Version: version, routesByHost: map[string][]Route{}}
+	c := &Config{
+		Accounts: map[string]Account{}, Pools: map[string]Pool{}, Version: version, rankedPools: rankedPools(routes),
+		routesByHost: map[string][]Route{},
+	}
 	for _, r := range routes {
 		c.routesByHost[r.Host] = append(c.routesByHost[r.Host], r)
 	}
@@ -155,6 +167,27 @@
 	return c
 }
 
+// rankedPools returns the pools whose streaming routes have more than one priority.
+func rankedPools(routes []Route) map[string]bool {
+	priorities, ranked := map[string]int{}, map[string]bool{}
+	for i := range routes {
+		r := &routes[i]
+		if r.Kind != KindStreaming {
+			continue
+		}
+		for _, t := range r.Targets {
+			if p, ok := priorities[t.Pool]; ok && p != r.Priority {
+				ranked[t.Pool] = true
+			}
+			priorities[t.Pool] = r.Priority
+		}
+	}
+	return ranked
+}
+
+// RanksStreams reports whether the streams of a pool have more than one priority, by their routes.
+func (c *Config) RanksStreams(pool string) bool { return c.rankedPools[pool] }
+
 // Route returns the route with the longest prefix that matches a host and path; ok is false if there is none.
 func (c *Config) Route(host, path string) (r *Route, ok bool) {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 {
--- a/core/tgcatalog/catalog_test.go
+++ b/core/tgcatalog/catalog_test.go
@@ -55,3 +55,18 @@
 		}
 	}
 }
+
+// Guards against pools whose streams are taken to differ in priority because of requests of another kind or another pool.
+func TestRanksStreams(t *testing.T) {
+	route := func(kind RouteKind, priority int, pools ...string) Route {
+		r := Route{Kind: kind, Priority: priority}
+		for _, pool := range pools {
+			r.Targets = append(r.Targets, Target{Pool: pool, Weight: 1})
+		}
+		return r
+	}
+	c := NewConfig(1, []Route{
+		route(KindStreaming, 0, "a", "b"), route(KindStreaming, 1, "b"), route(KindIdempotent, 2, "a"), route(KindStreaming, 0, "a"),
+	})
+	assert.Assert(t, c.RanksStreams("b") && !c.RanksStreams("a") && !c.RanksStreams("unknown"))
+}
--- a/core/tgquota/quota.go
+++ b/core/tgquota/quota.go
@@ -38,3 +38,8 @@
 func PoolShare(own, others, entries int) float64 {
 	return float64(own+1) / float64(own+others+max(1, entries))
 }
+
+// SpareStreams returns an entry's share of the slots of a pool that are not used, at least one.
+func SpareStreams(slots, used, entries int) float64 {
+	return max(1, float64(slots-used)/float64(max(1, entries)))
+}
--- a/core/tgstreamlimit/limiter.go
+++ b/core/tgstreamlimit/limiter.go
@@ -25,6 +25,7 @@
 	retryHeadroom         = 1.2                    // callers refused before may exceed the limit by this factor
 	minRetryAfter         = 150 * time.Millisecond
 	maxRetryAfter         = 2 * time.Second
+	growthSmoothing       = 0.7 // weight of the past, per decision, in the average growth of the limit
 	streamTimeSmoothing   = 0.9 // weight of the past, per ended stream, in the average duration of a stream
 )
 
@@ -36,6 +37,7 @@
 
 // Ticket is the permit of an admitted stream; Done releases it.
 type Ticket struct {
+	beyond  bool // it does not count against the limit; see TryAdmit
 	limiter *Limiter
 	start   time.Time
 }
@@ -62,8 +64,10 @@
 type Limiter struct {
 	arrivalRate  float64 // arrivals per second, smoothed
 	arrivals     int     // since the last decision, refused ones included
+	beyond       int     // streams in flight that do not count against the limit; at most inFlight
 	bounds       Bounds
 	forecast     forecast
+	growth       float64   // of the limit, streams per second, smoothed
 	gaps         []float64 // seconds, since the last decision; at most maxGapsKept
 	inFlight     int
 	lastDecision time.Time
@@ -71,6 +75,7 @@
 	limitReached bool       // the limit refused a stream since the last decision
 	meanInFlight float64    // streams in flight, smoothed
 	mu           sync.Mutex // guards all fields
+	observed     float64    // streams in flight at the last decision
 	peakGap      float64    // seconds, of the last decision, without outliers
 	priorities   priorityCounts
 	rand         func() float64 // in [0,1)
@@ -86,6 +91,7 @@
 	Max           float64       // streams that the engines run concurrently
 	MaxStreamTime time.Duration // longest time that a stream may take; 0 if unbounded
 	Min           float64       // lower bound of the limit; fewer streams would not make passes shorter
+	Spare         float64       // streams that may exceed the limit; see TryAdmit
 }
 
 // NewLimiter returns a limiter that starts at limit; random returns values in [0,1).
@@ -152,6 +158,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.inFlight--
+	if t.beyond {
+		l.beyond--
+	}
 	l.refused = max(0, l.refused-1)
 	l.streamTime = streamTimeSmoothing*l.streamTime + (1-streamTimeSmoothing)*now.Sub(t.start).Seconds()
 }
@@ -162,6 +171,10 @@
 	if len(l.gaps) < minGapsPerDecision || now.Sub(l.lastDecision) < decisionInterval {
 		return
 	}
+	before, elapsed := l.limit, now.Sub(l.lastDecision)
+	defer func() {
+		l.growth = growthSmoothing*l.growth + (1-growthSmoothing)*(l.limit-before)/elapsed.Seconds()
+	}()
 	l.closeWindow(now)
 	target := l.bounds.GapTarget.Seconds()
 	offered := demand{arrivalRate: l.arrivalRate, streams: l.meanInFlight, streamTime: l.streamTime}
@@ -200,7 +213,7 @@
 	} else { // the first window, or the first one after an outage
 		l.arrivalRate, l.meanInFlight = float64(l.inFlight)/l.streamTime, float64(l.inFlight)
 	}
-	l.arrivals, l.lastDecision = 0, now
+	l.arrivals, l.lastDecision, l.observed = 0, now, float64(l.inFlight)
 	l.forecast.observe(window{gap: l.peakGap, duration: elapsed, streams: float64(l.inFlight)})
 }
 
