Let streams wait for a place where they differ in priority

A caller who leaves, a drain and a panic release ticket and place. The test harness takes the configuration that an option may replace.

--- a/io/tgcommand/platform_entry.go
+++ b/io/tgcommand/platform_entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,6 +14,7 @@
 	"tanagergrade/core/tglogtable"
 	"tanagergrade/core/tgquarantine"
 	"tanagergrade/core/tgview"
+	"tanagergrade/io/tgexit"
 	"tanagergrade/io/tgfleet"
 	"tanagergrade/io/tgproxy"
 	"tanagergrade/io/tgreport"
@@ -20,13 +22,16 @@
 )
 
 func (c *config) newPlatformEntryCmd() *cobra.Command {
-	return &cobra.Command{
+	cmd := &cobra.Command{
 		Args:  cobra.NoArgs,
 		Long:  "Runs the daemon that takes callers' requests. SIGTERM starts a graceful shutdown.",
 		RunE:  c.runPlatformEntry,
 		Short: "Run an entry daemon on the users' platform",
 		Use:   "entry",
 	}
+	cmd.Flags().StringVar(&c.platform.admission, "admission", string(tgproxy.AdmissionAuto),
+		`streams without a place: "queue", "refuse", or "auto" to queue where streams differ in priority`)
+	return cmd
 }
 
 const (
@@ -78,23 +83,27 @@
 func (e *platformEntry) Upstreams(pool string) []tgcatalog.Upstream { return e.view.Upstreams(pool) }
 
 func (c *config) runPlatformEntry(cmd *cobra.Command, _ []string) error {
+	admission := tgproxy.Admission(c.platform.admission)
+	if !slices.Contains(tgproxy.Admissions(), admission) {
+		return tgexit.Usagef("--admission %q is not auto, queue or refuse", admission)
+	}
 	d, err := c.newPlatformDaemon(tgfleet.RoleEntry)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = d.report.Close() }() // never fails
-	e := newPlatformEntry(d)
+	e := newPlatformEntry(d, tgproxy.WithAdmission(admission))
 	return e.run(cmd.Context())
 }
 
-func newPlatformEntry(d *platformDaemon) *platformEntry {
+func newPlatformEntry(d *platformDaemon, options ...tgproxy.Option) *platformEntry {
 	e := &platformEntry{
 		operator: tglogtable.NewTable(), platformDaemon: d, quarantine: tgquarantine.NewTable(d.settings.VM),
 		upstreams: tglogtable.NewTable(), view: tgview.NewView(tgplatform.Codec()),
 	}
 	e.quarantine.AwaitSaved(time.Now())
 	e.proxy = tgproxy.NewServer(d.settings.DataCentre, e, tgplatform.Headers(), proxyLimits(d.settings), d.report,
-		d.report.Counters, tgproxy.WithQuarantine(e.quarantine))
+		d.report.Counters, append(options, tgproxy.WithQuarantine(e.quarantine))...)
 	e.exchange = &tgfleet.Exchange{
 		Log: d.report, OperatorTable: e.operator, Peers: d.peers, Quarantine: e.quarantine, Streams: e.proxy.Streams,
 		UpstreamsTable: e.upstreams, VM: d.settings.VM, View: e.view,
--- a/io/tgcommand/platform_status.go
+++ b/io/tgcommand/platform_status.go
@@ -34,7 +34,8 @@
 
 // platformFlags are the flags of the queries of daemons on the platform.
 type platformFlags struct {
-	output tgflag.Output
+	admission string
+	output    tgflag.Output
 }
 
 // platformStatus is the part of a daemon's dump that the status command shows.
--- a/io/tgproxy/call.go
+++ b/io/tgproxy/call.go
@@ -24,11 +24,13 @@
 	events         eventTimes
 	expiresAt      time.Time // earlier of the caller's deadline and the end of the route's timeout
 	headers        *Headers
-	id             string // of the attempt, set by the caller
-	isRetry        bool   // the caller was presumably refused before; see Server.isRetry
-	mayHaveRun     bool   // an upstream may have run it, so no refusal may claim that it has not run
+	id             string    // of the attempt, set by the caller
+	isRetry        bool      // the caller was presumably refused before; see Server.isRetry
+	mayHaveRun     bool      // an upstream may have run it, so no refusal may claim that it has not run
+	placedAt       time.Time // when it got its place
 	pool           string
-	promptParts    []string // IDs of the parts of the prompt that other requests may share
+	promptParts    []string   // IDs of the parts of the prompt that other requests may share
+	queue          *waitQueue // from which it got its place; nil if it did not come by a queue
 	receivedAt     time.Time
 	request        *tghttp.Request
 	route          *tgcatalog.Route
@@ -36,6 +38,8 @@
 	trial          *tgquarantine.Trial // of the present attempt; nil if no part of its prompt is suspect
 	tried          map[string]bool     // IDs of the upstreams of earlier attempts
 	upstream       string
+	waited         time.Duration // for a place
+	waits          bool          // it waits for a place if there is none
 }
 
 const (
@@ -131,8 +135,8 @@
 func (c *call) newEvent(outcome string, status int, now time.Time) Event {
 	e := Event{
 		Account: c.account.Name, Attempts: c.attempts, Detail: c.detail, Elapsed: now.Sub(c.receivedAt), ID: c.id,
-		LongestPause: c.events.longestPause, Outcome: outcome, Pool: c.pool, Status: status,
-		TimeToFirstEvent: c.events.first, Upstream: c.upstream,
+		LongestPause: c.events.longestPause, Outcome: outcome, Pool: c.pool, Returning: c.isRetry && c.waits, Status: status,
+		TimeToFirstEvent: c.events.first, Upstream: c.upstream, Waited: c.waited,
 	}
 	if c.config != nil {
 		e.ConfigVersion = c.config.Version
--- a/io/tgproxy/forward.go
+++ b/io/tgproxy/forward.go
@@ -50,16 +50,14 @@
 		return
 	}
 	breaker := s.breaker(c.pool)
-	if now := time.Now(); !breaker.Allow(now) {
+	if now := time.Now(); !c.waits && !breaker.Allow(now) {
 		k.endUnanswered(a, c, "pool outage: no upstream runs requests at present", breaker.RetryAfter(now))
 		return
 	}
 	if !k.admit(a, c, upstreams) {
 		return
 	}
-	if c.ticket != nil {
-		defer func() { c.ticket.Done(time.Now()) }()
-	}
+	defer c.releasePlace()
 	k.tryUpstreams(a, c)
 }
 
@@ -96,6 +94,9 @@
 		}
 		c.attempts++
 		verdict := k.attempt(a, c, choice)
+		if verdict == verdictOutage {
+			verdict = k.outlastOutage(a, c)
+		}
 		if verdict == verdictDone {
 			return
 		}
@@ -105,10 +106,6 @@
 				continue
 			}
 		}
-		if verdict == verdictOutage {
-			k.endUnanswered(a, c, c.detail, s.breaker(c.pool).RetryAfter(time.Now()))
-			return
-		}
 		if c.attempts >= c.route.MaxAttempts || verdict != verdictRetry {
 			k.endUnanswered(a, c, c.detail, retryAfterFullBase+time.Duration(s.rand()*float64(retryAfterFullJitter)))
 			return
--- a/io/tgproxy/handle.go
+++ b/io/tgproxy/handle.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"time"
 
-	"tanagergrade/core/tgcatalog"
 	"tanagergrade/io/tghttp"
 )
 
@@ -68,6 +67,7 @@
 		c.account = a
 	}
 	c.pool = route.ChoosePool(s.rand())
+	c.waits = c.isLimited() && s.admission.isQueued(cfg, c.pool)
 	c.isRetry = s.isRetry(route.Name, c.callerDeadline.Sub(c.receivedAt))
 	return 0, ""
 }
@@ -85,27 +85,3 @@
 	keepAlive = keepAlive && !s.isDraining()
 	return k.write(refusalBytes(status, c.id, retryAfter, keepAlive, &s.headers)) == nil && keepAlive
 }
-
-// admit reports whether the concurrency limit of the pool leaves room for a stream, and refuses the call if not.
-// Requests of other kinds are always admitted.
-func (k *callerConn) admit(a *responseState, c *call, upstreams []tgcatalog.Upstream) bool {
-	if c.route.Kind != tgcatalog.KindStreaming || c.route.EventGapTarget <= 0 {
-		return true
-	}
-	s := k.server
-	limiter := s.streamLimiter(c.config.Pools[c.pool], upstreams, c.route)
-	ticket, refusal := limiter.Admit(c.applicant(), time.Now())
-	if refusal == nil {
-		c.ticket = ticket
-		a.limiter = limiter
-		return true
-	}
-	c.detail = string(refusal.Reason)
-	now := time.Now()
-	e := c.newEvent(outcomeRefused, http.StatusServiceUnavailable, now)
-	e.InFlight, e.Limit, e.PeakGap, e.RetryAfter = refusal.InFlight, refusal.Limit, refusal.PeakGap, refusal.RetryAfter
-	s.observer.Request(e)
-	keepAlive := a.decideKeepAlive()
-	a.keepAlive = k.write(refusalBytes(e.Status, c.id, e.RetryAfter, keepAlive, &s.headers)) == nil && keepAlive
-	return false
-}
--- a/io/tgproxy/harness_test.go
+++ b/io/tgproxy/harness_test.go
@@ -138,7 +138,7 @@
 	for _, o := range options {
 		o(setup)
 	}
-	b := &testProxy{catalog: &testCatalog{config: cfg, current: true, entries: 1}, events: &events{}, done: make(chan struct{})}
+	b := &testProxy{catalog: &testCatalog{config: setup.config, current: true, entries: 1}, events: &events{}, done: make(chan struct{})}
 	for i := range engines {
 		e := tgemulator.NewEngine(fmt.Sprintf("e%d", i))
 		l := listen(t)
--- a/io/tgproxy/options.go
+++ b/io/tgproxy/options.go
@@ -56,6 +56,7 @@
 	ConfigVersion    int64
 	Detail           string
 	Elapsed          time.Duration
+	ExpectedWait     time.Duration // for a place, of a stream that was refused one
 	ID               string
 	InFlight         int
 	LongestPause     time.Duration // between events of a stream
@@ -63,12 +64,15 @@
 	PeakGap          time.Duration // longest interval between events on which Limit is based
 	Limit            float64
 	Pool             string
+	Position         int    // streams that were ahead of a refused one
 	PromptParts      string // IDs of the shared parts of the prompt, of an attempt that failed
 	RetryAfter       time.Duration
+	Returning        bool // the caller was presumably refused before
 	Route            string
 	Status           int
 	TimeToFirstEvent time.Duration // from the arrival of the request, of a stream
 	Upstream         string
+	Waited           time.Duration // for a place
 }
 
 // Observer receives the events of the proxy; it must not block.
--- a/io/tgproxy/server.go
+++ b/io/tgproxy/server.go
@@ -18,6 +18,7 @@
 
 // Server is the reverse proxy; it serves callers' connections.
 type Server struct {
+	admission   admission
 	buffers     bufferBudget
 	catalog     Catalog
 	closingIdle atomic.Bool // the listener is closed and connections end when they are idle
@@ -110,6 +111,7 @@
 	}
 	share := tgquota.PoolShare(l.State().InFlight, others, entries)
 	bounds.FreeSlots = max(bounds.Min, float64(slots-others))
+	bounds.Spare = tgquota.SpareStreams(slots, l.State().InFlight+others, entries)
 	if e := pool.Engine; e.StepTimePerStream > 0 {
 		bounds.FixedCost = share * float64(len(upstreams)) * float64(e.StepTime) / float64(e.StepTimePerStream)
 	}
--- a/io/tgproxy/state.go
+++ b/io/tgproxy/state.go
@@ -1,8 +1,11 @@
 package tgproxy
 
 import (
+	"time"
+
 	"tanagergrade/core/tgpicker"
 	"tanagergrade/core/tgstreamlimit"
+	"tanagergrade/core/tgwaitqueue"
 )
 
 // State is the state of the proxy in a dump of the daemon.
@@ -10,12 +13,16 @@
 	Callers   int                            `json:"callers"` // open connections of callers
 	Draining  bool                           `json:"draining"`
 	Pools     map[string]tgstreamlimit.State `json:"pools"`
+	Queues    map[string]tgwaitqueue.State   `json:"queues,omitempty"` // by pool; those of streams that wait for a place
 	Upstreams []tgpicker.UpstreamState       `json:"upstreams"`
 }
 
 // State returns the current state.
 func (s *Server) State() State {
-	state := State{Draining: s.isDraining(), Pools: map[string]tgstreamlimit.State{}, Upstreams: s.picker.States()}
+	state := State{
+		Draining: s.isDraining(), Pools: map[string]tgstreamlimit.State{}, Queues: s.admission.states(time.Now()),
+		Upstreams: s.picker.States(),
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	state.Callers = len(s.callers)
--- a/io/tgreport/report.go
+++ b/io/tgreport/report.go
@@ -104,8 +104,14 @@
 	number("attempts", int64(e.Attempts))
 	number("config", e.ConfigVersion)
 	number("status", int64(e.Status))
+	number("expectedWaitMs", e.ExpectedWait.Milliseconds())
 	number("firstEventMs", e.TimeToFirstEvent.Milliseconds())
 	number("longestPauseMs", e.LongestPause.Milliseconds())
+	number("position", int64(e.Position))
+	number("waitedMs", e.Waited.Milliseconds())
+	if e.Returning {
+		f["returning"] = true
+	}
 	if e.RetryAfter > 0 {
 		f["retryAfterMs"] = e.RetryAfter.Milliseconds()
 	}
--- a/io/tgreport/report_test.go
+++ b/io/tgreport/report_test.go
@@ -33,6 +33,10 @@
 		Detail: "limit", ID: "a2", InFlight: 12, Limit: 10.6, Outcome: "refused", PeakGap: 80 * time.Millisecond,
 		RetryAfter: 300 * time.Millisecond, Status: 503,
 	})
+	r.Request(tgproxy.Event{
+		Detail: "queue: wait", ExpectedWait: 2 * time.Second, ID: "a4", Outcome: "refused", Position: 12, Returning: true,
+		Status: 503, Waited: 150 * time.Millisecond,
+	})
 	r.Attempt(tgproxy.Event{Attempts: 1, Detail: "read: connection reset by peer", ID: "a3", Outcome: "lost", Upstream: "i-2"})
 	r.ViewChange("store", "operator", tgview.Change{Key: "config", Offset: 5, Outcome: "accepted", Version: 7})
 	r.ViewChange("peer vm-2", "operator", tgview.Change{Err: errors.New("line 1\nline 2"), Key: "config", Offset: 6, Outcome: "rejected"})
