--- a/io/tgproxy/admission.go
+++ b/io/tgproxy/admission.go
@@ -15,9 +15,7 @@
 
 // Kinds of admission.
 const (
-	// AdmissionAuto is AdmissionQueue for pools whose streams have more than one priority. In others, only callers who have
-	// returned wait, for the end of an outage.
-	AdmissionAuto   Admission = "auto"
+	AdmissionAuto   Admission = "auto"   // AdmissionQueue for pools whose streams have more than one priority, else AdmissionRefuse
 	AdmissionQueue  Admission = "queue"  // it waits if a place is expected in time
 	AdmissionRefuse Admission = "refuse" // it is refused at once
 )
@@ -83,21 +81,9 @@
 	return c.route.Kind == tgcatalog.KindStreaming && c.route.EventGapTarget > 0
 }
 
-// mayWait reports whether a call waits for a place. Where streams do not wait for places, callers who have returned still
-// wait for the end of an outage: they would not come back another time.
+// mayWait reports whether a call waits for a place.
 func (s *Server) mayWait(c *call) bool {
-	switch {
-	case !c.isLimited():
-		return false
-	case s.admission.isQueued(c.config, c.pool):
-		return true
-	}
-	return s.outlastsOutages(c) && !s.poolRuns(c.pool, time.Now())
-}
-
-// outlastsOutages reports whether a call waits for the end of an outage of its pool.
-func (s *Server) outlastsOutages(c *call) bool {
-	return c.isRetry && s.admission.kind != AdmissionRefuse
+	return c.isLimited() && s.admission.isQueued(c.config, c.pool)
 }
 
 // admit reports whether the concurrency limit of the pool leaves room for a stream, and refuses the call if not.
@@ -272,7 +258,7 @@
 // outlastOutage makes a call that found its pool in an outage wait for the end of it, and reports whether the call has got a
 // place again; if not, it has ended. Only callers who have returned wait, as they would not come back another time; others are refused.
 func (k *callerConn) outlastOutage(a *responseState, c *call) bool {
-	if !k.server.outlastsOutages(c) || a.limiter == nil || c.mayHaveRun || a.headWritten || c.attempts >= c.route.MaxAttempts {
+	if c.queue == nil || !c.isRetry || c.mayHaveRun || a.headWritten || c.attempts >= c.route.MaxAttempts {
 		k.endUnanswered(a, c, c.detail, k.server.outageRetryAfter(c))
 		return false
 	}
--- a/io/tgproxy/outage_test.go
+++ b/io/tgproxy/outage_test.go
@@ -13,7 +13,8 @@
 )
 
 // Guards against callers who come back within the same outage, are refused a second time and are lost: they wait for the
-// pool to run again. Callers who come for the first time are refused at once, as they can come back.
+// pool to run again. Callers who come for the first time are refused at once, as they can come back; so are all where
+// streams do not wait for places.
 func TestReturningCallerOutlastsOutage(t *testing.T) {
 	resumes := []string{"Last-Event-Id: 3"}
 	for name, c := range map[string]struct {
@@ -21,9 +22,11 @@
 		headers   []string
 		status    int
 	}{
-		"first":           {admission: tgproxy.AdmissionAuto, status: http.StatusServiceUnavailable},
-		"returns":         {admission: tgproxy.AdmissionAuto, headers: resumes, status: http.StatusOK},
-		"returnsToRefuse": {admission: tgproxy.AdmissionRefuse, headers: resumes, status: http.StatusServiceUnavailable},
+		"first":   {admission: tgproxy.AdmissionQueue, status: http.StatusServiceUnavailable},
+		"returns": {admission: tgproxy.AdmissionQueue, headers: resumes, status: http.StatusOK},
+		"returnsWithoutQueue": {
+			admission: tgproxy.AdmissionAuto, headers: resumes, status: http.StatusServiceUnavailable,
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newTestProxy(t, 2, withAdmission(c.admission), func(s *proxySetup) {
