Add platform explain: what entries decided about a request

Operators had to read the lines of all entries to see what a request was taken to cost, where its attempts went and why.

--- a/io/tgcommand/platform.go
+++ b/io/tgcommand/platform.go
@@ -34,7 +34,7 @@
 	cmd := newGroupCmd("platform", "Run daemons on the users' platform")
 	cmd.Long = "Runs the daemons on the users' platform. The platform gives each process its settings in the file that " +
 		tgplatform.SettingsEnv + " names."
-	cmd.AddCommand(c.newPlatformCompanionCmd(), c.newPlatformConfigCmd(), c.newPlatformDumpCmd(), c.newPlatformEntryCmd(),
+	cmd.AddCommand(c.newPlatformCompanionCmd(), c.newPlatformConfigCmd(), c.newPlatformDumpCmd(), c.newPlatformEntryCmd(), c.newPlatformExplainCmd(),
 		c.newPlatformQuarantineCmd(), c.newPlatformStatusCmd())
 	return cmd
 }
