Judge by likely lengths what a stopping entry may take at first

While the platform still sends new connections, the ninth decile of the estimate counts for streams that can be resumed; after that the longest answers count, as before.

--- a/core/tgdrain/forecast.go
+++ b/core/tgdrain/forecast.go
@@ -16,6 +16,7 @@
 // Work is a request that asks a process that stops to take it.
 type Work struct {
 	ExpiresAt time.Time // when its caller or its route ends it
+	Likely    float64   // events that hardly any answer to such a request exceeds; 0 if only the longest ones count
 	Tokens    float64   // most tokens of its answer; 0 if unknown
 }
 
@@ -79,12 +80,12 @@
 	if !w.ExpiresAt.After(end) {
 		return true
 	}
-	d, known := f.duration(w.Tokens, now)
+	d, known := f.duration(w, now)
 	return known && !now.Add(d).After(end)
 }
 
 // duration returns how long an answer may take. It is unknown until an answer has ended, or while its events have no pace.
-func (f *Forecast) duration(tokens float64, now time.Time) (d time.Duration, known bool) {
+func (f *Forecast) duration(w Work, now time.Time) (d time.Duration, known bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	first, known := f.firstEvent.value(now)
@@ -92,8 +93,11 @@
 		return 0, false
 	}
 	events, _ := f.events.value(now)
-	if ratio, ok := f.perToken.value(now); ok && tokens > 0 {
-		events = ratio * tokens
+	if ratio, ok := f.perToken.value(now); ok && w.Tokens > 0 {
+		events = ratio * w.Tokens
+	}
+	if w.Likely > 0 {
+		events = min(events, w.Likely)
 	}
 	gap := max(f.pace.mean(minEvents, now), f.previous.mean(1, now))
 	if gap == 0 {
--- a/core/tgdrain/forecast_test.go
+++ b/core/tgdrain/forecast_test.go
@@ -52,6 +52,10 @@
 			"more tokens than streams so far", func(f *Forecast) { stream(f, 100*time.Millisecond, 0) },
 			Work{ExpiresAt: start.Add(expiry), Tokens: 200}, 0, false,
 		},
+		{
+			"likely shorter than streams with as many tokens", func(f *Forecast) { stream(f, 100*time.Millisecond, 0) },
+			Work{ExpiresAt: start.Add(expiry), Likely: 20, Tokens: 200}, 0, true,
+		},
 		{
 			"unknown tokens", func(f *Forecast) { stream(f, 100*time.Millisecond, 0) },
 			Work{ExpiresAt: start.Add(expiry)}, 0, true,
--- a/io/tgproxy/call.go
+++ b/io/tgproxy/call.go
@@ -111,9 +111,14 @@
 	return tgstreamlimit.Request{Priority: c.priority(), Retry: c.isRetry}
 }
 
-// work returns what is known of the length of the answer.
-func (c *call) work() tgdrain.Work {
-	return tgdrain.Work{ExpiresAt: c.expiresAt, Tokens: c.costRequest.MaxOutput}
+// work returns what is known of the length of the answer, by the longest answers on the route and, if likely is true, by the
+// estimate for the request.
+func (c *call) work(likely bool) tgdrain.Work {
+	w := tgdrain.Work{ExpiresAt: c.expiresAt, Tokens: c.costRequest.MaxOutput}
+	if b := c.estimate.Basis; likely && (b == tgcost.BasisHint || b == tgcost.BasisRoute) {
+		w.Likely = c.estimate.P90 / c.tokensPerEvent()
+	}
+	return w
 }
 
 // requestHead returns the head of the request to an upstream. lastEventID is that of the last event that the caller has
--- a/io/tgproxy/cost.go
+++ b/io/tgproxy/cost.go
@@ -58,9 +58,14 @@
 	}
 }
 
-// recordTokens records that the upstream has produced more events of a stream. An engine writes an event in each pass.
+// tokensPerEvent returns the tokens of an event of a stream: an engine writes one event in each pass.
+func (c *call) tokensPerEvent() float64 {
+	return float64(max(1, c.config.Pools[c.pool].Engine.StepsPerPass))
+}
+
+// recordTokens records that the upstream has produced more events of a stream.
 func (c *call) recordTokens(events int) {
-	tokens := float64(events * max(1, c.config.Pools[c.pool].Engine.StepsPerPass))
+	tokens := float64(events) * c.tokensPerEvent()
 	c.produced += tokens
 	if c.job != nil {
 		c.job.Progress(tokens)
--- a/io/tgproxy/forward.go
+++ b/io/tgproxy/forward.go
@@ -56,7 +56,6 @@
 		k.endUnanswered(a, c, "pool outage: no upstream runs requests at present", s.outageRetryAfter(c))
 		return
 	}
-	s.estimate(c)
 	if !k.admit(a, c, upstreams) {
 		return
 	}
--- a/io/tgproxy/handle.go
+++ b/io/tgproxy/handle.go
@@ -32,6 +32,7 @@
 		}
 		return k.refuse(c, status, outcome, wait, r.KeepAlive)
 	}
+	s.estimate(c)
 	if !s.canFinish(c) {
 		c.detail = detailStops
 		return k.refuse(c, http.StatusServiceUnavailable, outcomeRefused, 0, false)
--- a/io/tgproxy/serve.go
+++ b/io/tgproxy/serve.go
@@ -191,10 +191,17 @@
 // detailStops is the detail of a refusal by canFinish.
 const detailStops = "the server stops before the answer can be complete"
 
-// canFinish reports whether a call can be answered in full before the server stops.
+// canFinish reports whether a call can be answered in full before the server stops. While the platform still sends new
+// connections, other entries are harder to reach and the few answers that turn out longer than likely can be resumed;
+// after that, the longest answers count.
 func (s *Server) canFinish(c *call) bool {
 	end := s.drainEnd.Load()
-	return end == nil || c.forecast.CanFinish(c.work(), time.Now(), *end)
+	if end == nil {
+		return true
+	}
+	now, limits := time.Now(), s.limits.Load()
+	accepting := now.Before(end.Add(drainAcceptPeriod - limits.DrainGrace + limits.ShutdownReserve))
+	return c.forecast.CanFinish(c.work(accepting && c.route.Resumable), now, *end)
 }
 
 func (s *Server) isDraining() bool { return s.drainEnd.Load() != nil }
--- a/io/tgproxy/stream.go
+++ b/io/tgproxy/stream.go
@@ -194,7 +194,7 @@
 	if c.events.count == 0 {
 		first = now.Sub(c.receivedAt)
 	}
-	c.forecast.RecordEnd(first, c.events.count, c.costRequest.MaxOutput, now)
+	c.forecast.RecordEnd(first-c.waited, c.events.count, c.costRequest.MaxOutput, now)
 	k.server.observer.Request(c.newEvent(outcomeAnswered, http.StatusOK, now))
 	return tgpicker.OutcomeAnswered, verdictDone
 }
