Take a count of less than one token for none

TestParseTokenCounts has a row for it that failed ("0.9 (prompt float64) != 0"; go test ./core/tgcost).

--- a/core/tgcost/estimator_test.go
+++ b/core/tgcost/estimator_test.go
@@ -103,6 +103,7 @@
 		{"1e300,80", maxTokens, 80},
 		{"inf,+Inf", 0, 0},
 		{"nan,NaN", 0, 0},
+		{"0.9,1e-300", 0, 0},
 		{"x,80", 0, 80},
 	} {
 		prompt, answer := ParseTokenCounts(test.text)
--- a/core/tgcost/request.go
+++ b/core/tgcost/request.go
@@ -19,11 +19,11 @@
 	Route     string
 }
 
-// ParseTokens returns a declared number of tokens, or 0 if the text is not a positive finite number. Higher numbers than
-// maxTokens count as that many.
+// ParseTokens returns a declared number of tokens, or 0 if the text is not a finite number of at least 1: ratios to less
+// than a token would be without bound. Higher numbers than maxTokens count as that many.
 func ParseTokens(text string) float64 {
 	n, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
-	if err != nil || !(n > 0) || math.IsInf(n, 0) { // not a number compares false
+	if err != nil || !(n >= 1) || math.IsInf(n, 0) { // not a number compares false
 		return 0
 	}
 	return min(n, maxTokens)
