Let routes with few accounts learn on

Answers of an account with more than a quarter of a route count no longer, so that it cannot set the estimates of others. On a route of up to four accounts with equal traffic all, or all but one, have more, and its lengths stayed those of the first 40 answers for good, or those of one account. An account may now have 1.5 times an equal share at least.

--- a/core/tgcost/estimator.go
+++ b/core/tgcost/estimator.go
@@ -12,12 +12,13 @@
 
 const (
 	shardCount        = 8
-	maxRoutes         = 64  // of a shard; the route that was idle for longest makes room
-	maxAccounts       = 128 // of a route, likewise
-	minSamples        = 20  // answers before the learned lengths replace the prior
-	accountPrior      = 20  // answers of an account that count as much as the rest of its route
-	maxAccountShare   = 0.25
-	defaultAnswer     = 100 // tokens, if neither answers nor the configuration tell
+	maxRoutes         = 64   // of a shard; the route that was idle for longest makes room
+	maxAccounts       = 128  // of a route, likewise
+	minSamples        = 20   // answers before the learned lengths replace the prior
+	accountPrior      = 20   // answers of an account that count as much as the rest of its route
+	maxAccountShare   = 0.25 // of a route's answers, or maxEqualShares if that is more
+	maxEqualShares    = 1.5  // times the share of each account if all had as many answers; above 1, as they vary
+	defaultAnswer     = 100  // tokens, if neither answers nor the configuration tell
 	maxAccountFactor  = 4.0
 	maxImportedWeight = 60 // answers that the summary of a peer counts for
 )
@@ -121,8 +122,8 @@
 	}
 }
 
-// observeAccount records an answer for its account and reports whether it may count for the route: an account that already
-// has more than maxAccountShare of the route's weight does not, so that it cannot set the estimates of the others.
+// observeAccount records an answer for its account and reports whether it may count for the route: the answers of an account
+// that already has too much of the route's weight do not, so that it cannot set the estimates of the others.
 func (rt *route) observeAccount(name string, tokens float64, now time.Time) bool {
 	a, ok := rt.accounts[name]
 	if !ok {
@@ -139,7 +140,8 @@
 	if a.weight++; a.weight > maxWeight {
 		a.weight, a.logError = a.weight/2, a.logError/2
 	}
-	return rt.tokens.Total < 2*minSamples || a.weight <= maxAccountShare*rt.totalWeight()
+	share := max(maxAccountShare, maxEqualShares/float64(len(rt.accounts)))
+	return rt.tokens.Total < 2*minSamples || a.weight <= share*rt.totalWeight()
 }
 
 // totalWeight returns the observations of all accounts of the route.
--- a/core/tgcost/estimator_test.go
+++ b/core/tgcost/estimator_test.go
@@ -168,3 +168,21 @@
 		assert.Assert(t, st.Accounts <= maxAccounts, name)
 	}
 }
+
+// Guards against estimates that no longer follow the answers of a route with few accounts: each of them has more than
+// maxAccountShare of the route's answers, so that none counted.
+func TestFewAccountsAreLearned(t *testing.T) {
+	for accounts := 1; accounts <= 5; accounts++ {
+		e := NewEstimator()
+		for i := range 2000 {
+			tokens := 100.0
+			if i >= 500 {
+				tokens = 3000
+			}
+			r := Request{Account: strconv.Itoa(i % accounts), Route: "r"}
+			e.Observe(r, e.Estimate(r, start), tokens, start)
+		}
+		median := e.Estimate(Request{Account: "new", Route: "r"}, start).Median
+		assert.Assert(t, median > 2500 && median < 3500, "%d accounts: %.0f", accounts, median)
+	}
+}
