Keep the time of a clearing when entries tell it in turn

A notice states times as ages, so a receiver takes them for later by the delay of the notice. Entries kept the later of two times, so a clearing that they told each other in turn became later with each notice, until it voided a crash that had come after it, and requests with the part were sent at once again. A time that is later by less than 100 ms is taken for the known one. TestClearingKeepsItsTime (two entries, 1 ms of delay) failed with "send" in place of "try" (go test ./core/tgquarantine).

--- a/core/tgquarantine/notice.go
+++ b/core/tgquarantine/notice.go
@@ -254,15 +254,19 @@
 	t.addParts(c, validParts(n.Begun), ProgressBegun)
 }
 
+// maxNoticeDelay is how much later than it was a time may seem that a notice states as an age. A time that is later by less
+// is taken for the known one.
+const maxNoticeDelay = 100 * time.Millisecond
+
 func (t *Table) mergeCleared(n ClearedNotice, now time.Time) {
 	if n.Age < 0 || n.Age >= crashRetention || n.Answered < 0 || len(n.Part) > maxPartBytes {
 		return
 	}
 	c := t.cleared[n.Part]
-	if at := now.Add(-n.Age); at.After(c.proven) {
+	if at := now.Add(-n.Age); at.Sub(c.proven) > maxNoticeDelay {
 		c.proven = at
 	}
-	if at := now.Add(-n.Answered); n.Answered > 0 && at.After(c.answered) {
+	if at := now.Add(-n.Answered); n.Answered > 0 && at.Sub(c.answered) > maxNoticeDelay {
 		c.answered = at
 	}
 	t.cleared[n.Part] = c
