Derive suspects anew only after a notice with something new

Each notice of a peer made a pass over all crashes under the lock of the table, also one that only repeats what is known or tells of a trial. What notices change marks the derived fields as stale now, and what is too old is dropped once a minute. TestRepeatedNoticeIsCheap failed, since the suspect was derived anew.

--- a/core/tgquarantine/derive.go
+++ b/core/tgquarantine/derive.go
@@ -10,6 +10,7 @@
 // t.mu.
 func (t *Table) rebuild(now time.Time) {
 	t.expire(now)
+	t.rebuilt, t.stale = now, false
 	old := t.suspects
 	t.suspects = map[string]*suspect{}
 	for start := 0; start < len(t.crashes); {
--- a/core/tgquarantine/evidence.go
+++ b/core/tgquarantine/evidence.go
@@ -83,11 +83,12 @@
 		i, _ = slices.BinarySearchFunc(t.crashes, at, func(c *crash, at time.Time) int { return c.at.Compare(at) })
 		added := &crash{at: at, ids: map[string]bool{}, parts: map[string]Progress{}, upstream: upstream}
 		t.crashes = slices.Insert(t.crashes, i, added)
+		t.stale = true
 	}
 	c := t.crashes[i]
 	for _, id := range ids {
-		if len(c.ids) < maxCrashIDs {
-			c.ids[id] = true
+		if len(c.ids) < maxCrashIDs && !c.ids[id] {
+			c.ids[id], t.stale = true, true
 		}
 	}
 	return c
@@ -100,30 +101,37 @@
 		t.noteKnown(p)
 		old, ok := c.parts[p]
 		if !ok && len(c.parts) >= maxCrashParts && !c.knownMissing {
-			c.knownMissing = true
+			c.knownMissing, t.stale = true, true
 			maps.DeleteFunc(c.parts, func(p string, _ Progress) bool { return t.proven[p] })
 		}
 		switch {
 		case ok && progress.weight() <= old.weight(), c.knownMissing && t.proven[p]:
 		case !ok && len(c.parts) >= maxCrashParts:
+			t.stale = t.stale || !c.partial
 			c.partial = true
 		default:
-			c.parts[p] = progress
+			c.parts[p], t.stale = progress, true
 		}
 	}
 }
 
 // noteKnown notes whether this entry knows answers to requests with a part of a crash.
 func (t *Table) noteKnown(part string) {
-	proven, answered := t.history.find(part)
-	if proven && !t.proven[part] {
-		t.proven[part] = true
+	if proven, answered := t.history.find(part); t.setKnown(part, proven, answered) {
 		t.outgoing = true
 	}
+}
+
+// setKnown sets what answers are known to requests with a part, and reports whether that is new.
+func (t *Table) setKnown(part string, proven, answered bool) (isNew bool) {
+	if proven && !t.proven[part] {
+		t.proven[part], isNew = true, true
+	}
 	if answered && !t.answered[part] {
-		t.answered[part] = true
-		t.outgoing = true
+		t.answered[part], isNew = true, true
 	}
+	t.stale = t.stale || isNew
+	return isNew
 }
 
 // clearing is what answers have shown of a part that was suspect.
--- a/core/tgquarantine/notice.go
+++ b/core/tgquarantine/notice.go
@@ -212,14 +212,16 @@
 		t.loadEnd = time.Time{}
 	}
 	t.mergeClaims(n.VM, n.Claims[:min(len(n.Claims), maxNoticeClaims)], now)
-	t.rebuild(now)
+	if t.stale || now.Sub(t.rebuilt) >= expiryInterval {
+		t.rebuild(now)
+	}
 	t.notify(false)
 }
 
 // mergeParts applies what a notice says of crashes and parts. The caller holds t.mu.
 func (t *Table) mergeParts(n *Notice, now time.Time) {
 	for _, p := range validParts(n.Proven) {
-		t.proven[p] = true
+		t.setKnown(p, true, false)
 	}
 	for i := range n.Crashes[:min(len(n.Crashes), maxNoticeCrashes)] {
 		t.mergeCrash(&n.Crashes[i], now)
@@ -229,7 +231,7 @@
 	}
 	for _, s := range n.Saved[:min(len(n.Saved), maxNoticeSaved)] {
 		if _, ok := t.saved[s.Part]; !ok && len(t.saved) < maxSaved && len(s.Part) <= maxPartBytes {
-			t.saved[s.Part] = s.Record
+			t.saved[s.Part], t.stale = s.Record, true
 		}
 	}
 }
@@ -239,15 +241,13 @@
 		return
 	}
 	c := t.addCrash(n.Upstream, n.IDs[:min(len(n.IDs), maxCrashIDs)], now.Add(-n.Age))
+	t.stale = t.stale || n.KnownMissing && !c.knownMissing || n.Partial && !c.partial
 	c.knownMissing, c.partial = c.knownMissing || n.KnownMissing, c.partial || n.Partial
 	for i, p := range slices.Concat(n.Parts, n.Begun, n.Resumed) {
 		if i >= len(n.Knowledge) || n.Knowledge[i] == knowsNothing || len(p) > maxPartBytes {
 			continue
 		}
-		t.proven[p] = true
-		if n.Knowledge[i] == knowsAnswered {
-			t.answered[p] = true
-		}
+		t.setKnown(p, true, n.Knowledge[i] == knowsAnswered)
 	}
 	t.addParts(c, validParts(n.Parts), ProgressNone)
 	t.addParts(c, validParts(n.Resumed), ProgressResumed)
@@ -269,7 +269,9 @@
 	if at := now.Add(-n.Answered); n.Answered > 0 && at.Sub(c.answered) > maxNoticeDelay {
 		c.answered = at
 	}
-	t.cleared[n.Part] = c
+	if c != t.cleared[n.Part] {
+		t.cleared[n.Part], t.stale = c, true
+	}
 }
 
 // validParts returns the parts of a notice that may be kept.
--- a/core/tgquarantine/notice_test.go
+++ b/core/tgquarantine/notice_test.go
@@ -25,3 +25,24 @@
 		assert.Equal(t, table.Decide([]string{"p"}, now.Add(time.Minute)).Verdict, VerdictTry)
 	}
 }
+
+// Guards against notices that each cost a pass over all crashes, although they only repeat what is known or tell of a
+// trial: with hundreds of entries, the table would be locked for most of the time.
+func TestRepeatedNoticeIsCheap(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a, b := NewTable("a"), NewTable("b")
+	a.RecordCrash("u1", []string{"p", "q"}, ProgressNone, now)
+	a.Answered([]string{"q"}, now.Add(time.Second))
+	at := now.Add(2 * time.Second)
+	b.Merge(a.Notice(at), at)
+	suspects := b.suspects["p"]
+	assert.Assert(t, a.Claim([]string{"p"}, at) != nil)
+	b.Merge(a.Notice(at), at.Add(time.Millisecond))
+	assert.Equal(t, b.suspects["p"], suspects) // not derived anew
+	assert.Equal(t, b.Decide([]string{"p"}, at).Verdict, VerdictWait)
+	a.RecordCrash("u2", []string{"p"}, ProgressNone, at)
+	b.Merge(a.Notice(at), at)
+	assert.Equal(t, b.Decide([]string{"p"}, at).Verdict, VerdictRefuse)
+	b.Merge(&Notice{VM: "c"}, at.Add(crashRetention+time.Second))
+	assert.Equal(t, len(b.suspects), 0) // expired
+}
--- a/core/tgquarantine/table.go
+++ b/core/tgquarantine/table.go
@@ -15,6 +15,7 @@
 )
 
 const (
+	expiryInterval   = time.Minute            // in which what is too old is dropped at the latest, if there are notices
 	burstGap         = 300 * time.Millisecond // crashes closer to each other than this may have one common cause
 	loadTime         = 600 * time.Millisecond // for which an entry waits for the quarantines of the store and its peers
 	crashRetention   = 2 * time.Hour          // longer than a quarantine, so that one trial follows it
@@ -45,7 +46,9 @@
 	obsolete map[string]bool     // parts whose records this entry has to remove from the store
 	outgoing bool                // changes of this entry that the others have not been sent
 	proven   map[string]bool     // parts of crashes with answers that went on for ProofTime, at this or another entry
+	rebuilt  time.Time           // when the derived fields were last derived
 	saved    map[string]Record   // of the store, by part
+	stale    bool                // the derived fields do not follow from the others any more
 	suspects map[string]*suspect // derived from the fields above
 	unknown  map[string][]string // suspects of which no answer is known, by the ID of their last crash; derived
 	updated  chan struct{}       // capacity 1: changes are to be logged or sent
