--- a/core/tgcost/histogram.go
+++ b/core/tgcost/histogram.go
@@ -12,7 +12,7 @@
 // Histogram is a histogram with logarithmic buckets whose older observations fade. The zero value is empty.
 type Histogram struct {
 	Counts [bucketCount]float32 `cbor:"1,keyasint"` // weight of the observations, by bucket; none is negative
-	// origin is the bucket of the value 1: 0 for lengths, centreBucket for ratios.
+	// Origin is the bucket of the value 1: 0 for lengths, centreBucket for ratios.
 	Origin int     `cbor:"2,keyasint"`
 	Total  float64 `cbor:"3,keyasint"` // sum of Counts, at most maxWeight
 }
--- a/core/tgdrain/forecast.go
+++ b/core/tgdrain/forecast.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	memory       = 30 * time.Second // long enough that a route has had some of its longest answers
+	retention    = 30 * time.Second // of observations: long enough that a route has had some of its longest answers
 	paceWindow   = 2 * time.Second  // about a stream: the pace is a mean, as single pauses say nothing of a whole answer
 	minEvents    = 20               // of a window that shows the pace before it is over
 	safetyFactor = 1.2              // a new answer may be longer or slower than those seen by this factor
@@ -39,7 +39,7 @@
 
 // mean returns the mean time between events, in seconds; 0 if the window has too few or is too old to tell.
 func (w *gapWindow) mean(least int, now time.Time) float64 {
-	if w.events < least || now.Sub(w.start) >= memory {
+	if w.events < least || now.Sub(w.start) >= retention {
 		return 0
 	}
 	return w.seconds / float64(w.events)
@@ -108,10 +108,10 @@
 // noValue is that of a time in which a peak had none; observed ones are not negative.
 const noValue = -1.0
 
-// peak is the highest of the values observed in the last part of memory, which is half of it at least.
+// peak is the highest of the values observed within retention, or within a part of it that is half of it at least.
 type peak struct {
 	current  float64 // highest value since start
-	previous float64 // highest value in the half of memory before start
+	previous float64 // highest value in the half of retention before start
 	start    time.Time
 }
 
@@ -122,7 +122,7 @@
 	p.current = max(p.current, v)
 }
 
-// value returns the highest value; ok is false if none is in memory.
+// value returns the highest value; ok is false if there is none.
 func (p *peak) value(now time.Time) (v float64, ok bool) {
 	p.expire(now)
 	v = max(p.current, p.previous)
@@ -131,9 +131,9 @@
 
 func (p *peak) expire(now time.Time) {
 	switch age := now.Sub(p.start); {
-	case age >= memory:
+	case age >= retention:
 		p.previous, p.current, p.start = noValue, noValue, now
-	case age >= memory/2:
-		p.previous, p.current, p.start = p.current, noValue, p.start.Add(memory/2)
+	case age >= retention/2:
+		p.previous, p.current, p.start = p.current, noValue, p.start.Add(retention/2)
 	}
 }
--- a/core/tgdrain/forecast_test.go
+++ b/core/tgdrain/forecast_test.go
@@ -80,7 +80,7 @@
 		},
 		{
 			"the last answers are too long ago", func(f *Forecast) { stream(f, 100*time.Millisecond, 0) },
-			Work{ExpiresAt: start.Add(time.Minute), Tokens: 100}, memory, false,
+			Work{ExpiresAt: start.Add(time.Minute), Tokens: 100}, retention, false,
 		},
 		{
 			"the pace is unknown", func(f *Forecast) { f.RecordEnd(100*time.Millisecond, 20, 100, start) },
--- a/core/tggroupview/view.go
+++ b/core/tggroupview/view.go
@@ -35,10 +35,10 @@
 
 // load is the load of one engine.
 type load struct {
-	known  bool
-	memory float64
-	read   time.Time // when the engine had it
-	stream float64
+	known   bool
+	memory  float64   // share that is used, from 0 to 1
+	read    time.Time // when the engine had it
+	streams float64
 }
 
 // position is the place of an engine among the groups.
@@ -163,7 +163,7 @@
 	}
 	loads := make([]load, len(n.Loads))
 	for rank, l := range n.Loads {
-		loads[rank] = load{known: l.known(), memory: l.memory(), read: now.Add(-l.age()), stream: l.streams()}
+		loads[rank] = load{known: l.known(), memory: l.memory(), read: now.Add(-l.age()), streams: l.streams()}
 	}
 	g.loads = loads
 }
@@ -225,7 +225,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	l, ok := v.load(addr, now)
-	return l.stream, now.Sub(l.read), ok
+	return l.streams, now.Sub(l.read), ok
 }
 
 // Memory returns the share of the memory of the engine at addr that is used.
@@ -270,7 +270,7 @@
 		}
 		for _, m := range g.members {
 			if l, ok := v.load(m, now); ok {
-				s.Streams += l.stream
+				s.Streams += l.streams
 			}
 		}
 		states = append(states, s)
--- a/core/tgstreamlimit/breaker.go
+++ b/core/tgstreamlimit/breaker.go
@@ -13,13 +13,14 @@
 	outagesKept         = 4                      // that tell how long one lasts; engines come back after similar times
 	returnMargin        = 500 * time.Millisecond // from the end of an outage until all entries know of it and new callers are in
 	returnSpread        = time.Second            // callers come back spread over this time, since the pool can't take all at once
-	// So many upstreams in a row that were replaced by others have all started again, and the new ones are not registered yet.
+	// After this many upstreams in a row that were replaced by others, all are taken to have restarted without being
+	// registered again yet.
 	maxReplacedInRow = 4
 )
 
-// Breaker is the circuit breaker of a whole pool, for failures that stop all of its work, such as the loss of a rank of
-// a group. While it is open, one request per probeInterval tests the pool, and all others are refused at once. It is
-// safe for concurrent use.
+// Breaker is the circuit breaker of a pool with one rank group, or of one group of a pool, for failures that stop all of
+// its work, such as the loss of a rank. While it is open, one request per probeInterval tests the pool or group. Others are
+// not sent there. It is safe for concurrent use.
 type Breaker struct {
 	mu        sync.Mutex
 	nextProbe time.Time       // earliest time of the next probe while open
@@ -68,6 +69,13 @@
 	b.openSince = time.Time{}
 }
 
+// IsOpen reports whether the pool is taken to run nothing at present.
+func (b *Breaker) IsOpen() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.openSince.IsZero()
+}
+
 // Allow reports whether a request may be sent. While the breaker is open, it allows one probe per probeInterval.
 func (b *Breaker) Allow(now time.Time) bool {
 	b.mu.Lock()
--- a/core/tgstreamlimit/places.go
+++ b/core/tgstreamlimit/places.go
@@ -86,10 +86,3 @@
 
 // IsBeyondLimit reports whether the stream uses a place beyond the limit.
 func (t *Ticket) IsBeyondLimit() bool { return t.beyond }
-
-// IsOpen reports whether the pool is taken to run nothing at present.
-func (b *Breaker) IsOpen() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return !b.openSince.IsZero()
-}
