Refuse histograms with a negative total from peers

Rounding is allowed for, so that -0.005 with no counts passed. Its spread is infinite, and the state dump fails to encode that as JSON. TestMergeSummaries has the case, which failed with 1 summary used.

--- a/core/tgcost/estimator_test.go
+++ b/core/tgcost/estimator_test.go
@@ -152,6 +152,9 @@
 	bad.Route = "bad"
 	bad.Tokens.Counts[3] = float32(math.NaN())
 	assert.Equal(t, e.Merge([]Summary{bad}, start), 0)
+
+	bad.Tokens = Histogram{Total: -0.005} // its spread is infinite, which a dump cannot show
+	assert.Equal(t, e.Merge([]Summary{bad}, start), 0)
 }
 
 // Guards against memory that grows with the names that callers and configurations bring along.
--- a/core/tgcost/histogram.go
+++ b/core/tgcost/histogram.go
@@ -97,5 +97,5 @@
 		}
 		total += float64(n)
 	}
-	return h.Origin == origin && math.Abs(total-h.Total) <= 0.01*max(1, h.Total) && h.Total <= 2*maxWeight
+	return h.Origin == origin && h.Total >= 0 && math.Abs(total-h.Total) <= 0.01*max(1, h.Total) && h.Total <= 2*maxWeight
 }
