--- a/core/tgcost/estimator_test.go
+++ b/core/tgcost/estimator_test.go
@@ -103,6 +103,7 @@
 		{"1e300,80", maxTokens, 80},
 		{"inf,+Inf", 0, 0},
 		{"nan,NaN", 0, 0},
+		{"0.9,1e-300", 0, 0},
 		{"x,80", 0, 80},
 	} {
 		prompt, answer := ParseTokenCounts(test.text)
@@ -151,6 +152,9 @@
 	bad.Route = "bad"
 	bad.Tokens.Counts[3] = float32(math.NaN())
 	assert.Equal(t, e.Merge([]Summary{bad}, start), 0)
+
+	bad.Tokens = Histogram{Total: -0.005} // its spread is infinite, which a dump cannot show
+	assert.Equal(t, e.Merge([]Summary{bad}, start), 0)
 }
 
 // Guards against memory that grows with the names that callers and configurations bring along.
@@ -167,3 +171,21 @@
 		assert.Assert(t, st.Accounts <= maxAccounts, name)
 	}
 }
+
+// Guards against estimates that no longer follow the answers of a route with few accounts: each of them has more than
+// maxAccountShare of the route's answers, so that none counted.
+func TestFewAccountsAreLearned(t *testing.T) {
+	for accounts := 1; accounts <= 5; accounts++ {
+		e := NewEstimator()
+		for i := range 2000 {
+			tokens := 100.0
+			if i >= 500 {
+				tokens = 3000
+			}
+			r := Request{Account: strconv.Itoa(i % accounts), Route: "r"}
+			e.Observe(r, e.Estimate(r, start), tokens, start)
+		}
+		median := e.Estimate(Request{Account: "new", Route: "r"}, start).Median
+		assert.Assert(t, median > 2500 && median < 3500, "%d accounts: %.0f", accounts, median)
+	}
+}
--- a/core/tgcost/histogram.go
+++ b/core/tgcost/histogram.go
@@ -12,7 +12,7 @@
 // Histogram is a histogram with logarithmic buckets whose older observations fade. The zero value is empty.
 type Histogram struct {
 	Counts [bucketCount]float32 `cbor:"1,keyasint"` // weight of the observations, by bucket; none is negative
-	// origin is the bucket of the value 1: 0 for lengths, centreBucket for ratios.
+	// Origin is the bucket of the value 1: 0 for lengths, centreBucket for ratios.
 	Origin int     `cbor:"2,keyasint"`
 	Total  float64 `cbor:"3,keyasint"` // sum of Counts, at most maxWeight
 }
@@ -97,5 +97,5 @@
 		}
 		total += float64(n)
 	}
-	return h.Origin == origin && math.Abs(total-h.Total) <= 0.01*max(1, h.Total) && h.Total <= 2*maxWeight
+	return h.Origin == origin && h.Total >= 0 && math.Abs(total-h.Total) <= 0.01*max(1, h.Total) && h.Total <= 2*maxWeight
 }
