Bound forecasts and deadlines before they become durations

A float beyond the range of a time.Duration converts to a negative one on x86-64, and to the largest one on arm64: a stopping entry would take a request that can't end, and a deadline of 1e300 ms would be over at once.

--- a/core/tgdrain/forecast.go
+++ b/core/tgdrain/forecast.go
@@ -10,6 +10,7 @@
 	retention    = 30 * time.Second // of observations: long enough that a route has had some of its longest answers
 	paceWindow   = 2 * time.Second  // about a stream: the pace is a mean, as single pauses say nothing of a whole answer
 	minEvents    = 20               // of a window that shows the pace before it is over
+	maxDuration  = time.Hour        // a longer forecast counts as this long; far longer ones overflow a time.Duration
 	safetyFactor = 1.2              // a new answer may be longer or slower than those seen by this factor
 )
 
@@ -106,7 +107,8 @@
 	if events > 1 && gap == 0 {
 		return 0, false
 	}
-	return time.Duration(safetyFactor * (first + max(0, events-1)*gap) * float64(time.Second)), true
+	seconds := min(safetyFactor*(first+max(0, events-1)*gap), maxDuration.Seconds())
+	return time.Duration(seconds * float64(time.Second)), true
 }
 
 // noValue is that of a time in which a peak had none; observed ones are not negative.
--- a/core/tgdrain/forecast_test.go
+++ b/core/tgdrain/forecast_test.go
@@ -56,6 +56,10 @@
 			"likely shorter than streams with as many tokens", func(f *Forecast) { stream(f, 100*time.Millisecond, 0) },
 			Work{ExpiresAt: start.Add(expiry), Likely: 20, Tokens: 200}, 0, true,
 		},
+		{
+			"tokens beyond the range of a duration", func(f *Forecast) { stream(f, 100*time.Millisecond, 0) },
+			Work{ExpiresAt: start.Add(expiry), Tokens: 1e300}, 0, false,
+		},
 		{
 			"unknown tokens", func(f *Forecast) { stream(f, 100*time.Millisecond, 0) },
 			Work{ExpiresAt: start.Add(expiry)}, 0, true,
--- a/io/tgproxy/call.go
+++ b/io/tgproxy/call.go
@@ -71,7 +71,8 @@
 	}
 	wait := defaultDeadline
 	if ms, err := strconv.ParseFloat(r.Header.Get(s.headers.DeadlineMs), 64); err == nil && ms >= 0 {
-		wait = min(time.Duration(ms*float64(time.Millisecond)), maxDeadline)
+		// A float beyond the range of a time.Duration converts to a negative one on some processors.
+		wait = time.Duration(min(ms*float64(time.Millisecond), float64(maxDeadline)))
 	}
 	c.callerDeadline = receivedAt.Add(wait)
 	c.expiresAt = c.callerDeadline
