Sort fields and wrap comments after the merges of the proxy

The fields of call, Event, Server and State, and the pairs of log lines, had come out of order in merges; two comments exceeded the line length. No change of behaviour.

--- a/io/tgfleet/saver.go
+++ b/io/tgfleet/saver.go
@@ -22,8 +22,9 @@
 
 // QuarantineSaver writes what this entry has learnt of parts of prompts at crashes to the store, so that it outlives all
 // entries. These may be about to end, so no record waits for the answer to another one, and a write without an answer is
-// sent again on another connection. What other entries have learnt is written if they have not done so. Writes of a value may be repeated and come late; a removal would end what came before
-// it, so it and the values of its key are never written at the same time.
+// sent again on another connection. What other entries have learnt is written if they have not done so. Writes of a value
+// may be repeated and come late; a removal would end what came before it, so it and the values of its key are never written
+// at the same time.
 type QuarantineSaver struct {
 	OnFailed func(err error) // a write failed; it is repeated. Called by several goroutines
 	Store    Store
--- a/io/tgproxy/admission.go
+++ b/io/tgproxy/admission.go
@@ -256,7 +256,8 @@
 }
 
 // outlastOutage makes a call that found its pool in an outage wait for the end of it, and reports whether the call has got a
-// place again; if not, it has ended. Only callers who have returned wait, as they would not come back another time; others are refused.
+// place again; if not, it has ended. Only callers who have returned wait, as they would not come back another time; others
+// are refused.
 func (k *callerConn) outlastOutage(a *responseState, c *call) bool {
 	if c.queue == nil || !c.isRetry || c.mayHaveRun || a.headWritten || c.attempts >= c.route.MaxAttempts {
 		k.endUnanswered(a, c, c.detail, k.server.outageRetryAfter(c))
--- a/io/tgproxy/call.go
+++ b/io/tgproxy/call.go
@@ -23,25 +23,25 @@
 	buffers        *bufferLease
 	callerDeadline time.Time // as the caller declared it, or the default
 	config         *tgcatalog.Config
+	conns          []*upstreamConn // that carried an earlier try; a late copy of its answer has the same ID
 	cost           float64         // load on an upstream, in streams without a prompt
 	costRequest    tgcost.Request  // what is known of a stream's cost
-	estimate       tgcost.Estimate // of a stream; the zero value if it was not estimated
-	job            *tgworkload.Job // of the present attempt at a stream; nil without one
-	conns          []*upstreamConn // that carried an earlier try; a late copy of its answer has the same ID
 	detail         string          // why the last attempt failed, for the log
+	estimate       tgcost.Estimate // of a stream; the zero value if it was not estimated
 	events         eventTimes
 	expiresAt      time.Time         // earlier of the caller's deadline and the end of the route's timeout
 	forecast       *tgdrain.Forecast // of the route's answers
 	groups         callGroups
 	headers        *Headers
-	id             string    // of the attempt, set by the caller
-	isRetry        bool      // the caller was presumably refused before; see Server.isRetry
-	mayHaveRun     bool      // an upstream may have run it, so no refusal may claim that it has not run
-	placedAt       time.Time // when it got its place
-	placedBy       string    // beside the streams of this process, what the present attempt's upstream was chosen by
+	id             string          // of the attempt, set by the caller
+	isRetry        bool            // the caller was presumably refused before; see Server.isRetry
+	job            *tgworkload.Job // of the present attempt at a stream; nil without one
+	mayHaveRun     bool            // an upstream may have run it, so no refusal may claim that it has not run
+	placedAt       time.Time       // when it got its place
+	placedBy       string          // beside the streams of this process, what the present attempt's upstream was chosen by
 	pool           string
-	promptParts    []string   // IDs of the parts of the prompt that other requests may share
 	produced       float64    // tokens of the answer so far, of a stream
+	promptParts    []string   // IDs of the parts of the prompt that other requests may share
 	queue          *waitQueue // from which it got its place; nil if it did not come by a queue
 	receivedAt     time.Time
 	request        *tghttp.Request
--- a/io/tgproxy/options.go
+++ b/io/tgproxy/options.go
@@ -57,22 +57,22 @@
 	ConfigVersion    int64
 	Detail           string
 	Elapsed          time.Duration
-	ExpectedTokens   float64       // of the answer, at the median; 0 if no length was estimated
 	ExpectedBasis    string        // what the expectation is based on
+	ExpectedTokens   float64       // of the answer, at the median; 0 if no length was estimated
 	ExpectedWait     time.Duration // for a place, of a stream that was refused one
 	ID               string
 	InFlight         int
+	LikelyTokens     float64 // that nine of ten answers of this kind do not exceed
+	Limit            float64
 	LongestPause     time.Duration // between events of a stream
 	Outcome          string
-	LikelyTokens     float64       // that nine of ten answers of this kind do not exceed
 	PeakGap          time.Duration // longest interval between events on which Limit is based
-	Limit            float64
-	PlacedBy         string // beside the streams of the entry, what the upstream was chosen by
+	PlacedBy         string        // beside the streams of the entry, what the upstream was chosen by
 	Pool             string
 	Position         int    // streams that were ahead of a refused one
 	PromptParts      string // IDs of the shared parts of the prompt, of an attempt that failed
-	RetryAfter       time.Duration
 	PromptTokens     float64
+	RetryAfter       time.Duration
 	Returning        bool // the caller was presumably refused before
 	Route            string
 	Status           int
--- a/io/tgproxy/server.go
+++ b/io/tgproxy/server.go
@@ -37,21 +37,21 @@
 	ledger       *tgworkload.Ledger
 	limits       atomic.Pointer[Limits]
 	observer     Observer
-	placement    Placement
 	picker       *tgpicker.Picker
+	placement    Placement
 	quarantine   *tgquarantine.Table
 	rand         func() float64
 	unbegun      unbegunExchanges
 	unevenSpread float64 // see WithUnevenSpread
 
-	mu               sync.Mutex                         // guards the maps below
+	mu               sync.Mutex // guards the maps below
+	callers          map[*callerConn]struct{}
+	forecasts        map[string]*tgdrain.Forecast       // of answers, by route
+	longestDeadlines map[string]time.Duration           // longest time limit of a request so far, by route
 	poolBreakers     map[string]*tgstreamlimit.Breakers // by pool
 	poolProgress     map[string]*tggroupview.Progress   // by pool
-	callers          map[*callerConn]struct{}
-	forecasts        map[string]*tgdrain.Forecast      // of answers, by route
-	longestDeadlines map[string]time.Duration          // longest time limit of a request so far, by route
-	retryBudgets     map[string]*tgretry.WindowBudget  // by pool
-	streamLimiters   map[string]*tgstreamlimit.Limiter // by pool
+	retryBudgets     map[string]*tgretry.WindowBudget   // by pool
+	streamLimiters   map[string]*tgstreamlimit.Limiter  // by pool
 }
 
 // initialStreamLimit is the number of concurrent streams of a pool at the start, until gaps between events show what it
--- a/io/tgproxy/state.go
+++ b/io/tgproxy/state.go
@@ -17,8 +17,8 @@
 	Draining  bool                           `json:"draining"`
 	Pools     map[string]tgstreamlimit.State `json:"pools"`
 	Queues    map[string]tgwaitqueue.State   `json:"queues,omitempty"` // by pool; those of streams that wait for a place
-	Work      map[string]tgworkload.State    `json:"work"`             // left for the streams of this process, by upstream
 	Upstreams []tgpicker.UpstreamState       `json:"upstreams"`
+	Work      map[string]tgworkload.State    `json:"work"` // left for the streams of this process, by upstream
 }
 
 // State returns the current state.
--- a/io/tgreport/report.go
+++ b/io/tgreport/report.go
@@ -96,29 +96,29 @@
 		}
 	}
 	text("account", e.Account)
+	text("basis", e.ExpectedBasis)
 	text("detail", e.Detail)
 	text("id", e.ID)
+	text("placedBy", e.PlacedBy)
 	text("pool", e.Pool)
 	text("promptParts", e.PromptParts)
 	text("route", e.Route)
 	text("upstream", e.Upstream)
 	number("attempts", int64(e.Attempts))
 	number("config", e.ConfigVersion)
-	number("status", int64(e.Status))
+	number("expectedTokens", int64(e.ExpectedTokens))
 	number("expectedWaitMs", e.ExpectedWait.Milliseconds())
 	number("firstEventMs", e.TimeToFirstEvent.Milliseconds())
-	number("longestPauseMs", e.LongestPause.Milliseconds())
-	text("basis", e.ExpectedBasis)
-	number("expectedTokens", int64(e.ExpectedTokens))
 	number("likelyTokens", int64(e.LikelyTokens))
+	number("longestPauseMs", e.LongestPause.Milliseconds())
+	number("position", int64(e.Position))
 	number("promptTokens", int64(e.PromptTokens))
-	text("placedBy", e.PlacedBy)
+	number("status", int64(e.Status))
 	number("tokens", int64(e.Tokens))
+	number("waitedMs", e.Waited.Milliseconds())
 	if e.UpstreamLoad > 0 {
 		f["load"] = math.Round(e.UpstreamLoad*10) / 10
 	}
-	number("position", int64(e.Position))
-	number("waitedMs", e.Waited.Milliseconds())
 	if e.Returning {
 		f["returning"] = true
 	}
