Count the answer of a test of an outage for its group

A stream that waited since before an outage and was let in to test the pool chose no group, so its success went to the breaker without a name, and its group stayed in the outage until the next test. Found by reading; a test that shows it was tried and passed with and without the change.

--- a/io/tgproxy/admission.go
+++ b/io/tgproxy/admission.go
@@ -156,8 +156,10 @@
 	if c.waited > 0 {
 		s.counters.Add("queueAdmitted", 1)
 	}
-	if s.poolRuns(c.pool, time.Now()) {
+	if now := time.Now(); s.poolRuns(c.pool, now) {
 		s.selectGroups(c, true)
+	} else { // it tests the pool, and its answer concerns the group of its upstream
+		c.groups.all = s.poolGroups(c.pool, now)
 	}
 	claimed = true
 	c.ticket, c.queue, c.placedAt, a.limiter = place, q, time.Now(), limiter
