--- a/core/tgcost/histogram.go
+++ b/core/tgcost/histogram.go
@@ -17,10 +17,17 @@
 	Total  float64 `cbor:"3,keyasint"` // sum of Counts, at most maxWeight
 }
 
+// bucketValues has the value of each bucket for an origin of centreBucket; computing them for each event of a stream would
+// take most of the time of an estimate.
+var bucketValues = func() (values [bucketCount + centreBucket]float64) {
+	for i := range values {
+		values[i] = math.Pow(bucketGrowth, float64(i-centreBucket))
+	}
+	return values
+}()
+
 // value returns the value that stands for a bucket.
-func (h *Histogram) value(bucket int) float64 {
-	return math.Pow(bucketGrowth, float64(bucket-h.Origin))
-}
+func (h *Histogram) value(bucket int) float64 { return bucketValues[bucket-h.Origin+centreBucket] }
 
 func (h *Histogram) bucket(v float64) int {
 	i := h.Origin + int(math.Round(math.Log(v)/math.Log(bucketGrowth)))
