Answer requests that a planned stop has to end

Cause: at the end of a drain the server cancelled the requests left and closed their connections in the same step. The cancellation looked like that of a caller who had left, so no answer was written. The admission of a stopping entry makes this rare, but it goes by the answers of the last half minute, and an engine may take longer.

Change: the cancellation has a cause of its own. A request whose response has not begun gets 502, or 503 if no upstream has got it, and its connection stays open for 150 ms of the reserve for that.

Test: TestStopAnswersRequestsInProgress; its four rows failed before with EOF in place of an answer.

--- a/io/tgproxy/drain_test.go
+++ b/io/tgproxy/drain_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"tanagergrade/io/tghttp"
+	"tanagergrade/platform/tgemulator"
 )
 
 // Guards against a planned stop that cuts off requests in progress or requests that arrive on open connections.
@@ -79,6 +80,39 @@
 	assert.Equal(t, r.Header.Get("Connection"), "close")
 }
 
+// Guards against a planned stop that cuts off requests without an answer: an engine may need longer than any answer before.
+// A caller whose request must not run twice could then only guess whether it has run.
+func TestStopAnswersRequestsInProgress(t *testing.T) {
+	t.Parallel()
+	const workTime = 10 * time.Second // of the engine
+	for _, tc := range []struct {
+		name  string
+		path  string
+		fault tgemulator.Fault
+	}{
+		{"idempotent", "/twice/x", tgemulator.FaultNone},
+		{"not idempotent", "/once/x", tgemulator.FaultNone},
+		{"not idempotent without an answer", "/once/x", tgemulator.FaultHang},
+		{"stream before its first event", "/stream/x", tgemulator.FaultNone},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			b := newTestProxy(t, 1, withDrainGrace(3500*time.Millisecond), withTimeout(workTime))
+			b.engines[0].ProcessingTime = workTime
+			b.engines[0].QueueFaults(tc.fault)
+			client := b.dial(t)
+			client.send(request("POST", tc.path, "a1", "{}", streamHeader))
+			waitFor(t, func() bool { return b.engines[0].Executions("a1") == 1 })
+			b.stop()
+			r, _, complete := client.receive()
+			assert.Assert(t, complete)
+			assert.Equal(t, r.Status, 502)
+			assert.Equal(t, r.Header.Get("Connection"), "close")
+			<-b.done
+		})
+	}
+}
+
 const (
 	stopCallers = 20 // callers that send without a pause while a proxy stops
 	stopProxies = 8  // stopped at the same time
--- a/io/tgproxy/forward.go
+++ b/io/tgproxy/forward.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"tanagergrade/core/tgcatalog"
 	"tanagergrade/core/tgpicker"
 	"tanagergrade/core/tgquarantine"
@@ -343,8 +345,12 @@
 	}
 }
 
-// abandon ends a call whose time is over or whose caller has disconnected.
+// abandon ends a call whose time is over, whose caller has disconnected or which the server can't finish before it ends.
 func (k *callerConn) abandon(a *responseState, c *call) {
+	if errors.Is(context.Cause(a.ctx), errServerStops) {
+		k.endUnanswered(a, c, errServerStops.Error(), 0)
+		return
+	}
 	now := time.Now()
 	disconnected := now.Before(c.expiresAt.Add(-minTimeToSend)) && a.ctx.Err() != nil
 	switch {
--- a/io/tgproxy/harness_test.go
+++ b/io/tgproxy/harness_test.go
@@ -117,6 +117,24 @@
 
 func withBufferBytes(n int64) proxyOption { return func(s *proxySetup) { s.limits.BufferBytes = n } }
 
+func withDrainGrace(d time.Duration) proxyOption {
+	return func(s *proxySetup) { s.limits.DrainGrace = d }
+}
+
+// withTimeout sets the timeout of all routes.
+func withTimeout(d time.Duration) proxyOption {
+	return func(s *proxySetup) {
+		routes := testRoutes()
+		for i := range routes {
+			routes[i].Timeout = d
+		}
+		former := s.config
+		s.config = tgcatalog.NewConfig(former.Version, routes)
+		s.config.Accounts, s.config.KeyRequired = former.Accounts, former.KeyRequired
+		s.config.Limits, s.config.Pools = former.Limits, former.Pools
+	}
+}
+
 func withMaxConnections(n int) proxyOption {
 	return func(s *proxySetup) { s.config.Pools["pool"] = tgcatalog.Pool{MaxConnections: n, Name: "pool"} }
 }
--- a/io/tgproxy/serve.go
+++ b/io/tgproxy/serve.go
@@ -20,8 +20,14 @@
 	// For how long a draining server waits for the first request on a connection: callers open one to send a request.
 	firstRequestTimeout = time.Second
 	handshakeTimeout    = 100 * time.Millisecond // for callers to complete a handshake that has begun
+	// For how long the connections of callers stay open for the answers to requests that errServerStops has ended. It is a
+	// part of ShutdownReserve.
+	finalAnswerPeriod = 150 * time.Millisecond
 )
 
+// errServerStops is the cause of the end of requests that are still in progress when a draining server has to end.
+var errServerStops = errors.New("the server stops before the answer is complete")
+
 // NewListenConfig returns the options of a listener for Serve. Multipath TCP is off, because its sockets have no filters,
 // and a drain would reset the connections that are made while the listener closes.
 func NewListenConfig() *net.ListenConfig {
@@ -34,8 +40,8 @@
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	var watch conc.WaitGroup
 	defer watch.Wait() // after abort
-	work, abort := context.WithCancel(context.WithoutCancel(ctx))
-	defer abort()
+	work, abort := context.WithCancelCause(context.WithoutCancel(ctx))
+	defer abort(nil)
 	watch.Go(func() { s.withdrawSuspects(work) })
 	ended := make(chan struct{})
 	stopDrain := context.AfterFunc(ctx, func() { s.drain(listener, abort, ended) })
@@ -81,8 +87,9 @@
 
 // drain stops the server: it accepts connections for drainAcceptPeriod, then ends the accept loop, which closes idle
 // connections, and lets requests finish until only ShutdownReserve is left of the grace period or ended is closed. Requests
-// that come meanwhile are taken only if they can be finished by then.
-func (s *Server) drain(listener net.Listener, abort context.CancelFunc, ended <-chan struct{}) {
+// that come meanwhile are taken only if they can be finished by then. Those that are not finished nevertheless get an answer
+// that says so, unless their response has begun.
+func (s *Server) drain(listener net.Listener, abort context.CancelCauseFunc, ended <-chan struct{}) {
 	limits := s.limits.Load()
 	end := time.Now().Add(limits.DrainGrace - limits.ShutdownReserve)
 	s.drainEnd.Store(&end)
@@ -93,7 +100,12 @@
 	case <-ended:
 		return
 	}
-	abort()
+	abort(errServerStops)
+	select {
+	case <-time.After(finalAnswerPeriod):
+	case <-ended:
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for k := range s.callers {
