--- a/io/tgupstream/client_test.go
+++ b/io/tgupstream/client_test.go
@@ -89,6 +89,28 @@
 	}
 }
 
+// Guards against an upstream that stops anywhere in the head of its answer, which then passes for a whole answer without a
+// body.
+func TestAnswerCutInHead(t *testing.T) {
+	for name, reply := range map[string]string{
+		"chunks":      "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"continued":   "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n",
+		"length":      "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 2\r\n\r\n",
+		"no length":   "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n",
+		"zero length": "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nContent-Type: text/plain\r\n\r",
+	} {
+		t.Run(name, func(t *testing.T) {
+			for cut := range len(reply) + 1 {
+				s := startFaultServer(t, reply[:cut], false)
+				var r recorder
+				err := tgupstream.New(s.Address()).Do(t.Context(), request(fasthttp.MethodPost), &r)
+				assert.Equal(t, s.Requests.Load(), int64(1))
+				assert.Assert(t, err != nil, "cut after %d bytes: status %d, body %q", cut, r.head.Status, r.body)
+			}
+		})
+	}
+}
+
 // Guards against a request that is not reported as not sent although no connection was made.
 func TestRefusedDialIsNotSent(t *testing.T) {
 	s := startFaultServer(t, "", false)
