Bound the memory of all buffered answers of an entry

The entry on the platform has had a common bound for bodies. The product's own entry buffers an answer that is not a stream whole and bounded only each one, by 64 MiB: enough long answers at the same time fill the memory of the VM, and the requests of all callers end with the process.

An answer beyond that ends with answerIncomplete, and its work at the upstream is cancelled.

--- a/io/tgentry/call.go
+++ b/io/tgentry/call.go
@@ -11,6 +11,7 @@
 	"tanagergrade/core/tganswer"
 	"tanagergrade/core/tgcall"
 	"tanagergrade/core/tgframe"
+	"tanagergrade/core/tgmemory"
 )
 
 const (
@@ -26,6 +27,7 @@
 
 // call is one request in flight, over all its attempts. One goroutine at a time uses it.
 type call struct {
+	answerMemory   *tgmemory.Lease
 	caller         *caller // nil in tests without a connection
 	cancel         context.CancelCauseFunc
 	ctx            context.Context //nolint:containedctx // the call's own lifetime
@@ -55,7 +57,7 @@
 	deadlineCtx, stop := context.WithDeadline(e.callsCtx, x.Deadline)
 	ctx, cancel := context.WithCancelCause(deadlineCtx)
 	l := &call{
-		caller: caller, cancel: cancel, ctx: ctx, entry: e, execute: x, silenceTimeout: e.node.Config().Settings.SilenceTimeout,
+		answerMemory: e.answers.Lease(e.answersLimit), caller: caller, cancel: cancel, ctx: ctx, entry: e, execute: x, silenceTimeout: e.node.Config().Settings.SilenceTimeout,
 		started: time.Now(), stopDeadline: stop, triedUpstreams: map[string]bool{},
 	}
 	e.calls.Set(x.RequestID, l)
@@ -68,6 +70,7 @@
 	l.endAttempt(failure != nil)
 	l.cancel(nil)
 	l.stopDeadline()
+	l.answerMemory.ReleaseTo(0)
 	l.entry.calls.Delete(l.execute.RequestID)
 	l.entry.counters.inFlight.Add(-1)
 	l.entry.recordResult(requestResult{call: l, failure: failure, requestID: l.execute.RequestID})
--- a/io/tgentry/entry.go
+++ b/io/tgentry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/sourcegraph/conc"
 
 	"tanagergrade/core/tgcall"
+	"tanagergrade/core/tgmemory"
 	"tanagergrade/core/tgroute"
 	"tanagergrade/core/tgshardmap"
 	"tanagergrade/io/tgnode"
@@ -22,6 +23,8 @@
 // Entry serves callers over HTTP.
 type Entry struct {
 	accounts     accountIndex
+	answers      tgmemory.Budget // memory for answers that are not streamed
+	answersLimit int64           // of answers, in bytes
 	app          *fiber.App
 	calls        *tgshardmap.Map[*call] // in flight, by request ID
 	callsCtx     context.Context        //nolint:containedctx // ends the calls that are left after the drain timeout
@@ -49,7 +52,7 @@
 // New returns an entry that serves callers once Run is called.
 func New(node *tgnode.Node) *Entry {
 	e := &Entry{
-		calls: tgshardmap.NewMap[*call](), node: node, router: tgroute.NewRouter(node.Settings.DataCentre),
+		answersLimit: maxAnswersBytes, calls: tgshardmap.NewMap[*call](), node: node, router: tgroute.NewRouter(node.Settings.DataCentre),
 		routing: newRouting(),
 	}
 	e.callsCtx, e.stopCalls = context.WithCancelCause(context.Background())
--- a/io/tgentry/serve.go
+++ b/io/tgentry/serve.go
@@ -11,7 +11,11 @@
 	"tanagergrade/core/tgframe"
 )
 
-const maxBufferedAnswerBytes = 64 << 20 // of an answer that is not streamed and is therefore buffered whole
+// An answer that is not streamed is buffered whole.
+const (
+	maxBufferedAnswerBytes = 64 << 20
+	maxAnswersBytes        = 256 << 20 // of all such answers together
+)
 
 // serve runs the request and answers the caller. An answer is streamed event by event if the caller asked for a stream
 // and the upstream sends one. Any other answer is sent as a whole, so that a failure becomes an error object with its
@@ -49,10 +53,14 @@
 			return nil, failure
 		case p.Kind == tganswer.PartHead:
 			body = body[:0]
+			l.answerMemory.ReleaseTo(0)
 			if l.streaming {
 				return nil, nil
 			}
 		case p.Kind == tganswer.PartChunk:
+			if err := l.answerMemory.Reserve(len(p.Chunk)); err != nil {
+				return nil, tgcall.UnknownFailure(tgcall.CodeAnswerIncomplete, "%v by other answers", err)
+			}
 			if body = append(body, p.Chunk...); len(body) > maxBufferedAnswerBytes {
 				return nil, tgcall.UnknownFailure(tgcall.CodeAnswerIncomplete, "answer exceeds %d bytes", maxBufferedAnswerBytes)
 			}
--- a/io/tgproxy/call.go
+++ b/io/tgproxy/call.go
@@ -8,6 +8,7 @@
 	"tanagergrade/core/tgcatalog"
 	"tanagergrade/core/tgcost"
 	"tanagergrade/core/tgdrain"
+	"tanagergrade/core/tgmemory"
 	"tanagergrade/core/tgquarantine"
 	"tanagergrade/core/tgstreamlimit"
 	"tanagergrade/core/tgworkload"
@@ -20,7 +21,7 @@
 	atCrash        bool // an earlier attempt was at an upstream that crashed
 	attempts       int  // number of attempts, not counting those that did not reach an upstream
 	body           []byte
-	buffers        *bufferLease
+	buffers        *tgmemory.Lease
 	callerDeadline time.Time // as the caller declared it, or the default
 	config         *tgcatalog.Config
 	conns          []*upstreamConn // that carried an earlier try; a late copy of its answer has the same ID
@@ -64,7 +65,7 @@
 	lowestPriority      = 9                     // highest number that upstreams accept; 0 is admitted first
 )
 
-func (s *Server) newCall(r *tghttp.Request, body []byte, buffers *bufferLease, receivedAt time.Time) *call {
+func (s *Server) newCall(r *tghttp.Request, body []byte, buffers *tgmemory.Lease, receivedAt time.Time) *call {
 	c := &call{
 		body: body, buffers: buffers, cost: 1, headers: &s.headers, id: r.Header.Get(s.headers.AttemptID),
 		promptParts: sharedParts(promptHeader(r.Header, s.headers.PromptParts)), receivedAt: receivedAt, request: r,
--- a/io/tgproxy/caller.go
+++ b/io/tgproxy/caller.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"tanagergrade/core/tgcatalog"
+	"tanagergrade/core/tgmemory"
 	"tanagergrade/io/tghttp"
 )
 
@@ -77,10 +78,10 @@
 	if err != nil {
 		return k.reject(err)
 	}
-	buffers := &bufferLease{budget: &k.server.buffers, limit: k.server.limits.Load().BufferBytes}
-	defer buffers.releaseTo(0)
+	buffers := k.server.buffers.Lease(k.server.limits.Load().BufferBytes)
+	defer buffers.ReleaseTo(0)
 	body, err := k.readBody(r, limits, buffers)
-	if errors.Is(err, errBuffersFull) {
+	if errors.Is(err, tgmemory.ErrExhausted) {
 		c := k.server.newCall(r, nil, buffers, receivedAt)
 		c.detail = err.Error()
 		_ = k.refuse(c, http.StatusServiceUnavailable, outcomeRefused, retryAfterNoUpstream, false)
@@ -140,7 +141,7 @@
 	_ = k.conn.SetReadDeadline(end) // fails only if the connection has ended
 }
 
-func (k *callerConn) readBody(r *tghttp.Request, limits tgcatalog.Limits, buffers *bufferLease) ([]byte, error) {
+func (k *callerConn) readBody(r *tghttp.Request, limits tgcatalog.Limits, buffers *tgmemory.Lease) ([]byte, error) {
 	if r.Framing == tghttp.FramingNone {
 		return nil, nil
 	}
--- a/io/tgproxy/forward.go
+++ b/io/tgproxy/forward.go
@@ -251,10 +251,10 @@
 
 // answerLimit returns the longest body of an answer that is not streamed.
 func (c *call) answerLimit() int64 {
-	if c.buffers.limit == 0 {
+	if c.buffers.Limit() == 0 {
 		return maxAnswerBytes
 	}
-	return min(maxAnswerBytes, c.buffers.limit/maxAnswerDivisor)
+	return min(maxAnswerBytes, c.buffers.Limit()/maxAnswerDivisor)
 }
 
 // canRetry reports whether another attempt may follow one that the upstream has run.
@@ -272,10 +272,10 @@
 	if c.route.Kind == tgcatalog.KindStreaming {
 		return k.deliverStream(a, c, x)
 	}
-	held := c.buffers.held
+	held := c.buffers.Held()
 	body, err := x.body.ReadAllReserved(c.answerLimit(), c.buffers)
 	if err != nil {
-		c.buffers.releaseTo(held)
+		c.buffers.ReleaseTo(held)
 		x.connEnded = isConnectionEnd(err)
 		c.detail = "answer truncated: " + err.Error()
 		if a.ctx.Err() != nil {
--- a/io/tgproxy/handle.go
+++ b/io/tgproxy/handle.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"tanagergrade/core/tgmemory"
 	"tanagergrade/io/tghttp"
 )
 
@@ -18,7 +19,7 @@
 
 // handle routes a request, answers it and reports whether the connection may carry another.
 func (k *callerConn) handle(
-	ctx context.Context, r *tghttp.Request, body []byte, buffers *bufferLease, receivedAt time.Time,
+	ctx context.Context, r *tghttp.Request, body []byte, buffers *tgmemory.Lease, receivedAt time.Time,
 ) bool {
 	s := k.server
 	c := s.newCall(r, body, buffers, receivedAt)
--- a/io/tgproxy/server.go
+++ b/io/tgproxy/server.go
@@ -12,6 +12,7 @@
 	"tanagergrade/core/tgcost"
 	"tanagergrade/core/tgdrain"
 	"tanagergrade/core/tggroupview"
+	"tanagergrade/core/tgmemory"
 	"tanagergrade/core/tgpicker"
 	"tanagergrade/core/tgquarantine"
 	"tanagergrade/core/tgquota"
@@ -23,7 +24,7 @@
 // Server is the reverse proxy; it serves callers' connections.
 type Server struct {
 	admission    admission
-	buffers      bufferBudget
+	buffers      tgmemory.Budget
 	catalog      Catalog
 	closingIdle  atomic.Bool     // the listener is closed and connections end when they are idle
 	configOutage *tgretry.Outage // while no configuration is known
--- a/io/tgproxy/stream.go
+++ b/io/tgproxy/stream.go
@@ -21,8 +21,8 @@
 	}
 	var events eventSplitter
 	a.begunAt, a.lastEventAt, a.proven, a.resumes = time.Time{}, time.Time{}, false, a.headWritten
-	held := c.buffers.held
-	defer func() { c.buffers.releaseTo(held) }()
+	held := c.buffers.Held()
+	defer func() { c.buffers.ReleaseTo(held) }()
 	stall := c.route.StallTimeout()
 	buf := make([]byte, streamReadBytes)
 	for lastID := noEventID - 1; ; {
