Give requests that must not run twice a connection of their own

The client of the product's own companions keeps connections to engines that echo no ID. It closes one on which bytes have come before the next request, but a late copy of an answer that comes after that request passed for its answer: the caller got the answer to another request and took its own for done.

Requests that are not idempotent now get a new connection.

Test: TestLateCopyOfAnswer; failed before (body "1" in place of "2").

--- a/io/tgupstream/client.go
+++ b/io/tgupstream/client.go
@@ -82,7 +82,7 @@
 	if err := ctx.Err(); err != nil {
 		return &NotSentError{Err: err}
 	}
-	uc, err := c.pool.acquire(ctx)
+	uc, err := c.pool.acquire(ctx, !e.Idempotent)
 	if err != nil {
 		return &NotSentError{Err: err}
 	}
--- a/io/tgupstream/client_test.go
+++ b/io/tgupstream/client_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/netip"
+	"strconv"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -158,6 +160,37 @@
 	}
 }
 
+// Guards against a request that must not run twice whose answer is a late copy of the answer to an earlier request: the copy
+// comes only when the connection carries the next request.
+func TestLateCopyOfAnswer(t *testing.T) {
+	const answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n"
+	var requests atomic.Int64
+	dial := tgupstream.WithDial(func(context.Context) (net.Conn, error) {
+		near, far := net.Pipe()
+		go func() {
+			br := bufio.NewReader(far)
+			for last := ""; ; {
+				var req fasthttp.Request
+				if req.Read(br) != nil {
+					return
+				}
+				next := answer + strconv.FormatInt(requests.Add(1), 10)
+				_, _ = io.WriteString(far, last+next) // the copy comes first; a closed connection ends the loop
+				last = next
+			}
+		}()
+		return near, nil
+	})
+	client := tgupstream.New(netip.AddrPort{}, dial)
+	for _, want := range []string{"1", "2", "3"} {
+		e := request(fasthttp.MethodPost)
+		e.Idempotent = want == "1"
+		var r recorder
+		assert.NilError(t, client.Do(t.Context(), e, &r))
+		assert.Equal(t, r.body, want)
+	}
+}
+
 // pipeDial returns a dial option for an upstream that runs script after the request, and a channel that is closed once the
 // client has closed the connection.
 func pipeDial(script func(c net.Conn)) (tgupstream.Option, <-chan struct{}) {
--- a/io/tgupstream/pool.go
+++ b/io/tgupstream/pool.go
@@ -23,9 +23,10 @@
 	idle []*conn // the most recently used one is last
 }
 
-// acquire returns a usable idle connection, or a new one.
-func (p *pool) acquire(ctx context.Context) (*conn, error) {
-	for {
+// acquire returns a usable idle connection, or a new one. With fresh it returns a new one: answers have no ID, so only a
+// connection without earlier requests shows that an answer is not a late copy of another one.
+func (p *pool) acquire(ctx context.Context, fresh bool) (*conn, error) {
+	for !fresh {
 		c := p.pop()
 		if c == nil {
 			break
