Keep what the proxy has by pool and route in sharded maps

Five functions of io/tgproxy found or made the value of a pool or route under the one lock of the server, each in its own words. tgshardmap gets GetOrCreate, and they use it; the lock of the server is left with the callers and their time limits. The wait of refused callers in an outage stood twice, in the breaker and for a configuration that is not known yet; both use tgretry.OutageWait now. No behaviour is changed.

--- a/core/tgretry/outage_test.go
+++ b/core/tgretry/outage_test.go
@@ -41,7 +41,7 @@
 			}
 			o.End()
 			wait := o.RetryAfter(start.Add(time.Hour))
-			assert.Assert(t, wait < 2*minOutageWait, "%v", wait)
+			assert.Assert(t, wait < 2*MinOutageWait, "%v", wait)
 		})
 	}
 }
--- a/core/tgshardmap/map.go
+++ b/core/tgshardmap/map.go
@@ -49,6 +49,23 @@
 	return v, ok
 }
 
+// GetOrCreate returns the value of key. If key is not present, it first stores what create returns; create must not use the
+// map.
+func (m *Map[V]) GetOrCreate(key string, create func() V) V {
+	if v, ok := m.Get(key); ok {
+		return v
+	}
+	s := m.shard(key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v, ok := s.m[key]
+	if !ok {
+		v = create()
+		s.m[key] = v
+	}
+	return v
+}
+
 // Len returns the number of keys. Shards are counted one after another, so the number may reflect only some of the
 // concurrent changes.
 func (m *Map[V]) Len() int {
--- a/core/tgstreamlimit/breaker.go
+++ b/core/tgstreamlimit/breaker.go
@@ -3,16 +3,15 @@
 import (
 	"sync"
 	"time"
+
+	"tanagergrade/core/tgretry"
 )
 
 const (
 	probeInterval = 250 * time.Millisecond
-	// A pool that has lost an engine rarely runs again within a second, and most callers come back only once.
-	minOutageRetryAfter = time.Second
-	maxOutageRetryAfter = 3 * time.Second
-	outagesKept         = 4                      // that tell how long one lasts; engines come back after similar times
-	returnMargin        = 500 * time.Millisecond // from the end of an outage until all entries know of it and new callers are in
-	returnSpread        = time.Second            // callers come back spread over this time, since the pool can't take all at once
+	outagesKept   = 4                      // that tell how long one lasts; engines come back after similar times
+	returnMargin  = 500 * time.Millisecond // from the end of an outage until all entries know of it and new callers are in
+	returnSpread  = time.Second            // callers come back spread over this time, since the pool can't take all at once
 	// After this many upstreams in a row that were replaced by others, all are taken to have restarted without being
 	// registered again yet.
 	maxReplacedInRow = 4
@@ -90,9 +89,8 @@
 	return true
 }
 
-// RetryAfter returns the time after which a refused caller should retry. An outage is expected to last as long again as
-// it has lasted, and at least as long as the longest of those before. Random jitter keeps callers from returning at the same
-// moment.
+// RetryAfter returns the time after which a refused caller should retry: see tgretry.OutageWait. An outage is expected to last
+// at least as long as the longest of those before.
 func (b *Breaker) RetryAfter(now time.Time) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -101,11 +99,11 @@
 		elapsed = now.Sub(b.openSince)
 	}
 	jitter := b.rand()
-	wait := time.Duration(float64(max(minOutageRetryAfter, elapsed)) * (1 + jitter))
+	wait := tgretry.OutageWait(elapsed, jitter)
 	for _, d := range b.outages {
 		if left := d - elapsed; left > 0 {
 			wait = max(wait, left+returnMargin+time.Duration(jitter*float64(returnSpread)))
 		}
 	}
-	return min(wait, maxOutageRetryAfter)
+	return min(wait, tgretry.MaxOutageWait)
 }
--- a/core/tgstreamlimit/breaker_test.go
+++ b/core/tgstreamlimit/breaker_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"tanagergrade/core/tgretry"
 )
 
 // Guards against sending all requests to a group that has lost a rank: each would wait for the stall to be detected and
@@ -67,7 +69,7 @@
 		latest = max(latest, wait)
 	}
 	assert.Equal(t, early, 0)
-	assert.Assert(t, latest <= maxOutageRetryAfter, "%s", latest)
+	assert.Assert(t, latest <= tgretry.MaxOutageWait, "%s", latest)
 }
 
 // Guards against a Retry-After that ends before the pool can be expected to recover.
@@ -75,9 +77,9 @@
 	now := time.Unix(1000, 0)
 	b := NewBreaker(func() float64 { return 0.5 })
 	b.RecordFailure(now)
-	assert.Equal(t, b.RetryAfter(now), minOutageRetryAfter*3/2)
+	assert.Equal(t, b.RetryAfter(now), tgretry.MinOutageWait*3/2)
 	assert.Equal(t, b.RetryAfter(now.Add(1500*time.Millisecond)), 2250*time.Millisecond)
-	assert.Equal(t, b.RetryAfter(now.Add(time.Minute)), maxOutageRetryAfter)
+	assert.Equal(t, b.RetryAfter(now.Add(time.Minute)), tgretry.MaxOutageWait)
 }
 
 // Guards against requests that meet one former upstream after another once all of them have started again, until the
--- a/core/tgstreamlimit/breakers.go
+++ b/core/tgstreamlimit/breakers.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"tanagergrade/core/tgretry"
 )
 
 // Group is a rank group of a pool. A failure that stops all of its work leaves the other groups running.
@@ -86,7 +88,7 @@
 	if len(groups) == 0 {
 		return b.Group("").RetryAfter(now)
 	}
-	wait := maxOutageRetryAfter
+	wait := tgretry.MaxOutageWait
 	for _, g := range groups {
 		wait = min(wait, b.Group(g.Name).RetryAfter(now))
 	}
--- a/core/tgstreamlimit/breakers_test.go
+++ b/core/tgstreamlimit/breakers_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"tanagergrade/core/tgretry"
 )
 
 // Guards against callers that are refused although a group of the pool runs, and against requests that go to a group that
@@ -87,5 +89,5 @@
 	b := NewBreakers(func() float64 { return 0 })
 	b.Group("a").RecordFailure(now)
 	b.Group("b").RecordFailure(now.Add(2 * time.Second))
-	assert.Equal(t, b.RetryAfter([]Group{{Name: "a"}, {Name: "b"}}, now.Add(2*time.Second)), minOutageRetryAfter)
+	assert.Equal(t, b.RetryAfter([]Group{{Name: "a"}, {Name: "b"}}, now.Add(2*time.Second)), tgretry.MinOutageWait)
 }
--- a/io/tgproxy/groups.go
+++ b/io/tgproxy/groups.go
@@ -145,14 +145,7 @@
 
 // progress returns what this process sees of the passes of a pool's groups.
 func (s *Server) progress(pool string) *tggroupview.Progress {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	p, ok := s.poolProgress[pool]
-	if !ok {
-		p = tggroupview.NewProgress()
-		s.poolProgress[pool] = p
-	}
-	return p
+	return s.poolProgress.GetOrCreate(pool, tggroupview.NewProgress)
 }
 
 const stallGapFactor = 2 // times the longest pause on time after which a silent group counts as stalled
--- a/io/tgproxy/server.go
+++ b/io/tgproxy/server.go
@@ -17,42 +17,43 @@
 	"tanagergrade/core/tgquarantine"
 	"tanagergrade/core/tgquota"
 	"tanagergrade/core/tgretry"
+	"tanagergrade/core/tgshardmap"
 	"tanagergrade/core/tgstreamlimit"
 	"tanagergrade/core/tgworkload"
 )
 
 // Server is the reverse proxy; it serves callers' connections.
 type Server struct {
-	admission    admission
-	buffers      tgmemory.Budget
-	catalog      Catalog
-	closingIdle  atomic.Bool     // the listener is closed and connections end when they are idle
-	configOutage *tgretry.Outage // while no configuration is known
-	conns        *connPool
-	costs        *tgcost.Estimator
-	counters     *expvar.Map
-	crashes      crashChecker
-	drainEnd     atomic.Pointer[time.Time] // of the requests in progress; nil unless the server drains
-	groups       *tggroupview.View
-	headers      Headers
-	ledger       *tgworkload.Ledger
-	limits       atomic.Pointer[Limits]
-	observer     Observer
-	picker       *tgpicker.Picker
-	placement    Placement
-	quarantine   *tgquarantine.Table
-	rand         func() float64
-	unbegun      unbegunExchanges
-	unevenSpread float64 // see WithUnevenSpread
+	admission      admission
+	buffers        tgmemory.Budget
+	catalog        Catalog
+	closingIdle    atomic.Bool     // the listener is closed and connections end when they are idle
+	configOutage   *tgretry.Outage // while no configuration is known
+	conns          *connPool
+	costs          *tgcost.Estimator
+	counters       *expvar.Map
+	crashes        crashChecker
+	drainEnd       atomic.Pointer[time.Time]          // of the requests in progress; nil unless the server drains
+	forecasts      *tgshardmap.Map[*tgdrain.Forecast] // of answers, by route
+	groups         *tggroupview.View
+	headers        Headers
+	ledger         *tgworkload.Ledger
+	limits         atomic.Pointer[Limits]
+	observer       Observer
+	picker         *tgpicker.Picker
+	placement      Placement
+	poolBreakers   *tgshardmap.Map[*tgstreamlimit.Breakers] // by pool
+	poolProgress   *tgshardmap.Map[*tggroupview.Progress]   // by pool
+	quarantine     *tgquarantine.Table
+	rand           func() float64
+	retryBudgets   *tgshardmap.Map[*tgretry.WindowBudget]  // by pool
+	streamLimiters *tgshardmap.Map[*tgstreamlimit.Limiter] // by pool
+	unbegun        unbegunExchanges
+	unevenSpread   float64 // see WithUnevenSpread
 
 	mu               sync.Mutex // guards the maps below
 	callers          map[*callerConn]struct{}
-	forecasts        map[string]*tgdrain.Forecast       // of answers, by route
-	longestDeadlines map[string]time.Duration           // longest time limit of a request so far, by route
-	poolBreakers     map[string]*tgstreamlimit.Breakers // by pool
-	poolProgress     map[string]*tggroupview.Progress   // by pool
-	retryBudgets     map[string]*tgretry.WindowBudget   // by pool
-	streamLimiters   map[string]*tgstreamlimit.Limiter  // by pool
+	longestDeadlines map[string]time.Duration // longest time limit of a request so far, by route
 }
 
 // initialStreamLimit is the number of concurrent streams of a pool at the start, until gaps between events show what it
@@ -73,12 +74,13 @@
 	s := &Server{
 		callers: map[*callerConn]struct{}{}, catalog: catalog,
 		conns: newConnPool(), costs: tgcost.NewEstimator(), counters: counters,
-		crashes: crashChecker{checks: map[netip.AddrPort]*crashCheck{}}, forecasts: map[string]*tgdrain.Forecast{},
-		headers: headers, ledger: tgworkload.NewLedger(), longestDeadlines: map[string]time.Duration{}, observer: observer,
-		poolBreakers: map[string]*tgstreamlimit.Breakers{}, poolProgress: map[string]*tggroupview.Progress{},
-		picker: tgpicker.NewPicker(dataCentre), rand: rand.Float64, retryBudgets: map[string]*tgretry.WindowBudget{},
-		streamLimiters: map[string]*tgstreamlimit.Limiter{},
-		unbegun:        unbegunExchanges{m: map[*exchange]*call{}},
+		crashes:   crashChecker{checks: map[netip.AddrPort]*crashCheck{}},
+		forecasts: tgshardmap.NewMap[*tgdrain.Forecast](), headers: headers, ledger: tgworkload.NewLedger(),
+		longestDeadlines: map[string]time.Duration{}, observer: observer, picker: tgpicker.NewPicker(dataCentre),
+		poolBreakers: tgshardmap.NewMap[*tgstreamlimit.Breakers](),
+		poolProgress: tgshardmap.NewMap[*tggroupview.Progress](), rand: rand.Float64,
+		retryBudgets:   tgshardmap.NewMap[*tgretry.WindowBudget](),
+		streamLimiters: tgshardmap.NewMap[*tgstreamlimit.Limiter](), unbegun: unbegunExchanges{m: map[*exchange]*call{}},
 	}
 	s.configOutage = tgretry.NewOutage(s.rand)
 	for _, o := range options {
@@ -101,13 +103,9 @@
 func (s *Server) retryBudget(pool string) *tgretry.WindowBudget {
 	limits := s.limits.Load()
 	burst := tgquota.RetryBurst(limits.RetryBurst, s.catalog.EntryCount())
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	w, ok := s.retryBudgets[pool]
-	if !ok {
-		w = tgretry.NewWindowBudget(limits.RetryRatio, burst, limits.RetryWindow)
-		s.retryBudgets[pool] = w
-	}
+	w := s.retryBudgets.GetOrCreate(pool, func() *tgretry.WindowBudget {
+		return tgretry.NewWindowBudget(limits.RetryRatio, burst, limits.RetryWindow)
+	})
 	w.SetLimits(limits.RetryRatio, burst)
 	return w
 }
@@ -122,13 +120,9 @@
 		GapTarget: route.EventGapTarget, Max: float64(slots), MaxStreamTime: route.Timeout,
 		Min: tgquota.MinStreams(slots, entries),
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	l, ok := s.streamLimiters[pool.Name]
-	if !ok {
-		l = tgstreamlimit.NewLimiter(min(max(initialStreamLimit, bounds.Min), bounds.Max), bounds, s.rand)
-		s.streamLimiters[pool.Name] = l
-	}
+	l := s.streamLimiters.GetOrCreate(pool.Name, func() *tgstreamlimit.Limiter {
+		return tgstreamlimit.NewLimiter(min(max(initialStreamLimit, bounds.Min), bounds.Max), bounds, s.rand)
+	})
 	share := tgquota.PoolShare(l.State().InFlight, others, entries)
 	bounds.FreeSlots = max(bounds.Min, float64(slots-others))
 	bounds.Spare = tgquota.SpareStreams(slots, l.State().InFlight+others, entries)
@@ -141,26 +135,12 @@
 
 // breakers returns the circuit breakers of a pool.
 func (s *Server) breakers(pool string) *tgstreamlimit.Breakers {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	b, ok := s.poolBreakers[pool]
-	if !ok {
-		b = tgstreamlimit.NewBreakers(s.rand)
-		s.poolBreakers[pool] = b
-	}
-	return b
+	return s.poolBreakers.GetOrCreate(pool, func() *tgstreamlimit.Breakers { return tgstreamlimit.NewBreakers(s.rand) })
 }
 
 // forecast returns the forecast of a route's answers.
 func (s *Server) forecast(route string) *tgdrain.Forecast {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	f, ok := s.forecasts[route]
-	if !ok {
-		f = tgdrain.NewForecast()
-		s.forecasts[route] = f
-	}
-	return f
+	return s.forecasts.GetOrCreate(route, tgdrain.NewForecast)
 }
 
 // isRetry reports whether a request with the given time limit is presumably the retry of a refused one: the limit is
--- a/io/tgproxy/state.go
+++ b/io/tgproxy/state.go
@@ -27,22 +27,22 @@
 		Costs: s.costs.States(), Draining: s.isDraining(), Pools: map[string]tgstreamlimit.State{},
 		Queues: s.admission.states(time.Now()), Upstreams: s.picker.States(), Work: s.ledger.States(),
 	}
+	s.streamLimiters.Range(func(pool string, l *tgstreamlimit.Limiter) bool {
+		state.Pools[pool] = l.State()
+		return true
+	})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	state.Callers = len(s.callers)
-	for name, p := range s.streamLimiters {
-		state.Pools[name] = p.State()
-	}
 	return state
 }
 
 // Streams returns the number of streams in progress by pool.
 func (s *Server) Streams() map[string]int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	streams := make(map[string]int, len(s.streamLimiters))
-	for pool, p := range s.streamLimiters {
-		streams[pool] = p.State().InFlight
-	}
+	streams := map[string]int{}
+	s.streamLimiters.Range(func(pool string, l *tgstreamlimit.Limiter) bool {
+		streams[pool] = l.State().InFlight
+		return true
+	})
 	return streams
 }
