Keep late writes from undoing the newest record of a deadly part

Callers: after all entries were killed, a part that had been refused crashed a third engine.

Cause, shown by the new log line quarantineRecord: the record of one crash was written while the store delayed writes, without an answer; a repeat and then the record of two crashes were answered at once. The delayed call was carried out 0.8 s later and put the older record in the place of the newer one. The entries saw that and wrote again, but the store gave no answers until they were killed: three calls in 0.3 s had to time out, and then they paused for a second.

Change: each write is an append of the store's ordered kind (producerId, epoch): once it has a later value of an entry, an earlier one is refused, however late it comes, and a repeat changes nothing. A write without an answer is repeated after 0.15, 0.45, 1.05 s and then each second, without waiting for earlier calls, until the store has it or a later value is due. So a record is there within a second of the store's return, with fewer calls in a long outage than before. A removal may now follow a value at once.

Tests: TestLateWriteOfEarlierValue (1 crash in place of 2 with writers that differ for each write, as before) and TestSaveSoonAfterStoreIsBack (no record with the former pauses).

Left: a late write of one entry may still come after the newer one of another entry that the first one has not written; entries then write again.

--- a/core/tglogtable/table.go
+++ b/core/tglogtable/table.go
@@ -95,5 +95,15 @@
 	return records, t.end
 }
 
+// WriteOrder is the place of a write among those of one writer. Once the log has carried out a write with a higher epoch, it
+// carries out none with a lower one, however late it comes.
+type WriteOrder struct {
+	Epoch  int64 // higher than those of the writer's earlier writes
+	Writer string
+}
+
+// ErrOvertaken means that the log has carried out a later write of the same writer.
+var ErrOvertaken = errors.New("a later write was carried out")
+
 // ErrTrimmed means that the log has deleted the records to read; the reader lists the newest record of each key instead.
 var ErrTrimmed = errors.New("records have been deleted")
--- a/io/tgcommand/platform_entry.go
+++ b/io/tgcommand/platform_entry.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -224,7 +226,9 @@
 func (e *platformEntry) quarantineSaver() *tgfleet.QuarantineSaver {
 	return &tgfleet.QuarantineSaver{
 		OnFailed: func(err error) { e.report.Dependency("quarantine", "saveFailed", err) },
+		OnSaved:  e.report.QuarantineSaved,
 		Store:    e.store, Table: e.quarantine, Topic: tgplatform.TopicQuarantine,
+		Writer: fmt.Sprintf("%s/%x", e.settings.VM, rand.Uint64()), //nolint:gosec // only has to differ
 	}
 }
 
--- a/io/tgcommand/platform_test.go
+++ b/io/tgcommand/platform_test.go
@@ -74,8 +74,8 @@
 	return nil, 0, nil
 }
 
-// Put implements tgfleet.Store.
-func (s *lossyStore) Put(string, string, []byte) error { return nil }
+// PutOrdered implements tgfleet.Store.
+func (s *lossyStore) PutOrdered(string, string, []byte, tglogtable.WriteOrder) error { return nil }
 
 // Read implements tgfleet.Store.
 func (s *lossyStore) Read(_ string, from int64, wait time.Duration) ([]tglogtable.Record, int64, error) {
--- a/io/tgfleet/fleet_test.go
+++ b/io/tgfleet/fleet_test.go
@@ -312,7 +312,10 @@
 func TestQuarantineIsSaved(t *testing.T) {
 	store, client := startStore(t)
 	table := tgquarantine.NewTable("vm")
-	saver := &tgfleet.QuarantineSaver{OnFailed: func(error) {}, Store: client, Table: table, Topic: tgplatform.TopicQuarantine}
+	saver := &tgfleet.QuarantineSaver{
+		OnFailed: func(error) {}, OnSaved: func(tglogtable.Record, time.Duration) {}, Store: client, Table: table,
+		Topic: tgplatform.TopicQuarantine, Writer: "vm",
+	}
 	ctx, stop := context.WithCancel(t.Context())
 	var wg sync.WaitGroup
 	wg.Go(func() { saver.Run(ctx) })
--- a/io/tgfleet/follower.go
+++ b/io/tgfleet/follower.go
@@ -14,7 +14,7 @@
 // Store reads and writes keyed topics.
 type Store interface {
 	Newest(ctx context.Context, topic string) (records []tglogtable.Record, end int64, err error)
-	Put(topic, key string, value []byte) error
+	PutOrdered(topic, key string, value []byte, order tglogtable.WriteOrder) error
 	Read(topic string, from int64, wait time.Duration) (records []tglogtable.Record, next int64, err error)
 }
 
--- a/io/tgfleet/saver.go
+++ b/io/tgfleet/saver.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 
 	"tanagergrade/core/tglogtable"
@@ -14,33 +15,41 @@
 
 const (
 	maxSaves          = 16                     // records that are written at the same time
-	maxSaveRepeats    = 2                      // of a write that is not answered
+	maxSaveRepeat     = time.Second            // longest time between two calls of a write
+	minSaveRepeat     = 150 * time.Millisecond // shortest such time; the store usually takes some milliseconds
 	saveCheckInterval = 100 * time.Millisecond // for what is saved late
-	saveRepeat        = 150 * time.Millisecond // after which a write is sent once more; the store usually takes some milliseconds
-	saveRetryPause    = time.Second            // after a failure
+	saveRetryPause    = time.Second            // after the store has taken a record that can't be applied
 )
 
 // QuarantineSaver writes what this entry has learnt of parts of prompts at crashes to the store, so that it outlives all
 // entries. These may be about to end, so no record waits for the answer to another one, and a write without an answer is
-// sent again on another connection. What other entries have learnt is written if they have not done so. Writes of a value
-// may be repeated and come late; a removal would end what came before it, so it and the values of its key are never written
-// at the same time.
+// sent again on another connection. What other entries have learnt is written if they have not done so. Calls may be carried
+// out late, but no call of an earlier value or removal of a key after one of a later.
 type QuarantineSaver struct {
-	OnFailed func(err error) // a write failed; it is repeated. Called by several goroutines
+	OnFailed func(err error)                                  // a call failed; the write goes on. Called by several goroutines
+	OnSaved  func(r tglogtable.Record, elapsed time.Duration) // the store has a value or removal; like OnFailed
 	Store    Store
 	Table    *tgquarantine.Table
 	Topic    string
+	Writer   string // differs from that of all other savers, those of former processes included
 
-	ended chan struct{} // capacity 1: a write or a call has ended
+	ended chan struct{} // capacity 1: a write has ended
+	epoch int64         // of the last write; used by Run only
 
-	mu      sync.Mutex        // guards the fields below
-	calls   map[string]int    // in progress, by key
+	mu      sync.Mutex        // guards writing
 	writing map[string][]byte // the newest values that are being written, by key; empty for a removal
 }
 
+// orderedRecord is a record with its place among the writes of its key.
+type orderedRecord struct {
+	tglogtable.Record
+
+	order tglogtable.WriteOrder
+}
+
 // Run saves parts until ctx ends.
 func (s *QuarantineSaver) Run(ctx context.Context) {
-	s.calls, s.writing = map[string]int{}, map[string][]byte{}
+	s.writing = map[string][]byte{}
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	s.ended = make(chan struct{}, 1)
@@ -73,7 +82,7 @@
 }
 
 // claimDue returns the records that are to be written now and marks them as being written.
-func (s *QuarantineSaver) claimDue() []tglogtable.Record {
+func (s *QuarantineSaver) claimDue() []orderedRecord {
 	records, err := s.Table.Unsaved(time.Now())
 	if err != nil {
 		s.OnFailed(err)
@@ -81,92 +90,88 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var due []tglogtable.Record
+	var due []orderedRecord
 	for _, r := range records {
-		value, isWriting := s.writing[r.Key]
-		isSame := isWriting && bytes.Equal(value, r.Value)
-		isRemoval := len(r.Value) == 0 || isWriting && len(value) == 0
-		if isSame || isRemoval && (isWriting || s.calls[r.Key] > 0) {
+		if value, isWriting := s.writing[r.Key]; isWriting && bytes.Equal(value, r.Value) {
 			continue
 		}
 		s.writing[r.Key] = r.Value
-		due = append(due, r)
+		s.epoch++
+		due = append(due, orderedRecord{Record: r, order: tglogtable.WriteOrder{Epoch: s.epoch, Writer: s.Writer + "/" + r.Key}})
 	}
 	return due
 }
 
-// write writes a record, and pauses if that fails.
-func (s *QuarantineSaver) write(ctx context.Context, wg *conc.WaitGroup, r tglogtable.Record) {
+// isNewest reports whether no later value of the key of a record is being written.
+func (s *QuarantineSaver) isNewest(r tglogtable.Record) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return bytes.Equal(s.writing[r.Key], r.Value)
+}
+
+// write writes a record until the store has it or a later value of its key is to be written.
+func (s *QuarantineSaver) write(ctx context.Context, wg *conc.WaitGroup, r orderedRecord) {
 	defer func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		defer s.signalEnd()
 		if bytes.Equal(s.writing[r.Key], r.Value) {
 			delete(s.writing, r.Key)
 		}
-	}()
-	err := s.put(ctx, wg, r)
-	if err == nil {
-		// The store reports the record only later; until then it would be written again.
-		if failed := s.Table.ApplySaved([]tglogtable.Record{r}, time.Now()); len(failed) > 0 {
-			err = failed[0]
+		select {
+		case s.ended <- struct{}{}:
+		default:
 		}
+	}()
+	begin := time.Now()
+	if !s.put(ctx, wg, r) {
+		return
 	}
-	if err != nil && ctx.Err() == nil {
-		s.OnFailed(err)
+	s.OnSaved(r.Record, time.Since(begin))
+	// The store reports the record only later; until then it would be written again.
+	if failed := s.Table.ApplySaved([]tglogtable.Record{r.Record}, time.Now()); len(failed) > 0 {
+		s.OnFailed(failed[0])
 		sleep(ctx, saveRetryPause)
 	}
 }
 
-// put writes a record and repeats that while there is no answer. It returns at the first success, or when all calls have
-// failed; others may still be in progress then.
-func (s *QuarantineSaver) put(ctx context.Context, wg *conc.WaitGroup, r tglogtable.Record) error {
-	repeats := maxSaveRepeats
-	if len(r.Value) == 0 {
-		repeats = 0
-	}
-	results := make(chan error, 1+repeats)
-	pending := 0
+// put writes a record and repeats that on other connections while no call succeeds. It reports whether one did; if not, a
+// later value of the key is to be written or ctx has ended. Other calls may still be in progress then.
+func (s *QuarantineSaver) put(ctx context.Context, wg *conc.WaitGroup, r orderedRecord) bool {
+	ended := make(chan struct{})
+	defer close(ended)
+	results := make(chan error)
 	start := func() {
-		pending++
-		s.countCall(r.Key, 1)
 		wg.Go(func() {
-			defer s.countCall(r.Key, -1)
-			results <- s.Store.Put(s.Topic, r.Key, r.Value)
+			err := s.Store.PutOrdered(s.Topic, r.Key, r.Value, r.order)
+			select {
+			case results <- err:
+			case <-ended:
+			}
 		})
 	}
 	start()
-	ticker := time.NewTicker(saveRepeat)
-	defer ticker.Stop()
+	pause := minSaveRepeat
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
 	for {
 		select {
 		case err := <-results:
-			if pending--; err == nil || pending == 0 {
-				return err
+			switch {
+			case err == nil:
+				return true
+			case errors.Is(err, tglogtable.ErrOvertaken):
+				return false
 			}
-		case <-ticker.C:
-			if repeats > 0 {
-				repeats--
-				start()
+			s.OnFailed(err)
+		case <-timer.C:
+			if !s.isNewest(r.Record) {
+				return false
 			}
+			start()
+			pause = min(2*pause, maxSaveRepeat)
+			timer.Reset(pause)
 		case <-ctx.Done():
-			return ctx.Err()
+			return false
 		}
 	}
 }
-
-func (s *QuarantineSaver) countCall(key string, n int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.calls[key] += n; s.calls[key] == 0 {
-		delete(s.calls, key)
-		s.signalEnd()
-	}
-}
-
-func (s *QuarantineSaver) signalEnd() {
-	select {
-	case s.ended <- struct{}{}:
-	default:
-	}
-}
--- a/io/tgfleet/saver_test.go
+++ b/io/tgfleet/saver_test.go
@@ -19,9 +19,13 @@
 type slowStore struct {
 	Store
 	mu     sync.Mutex
+	epochs map[string]int64    // highest of the calls that were carried out, by writer
 	values []tglogtable.Record // in the order in which the store carried the calls out
 	lost   int                 // calls whose answers are lost
 	late   bool                // lost calls are carried out only when the answer is given up
+	silent time.Duration       // from the first call on, calls are neither answered nor carried out
+
+	begun time.Time // of the first call
 }
 
 const (
@@ -29,27 +33,49 @@
 	callTimeout = 1500 * time.Millisecond
 )
 
-// Put implements Store.
-func (s *slowStore) Put(_, key string, value []byte) error {
+// PutOrdered implements Store.
+func (s *slowStore) PutOrdered(_, key string, value []byte, order tglogtable.WriteOrder) error {
 	s.mu.Lock()
+	if s.begun.IsZero() {
+		s.begun = time.Now()
+	}
+	silent := time.Since(s.begun) < s.silent
 	lost := s.lost > 0
 	s.lost--
 	s.mu.Unlock()
+	if silent {
+		time.Sleep(callTimeout)
+		return errors.New("no answer")
+	}
 	wait := answerTime
 	if lost && s.late {
 		wait = callTimeout
 	}
 	time.Sleep(wait)
-	s.mu.Lock()
-	s.values = append(s.values, tglogtable.Record{Key: key, Value: value})
-	s.mu.Unlock()
-	if !lost {
-		return nil
+	if err := s.carryOut(key, value, order); err != nil || !lost {
+		return err
 	}
 	time.Sleep(callTimeout - wait)
 	return errors.New("no answer")
 }
 
+// carryOut appends a record unless it repeats the last one of its writer or comes after a later one.
+func (s *slowStore) carryOut(key string, value []byte, order tglogtable.WriteOrder) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.epochs == nil {
+		s.epochs = map[string]int64{}
+	}
+	switch last := s.epochs[order.Writer]; {
+	case order.Epoch < last:
+		return tglogtable.ErrOvertaken
+	case order.Epoch > last:
+		s.epochs[order.Writer] = order.Epoch
+		s.values = append(s.values, tglogtable.Record{Key: key, Value: value})
+	}
+	return nil
+}
+
 // newest returns the newest values of all keys that were not removed.
 func (s *slowStore) newest() map[string][]byte {
 	s.mu.Lock()
@@ -69,7 +95,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		table := tgquarantine.NewTable("vm")
-		saver := &QuarantineSaver{OnFailed: func(error) {}, Store: store, Table: table, Topic: "topic"}
+		saver := &QuarantineSaver{OnFailed: func(error) {}, OnSaved: func(tglogtable.Record, time.Duration) {}, Store: store, Table: table, Topic: "topic"}
 		ctx, stop := context.WithCancel(t.Context())
 		var wg sync.WaitGroup
 		wg.Go(func() { saver.Run(ctx) })
@@ -100,6 +126,38 @@
 	}
 }
 
+// Guards against crashes that are forgotten when all entries end some time after the store is back: calls that it has not
+// answered kept the write from being tried again.
+func TestSaveSoonAfterStoreIsBack(t *testing.T) {
+	const silent = 800 * time.Millisecond
+	store := &slowStore{silent: silent}
+	save(t, store, func(t *testing.T, table *tgquarantine.Table) {
+		t.Helper()
+		table.RecordCrash("u1", []string{"dead"}, tgquarantine.ProgressNone, time.Now())
+		time.Sleep(silent + maxSaveRepeat)
+		assert.Equal(t, len(store.newest()), 1)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, len(store.values), 1, "it is not written again")
+	})
+}
+
+// Guards against crashes that are forgotten when all entries end, because a call that the store carries out late puts an
+// earlier value in the place of a later one.
+func TestLateWriteOfEarlierValue(t *testing.T) {
+	store := &slowStore{late: true, lost: 1}
+	save(t, store, func(t *testing.T, table *tgquarantine.Table) {
+		t.Helper()
+		for i := range 2 {
+			table.RecordCrash(fmt.Sprintf("u%d", i), []string{"dead"}, tgquarantine.ProgressNone, time.Now())
+			time.Sleep(50 * time.Millisecond)
+		}
+		time.Sleep(2 * callTimeout) // the first call has been carried out
+		record, err := tgquarantine.DecodeRecord(tglogtable.Record{Key: "dead", Value: store.newest()["dead"]})
+		assert.NilError(t, err)
+		assert.Equal(t, len(record.CrashIDs), 2)
+	})
+}
+
 // Guards against crashes that are forgotten when all entries end some time after them, because the entry that had the
 // requests was cut off from the store.
 func TestSaveWhatPeersObserved(t *testing.T) {
--- a/io/tgreport/report.go
+++ b/io/tgreport/report.go
@@ -11,6 +11,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/sirupsen/logrus"
 
+	"tanagergrade/core/tglogtable"
 	"tanagergrade/core/tgquarantine"
 	"tanagergrade/core/tgview"
 	"tanagergrade/io/tglogline"
@@ -156,6 +157,15 @@
 	r.log.WithFields(Fields{"crashes": c.Strikes, "outcome": c.Outcome, "part": c.Part}).Info("quarantine")
 }
 
+// QuarantineSaved logs that the store has answered the write of a record of a suspect part, or of its removal.
+func (r *Reporter) QuarantineSaved(record tglogtable.Record, elapsed time.Duration) {
+	f := Fields{"elapsedMs": elapsed.Milliseconds(), "outcome": "removed", "part": record.Key}
+	if saved, err := tgquarantine.DecodeRecord(record); err == nil {
+		f["crashes"], f["outcome"] = len(saved.CrashIDs), "saved"
+	}
+	r.log.WithFields(f).Info("quarantineRecord")
+}
+
 // Dependency logs that a dependency changed to a state such as "lost" or "answers".
 func (r *Reporter) Dependency(name, state string, err error) {
 	r.Counters.Add("dependencies."+state, 1)
