Let callers read long answers as slowly as their deadline allows

Now it is written in blocks of 32 KiB, each within 3 s, until the caller's own deadline: after that it has given up, and its answer would only take memory from others.

--- a/io/tgproxy/caller.go
+++ b/io/tgproxy/caller.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,14 +20,18 @@
 
 const (
 	callerBufferBytes    = 4 << 10
-	writeTimeout         = 3 * time.Second // a caller that reads nothing for this long counts as disconnected
-	defaultHeaderBytes   = 16 << 10        // the defaults apply while no configuration is known
+	writeTimeout         = 3 * time.Second // a caller that reads less than writeBlockBytes in this time counts as disconnected
+	writeBlockBytes      = 32 << 10
+	defaultHeaderBytes   = 16 << 10 // the defaults apply while no configuration is known
 	defaultBodyBytes     = 1 << 20
 	defaultHeaderTimeout = 3 * time.Second
 	defaultIdleTimeout   = 15 * time.Second
 	lingerTimeout        = 300 * time.Millisecond // for the caller to read a refusal before the connection is reset
 )
 
+// errSlowCaller means that a caller has not read its answer by the end of its patience.
+var errSlowCaller = errors.New("the caller reads its answer too slowly")
+
 // callerConn is the connection of a caller.
 type callerConn struct {
 	conn   net.Conn
@@ -180,20 +185,36 @@
 	}
 }
 
-func (k *callerConn) write(b []byte) error { return k.writeWithBody(b, nil) }
-
-// writeWithBody sends a head and a body; it does not copy a long body.
-func (k *callerConn) writeWithBody(head, body []byte) error {
+func (k *callerConn) write(b []byte) error {
 	if err := k.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
+	_, err := k.conn.Write(b)
+	return err
+}
+
+// writeWithBody sends a head and a body; it does not copy a long body. A caller may take until patience to read a long one,
+// as long as it reads on.
+func (k *callerConn) writeWithBody(head, body []byte, patience time.Time) error {
 	if len(head)+len(body) <= inlineWriteBytes {
-		_, err := k.conn.Write(append(head, body...))
+		return k.write(append(head, body...))
+	}
+	if err := k.write(head); err != nil {
 		return err
 	}
-	bufs := net.Buffers{head, body}
-	_, err := bufs.WriteTo(k.conn)
-	return err
+	end := time.Now().Add(writeTimeout)
+	if patience.After(end) {
+		end = patience
+	}
+	for block := range slices.Chunk(body, writeBlockBytes) {
+		if time.Now().After(end) {
+			return errSlowCaller
+		}
+		if err := k.write(block); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // cancelOnDisconnect cancels the request when the caller closes the connection. The returned function ends the watch.
--- a/io/tgproxy/forward.go
+++ b/io/tgproxy/forward.go
@@ -310,7 +310,7 @@
 func (k *callerConn) writeResponse(a *responseState, c *call, r *tghttp.Response, body []byte, outcome string) {
 	b := responseHead(r, a.decideKeepAlive())
 	b = tghttp.AppendContentLength(b, len(body))
-	err := k.writeWithBody(b, body)
+	err := k.writeWithBody(b, body, c.callerDeadline)
 	a.keepAlive = a.keepAlive && err == nil
 	k.server.observer.Request(c.newEvent(outcome, r.Status, time.Now()))
 }
