Do not avoid engines that lack the weights a caller asks for

Callers: one who sent Tanagergrade-Expected-Version with a version that no engine has got 421 from each engine it was tried at.

A 421 to a request with this header may only mean other weights, so it says nothing of the engine any more; another engine is still tried.

Test: TestUnknownWeightVersion; failed before (503 for a sound request after six odd ones).

--- a/io/tgproxy/forward.go
+++ b/io/tgproxy/forward.go
@@ -226,6 +226,9 @@
 		return tgpicker.OutcomeFailed, verdictRetry
 	case answerNotExecuted:
 		if x.response.Status == statusMisdirected {
+			if c.request.Header.Get(s.headers.WeightVersion) != "" { // the upstream may only have other weights
+				return tgpicker.OutcomeCancelled, verdictRetry
+			}
 			if s.groupBreaker(c, &x.target).RecordReplaced(time.Now()) {
 				return tgpicker.OutcomeReplaced, verdictOutage
 			}
--- a/io/tgproxy/options.go
+++ b/io/tgproxy/options.go
@@ -24,6 +24,7 @@
 	Signature      string // set by upstreams on answers of their own
 	TargetID       string // set for upstreams: the incarnation that may run the request
 	TokenCounts    string // number of prompt tokens and most output tokens, separated by a comma
+	WeightVersion  string // of the weights that the caller asks for; upstreams with others answer 421
 }
 
 // Catalog supplies the configuration and the state of the deployment.
--- a/io/tgproxy/trouble_test.go
+++ b/io/tgproxy/trouble_test.go
@@ -169,6 +169,27 @@
 	return c.Catalog.EntryCount()
 }
 
+// Guards against one caller who asks for weights that no engine has, and whose 421 answers make the proxy avoid all engines
+// for ten seconds: other callers would be refused.
+func TestUnknownWeightVersion(t *testing.T) {
+	b := newTestProxy(t, 3)
+	for i := range 6 {
+		c := b.dial(t)
+		c.send(request("GET", "/twice/x", fmt.Sprintf("odd%d", i), "", "Tanagergrade-Expected-Version: 9"))
+		r, _, complete := c.receive()
+		assert.Assert(t, complete)
+		assert.Equal(t, r.Status, 503)
+	}
+	for i := range 6 {
+		c := b.dial(t)
+		c.send(request("GET", "/twice/x", fmt.Sprintf("a%d", i), ""))
+		r, _, complete := c.receive()
+		assert.Assert(t, complete)
+		assert.Equal(t, r.Status, 200)
+	}
+	assert.Assert(t, b.engines[0].Executions("odd0")+b.engines[1].Executions("odd0") == 0)
+}
+
 // Guards against an upstream that counts as loaded for ever after an unexpected fault in a request that it was chosen for.
 func TestPanicReleasesUpstream(t *testing.T) {
 	count := &panickingCount{}
