--- a/core/tgpicker/picker.go
+++ b/core/tgpicker/picker.go
@@ -300,7 +300,7 @@
 		if s.leaving {
 			expiry = leavingExpiry
 		}
-		if s.pending == 0 && now.Sub(s.lastOffered) > expiry {
+		if s.pending == 0 && now.Sub(s.lastOffered) > expiry && !now.Before(s.pausedUntil) {
 			delete(p.states, id)
 		}
 	}
