Measure durations by the steady clock only

The age of the last confirmation of the configuration and the window of the retry budget were computed from Unix times, which jump with the time of day.

Both use times with a monotonic reading now.

--- a/core/tgretry/window.go
+++ b/core/tgretry/window.go
@@ -13,12 +13,13 @@
 // WindowBudget bounds the retries of one pool within a sliding window to a ratio of its requests plus this process's share
 // of a burst. It is safe for concurrent use.
 type WindowBudget struct {
-	burst    float64 // retries allowed beyond the ratio; this process's share
+	base     time.Time // start of slot 0: the time of the first request or retry
+	burst    float64   // retries allowed beyond the ratio; this process's share
 	mu       sync.Mutex
 	ratio    float64          // retries allowed per request
 	requests [windowSlots]int // first attempts, by slot
 	retries  [windowSlots]int // by slot
-	slot     int64            // newest slot, as the Unix time in units of span
+	slot     int64            // newest slot, by its number
 	span     time.Duration    // length of a slot
 }
 
@@ -36,7 +37,10 @@
 
 // advance clears the slots that have left the window and returns the index of the current one.
 func (w *WindowBudget) advance(now time.Time) int {
-	slot := now.UnixNano() / int64(w.span)
+	if w.base.IsZero() {
+		w.base = now
+	}
+	slot := int64(now.Sub(w.base) / w.span)
 	if slot > w.slot {
 		for s := max(w.slot+1, slot-windowSlots+1); s <= slot; s++ {
 			w.retries[s%windowSlots], w.requests[s%windowSlots] = 0, 0
--- a/core/tgview/view.go
+++ b/core/tgview/view.go
@@ -60,7 +60,7 @@
 // View is the newest known configuration and the registered upstreams. It is safe for concurrent use.
 type View struct {
 	codec     Codec
-	confirmed atomic.Int64 // Unix nanoseconds of the last confirmation that the operator's records are complete
+	confirmed atomic.Pointer[time.Time] // last confirmation that the operator's records are complete; nil before the first
 	config    atomic.Pointer[tgcatalog.Config]
 	following atomic.Bool                                     // the store reports each change of the operator's records at once
 	pools     atomic.Pointer[map[string][]tgcatalog.Upstream] // upstreams that may get new requests, by pool
@@ -86,11 +86,12 @@
 	if c == nil {
 		return nil, false
 	}
-	return c, v.following.Load() || time.Now().UnixNano()-v.confirmed.Load() < int64(confirmationTTL)
+	confirmed := v.confirmed.Load()
+	return c, v.following.Load() || confirmed != nil && time.Since(*confirmed) < confirmationTTL
 }
 
 // Confirm records that all of the operator's records up to now have been applied.
-func (v *View) Confirm(now time.Time) { v.confirmed.Store(now.UnixNano()) }
+func (v *View) Confirm(now time.Time) { v.confirmed.Store(&now) }
 
 // SetFollowing records whether the store reports each change of the operator's records at once. The end of following
 // counts as a confirmation, so the configuration stays current for confirmationTTL.
--- a/io/tgnode/node.go
+++ b/io/tgnode/node.go
@@ -92,7 +92,8 @@
 func newNode(settings Settings, link tglink.Dialer, configLog tglogclient.Log, logger *logrus.Logger) *Node {
 	now := time.Now()
 	self := tgframe.Member{
-		Address: settings.LinkAddress, DataCentre: settings.DataCentre, Generation: uint64(now.UnixNano()), Name: settings.Name,
+		Address: settings.LinkAddress, DataCentre: settings.DataCentre, Name: settings.Name,
+		Generation: uint64(now.UnixNano()), //nolint:forbidigo // increases across restarts, which only the time of day does
 	}
 	n := &Node{
 		Incarnation: uuid.New(),
