Write answers to callers after the attempt at the upstream has ended

A caller who reads a long answer slowly kept the connection to the upstream and its place in the load of the upstream until the last byte was written, for 3 s at most so far and, since, until the caller's deadline. The upstream has nothing left to do with it: such callers took its connections from all others, who got 503.

The attempt now ends when the answer has been read whole, and the answer is written after that.

Test: TestSlowCallersHoldNoUpstream; failed before (the third of four such callers got no connection).

--- a/io/tgentry/call.go
+++ b/io/tgentry/call.go
@@ -57,8 +57,9 @@
 	deadlineCtx, stop := context.WithDeadline(e.callsCtx, x.Deadline)
 	ctx, cancel := context.WithCancelCause(deadlineCtx)
 	l := &call{
-		answerMemory: e.answers.Lease(e.answersLimit), caller: caller, cancel: cancel, ctx: ctx, entry: e, execute: x, silenceTimeout: e.node.Config().Settings.SilenceTimeout,
-		started: time.Now(), stopDeadline: stop, triedUpstreams: map[string]bool{},
+		answerMemory: e.answers.Lease(e.answersLimit), caller: caller, cancel: cancel, ctx: ctx, entry: e, execute: x,
+		silenceTimeout: e.node.Config().Settings.SilenceTimeout, started: time.Now(), stopDeadline: stop,
+		triedUpstreams: map[string]bool{},
 	}
 	e.calls.Set(x.RequestID, l)
 	e.counters.inFlight.Add(1)
--- a/io/tgproxy/failure.go
+++ b/io/tgproxy/failure.go
@@ -2,9 +2,10 @@
 
 import "tanagergrade/io/tghttp"
 
-// upstreamError is an error that an upstream answered with.
-type upstreamError struct {
+// bufferedAnswer is a complete answer of an upstream.
+type bufferedAnswer struct {
 	body     []byte
+	outcome  string
 	response *tghttp.Response
 }
 
@@ -17,7 +18,7 @@
 		return
 	}
 	if body, err := x.body.ReadAllReserved(c.answerLimit(), c.buffers); err == nil {
-		a.upstreamError = &upstreamError{body: body, response: r}
+		a.upstreamError = &bufferedAnswer{body: body, outcome: outcomeFailed, response: r}
 	}
 }
 
--- a/io/tgproxy/forward.go
+++ b/io/tgproxy/forward.go
@@ -18,6 +18,7 @@
 
 // responseState is the state of the response to a call.
 type responseState struct {
+	answer        *bufferedAnswer // of the last attempt; written when that has ended, as the caller may read it slowly
 	caller        *callerConn
 	begunAt       time.Time       // when this attempt forwarded its first event; zero before that
 	contentType   string          // of the response, once its head was written
@@ -27,9 +28,9 @@
 	lastEventAt   time.Time       // when this attempt last forwarded events; zero before that
 	lastEventID   int64           // highest ID of the events that the caller has; noEventID if it has none
 	limiter       *tgstreamlimit.Limiter
-	proven        bool           // this attempt has gone on for tgquarantine.ProofTime since its first event
-	resumes       bool           // this attempt resumes a stream
-	upstreamError *upstreamError // forwarded if no other upstream answers
+	proven        bool            // this attempt has gone on for tgquarantine.ProofTime since its first event
+	resumes       bool            // this attempt resumes a stream
+	upstreamError *bufferedAnswer // forwarded if no other upstream answers
 }
 
 // decideKeepAlive decides, when the head is written, whether the connection may carry another request: not while the
@@ -96,6 +97,9 @@
 		c.attempts++
 		verdict := k.attempt(a, c, choice)
 		if verdict == verdictDone {
+			if a.answer != nil {
+				k.writeAnswer(a, c, a.answer)
+			}
 			return
 		}
 		if verdict == verdictUnsent {
@@ -293,7 +297,7 @@
 	k.server.recordAnswer(c, x)
 	now := time.Now()
 	c.forecast.RecordEnd(now.Sub(c.receivedAt), 0, 0, now)
-	k.writeResponse(a, c, x.response, body, outcomeAnswered)
+	a.answer = &bufferedAnswer{body: body, outcome: outcomeAnswered, response: x.response}
 	return tgpicker.OutcomeAnswered, verdictDone
 }
 
@@ -306,16 +310,16 @@
 	if err != nil || a.headWritten {
 		return verdictStop
 	}
-	k.writeResponse(a, c, x.response, body, outcomeFailed)
+	a.answer = &bufferedAnswer{body: body, outcome: outcomeFailed, response: x.response}
 	return verdictDone
 }
 
-func (k *callerConn) writeResponse(a *responseState, c *call, r *tghttp.Response, body []byte, outcome string) {
-	b := responseHead(r, a.decideKeepAlive())
-	b = tghttp.AppendContentLength(b, len(body))
-	err := k.writeWithBody(b, body, c.callerDeadline)
+func (k *callerConn) writeAnswer(a *responseState, c *call, answer *bufferedAnswer) {
+	b := responseHead(answer.response, a.decideKeepAlive())
+	b = tghttp.AppendContentLength(b, len(answer.body))
+	err := k.writeWithBody(b, answer.body, c.callerDeadline)
 	a.keepAlive = a.keepAlive && err == nil
-	k.server.observer.Request(c.newEvent(outcome, r.Status, time.Now()))
+	k.server.observer.Request(c.newEvent(answer.outcome, answer.response.Status, time.Now()))
 }
 
 // responseHead returns the head of an upstream's answer without framing headers and the final empty line.
@@ -340,7 +344,7 @@
 	case a.headWritten:
 		k.abortResponse(a, c, outcomeBroken)
 	case a.upstreamError != nil:
-		k.writeResponse(a, c, a.upstreamError.response, a.upstreamError.body, outcomeFailed)
+		k.writeAnswer(a, c, a.upstreamError)
 	case c.mayHaveRun:
 		a.keepAlive = k.refuse(c, http.StatusBadGateway, outcomeIndeterminate, 0, a.keepAlive)
 	default:
--- a/io/tgproxy/trouble_test.go
+++ b/io/tgproxy/trouble_test.go
@@ -169,6 +169,20 @@
 	return c.Catalog.EntryCount()
 }
 
+// Guards against callers who read long answers slowly and so keep connections to an upstream from other callers.
+func TestSlowCallersHoldNoUpstream(t *testing.T) {
+	const connections = 2
+	b := newTestProxy(t, 1, withMaxConnections(connections))
+	b.engines[0].ResponseBody = strings.Repeat("x", 8<<20) // more than the buffers of a connection hold
+	for i := range 2 * connections {
+		slow := b.dial(t)
+		slow.send(request("GET", "/twice/x", fmt.Sprintf("slow%d", i), ""))
+		waitFor(t, func() bool { return b.runs(fmt.Sprintf("slow%d", i)) == 1 })
+		_, err := slow.br.Peek(1) // the answer is there
+		assert.NilError(t, err)
+	}
+}
+
 // Guards against one caller who asks for weights that no engine has, and whose 421 answers make the proxy avoid all engines
 // for ten seconds: other callers would be refused.
 func TestUnknownWeightVersion(t *testing.T) {
