Blame the requests of a frozen VM for crashes that its peers saw

One of the five crashes was held against no part: the entry that had the request was frozen from 22.8 to 25.0 s, the engine ended at 23.05 s and was back when the entry ran again, and the caller had left. So the entry saw a cancelled request and a sound engine.

An attempt that ends before its answer begins, by its caller or by its connection, is now added to a crash of its upstream that peers tell of from the start of the attempt to half a second after its end.

Test: TestCrashThatOnlyPeersSaw; failed before (the part is not suspect).

--- a/core/tgquarantine/table.go
+++ b/core/tgquarantine/table.go
@@ -114,6 +114,24 @@
 	t.notify(true)
 }
 
+// AddToCrash adds a request with the given parts to the last known crash of an upstream between from and to, and reports
+// whether there is one. An entry may know only from others that an upstream crashed while it had a request.
+func (t *Table) AddToCrash(upstream string, parts []string, progress Progress, from, to, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range slices.Backward(t.crashes) {
+		if c.upstream != upstream || c.at.Before(from) || c.at.After(to) {
+			continue
+		}
+		t.addParts(c, parts, progress)
+		c.local = c.local || len(parts) > 0
+		t.rebuild(now)
+		t.notify(true)
+		return true
+	}
+	return false
+}
+
 // Unanswered returns those of the given parts of which this entry knows no complete answer.
 func (t *Table) Unanswered(parts []string) []string {
 	var unanswered []string
--- a/io/tgproxy/crash.go
+++ b/io/tgproxy/crash.go
@@ -24,6 +24,7 @@
 	// After this time, an upstream has begun the answer to most requests.
 	withdrawnCheckDelay = 300 * time.Millisecond
 	crashCheckTTL       = 500 * time.Millisecond // for which the result of a check holds; an upstream needs longer to restart
+	peerCrashWindow     = 500 * time.Millisecond // for what peers tell of a crash to arrive
 )
 
 // crashChecker finds out whether an upstream whose connection has ended still accepts connections. The streams of an
@@ -129,7 +130,11 @@
 // withdrawn attempt may have been at a crash, too, as its connection was closed at about the same time.
 func (k *callerConn) recordCrash(a *responseState, c *call, x *exchange) {
 	s := k.server
-	if !x.connEnded && !x.withdrawn.Load() || a.ctx.Err() != nil || len(c.promptParts) == 0 && c.route.Kind != tgcatalog.KindStreaming {
+	if a.ctx.Err() != nil {
+		s.recordPeerCrash(c, x)
+		return
+	}
+	if !x.connEnded && !x.withdrawn.Load() || len(c.promptParts) == 0 && c.route.Kind != tgcatalog.KindStreaming {
 		return
 	}
 	parts, progress := c.promptParts, tgquarantine.ProgressNone
@@ -145,12 +150,29 @@
 	}
 	if s.checkCrash(c.pool, x.target, parts, progress) {
 		c.atCrash = true
+	} else {
+		s.recordPeerCrash(c, x)
 	}
 	if x.withdrawn.Load() { // an upstream may go on with a request whose connection has ended
 		time.AfterFunc(withdrawnCheckDelay, func() { s.checkCrash(c.pool, x.target, parts, progress) })
 	}
 }
 
+// recordPeerCrash adds an attempt that ended before its answer began to a crash of the upstream that peers tell of at about
+// the same time. A VM that was frozen meanwhile finds the upstream running again, and the caller may have left.
+func (s *Server) recordPeerCrash(c *call, x *exchange) {
+	if x.begun || x.conn == nil || len(c.promptParts) == 0 {
+		return
+	}
+	parts, target, sentAt := c.promptParts, x.target, x.sentAt
+	end := time.Now().Add(peerCrashWindow)
+	time.AfterFunc(peerCrashWindow, func() {
+		if s.quarantine.AddToCrash(target.ID, parts, tgquarantine.ProgressNone, sentAt, end, time.Now()) {
+			s.counters.Add("crashedAttempts", 1)
+		}
+	})
+}
+
 // checkCrash records a crash if an upstream has ended, and reports whether it has. The parts are those of a request, and
 // progress is how far its answer was.
 func (s *Server) checkCrash(pool string, target tgcatalog.Upstream, parts []string, progress tgquarantine.Progress) bool {
--- a/io/tgproxy/exchange.go
+++ b/io/tgproxy/exchange.go
@@ -38,6 +38,7 @@
 	kind            answerKind
 	pool            *connPool
 	response        *tghttp.Response
+	sentAt          time.Time   // when the attempt began
 	spent           bool        // the connection is not used again: an answer to another attempt came, or from a stranger
 	stopAbort       func() bool // detaches the connection from the cancellation; false if its abort has begun
 	target          tgcatalog.Upstream
@@ -59,8 +60,7 @@
 // startExchange sends a request and reads the head of its answer; kind is set when it returns. The upstream has at most
 // connLimit connections of this process.
 func (s *Server) startExchange(ctx context.Context, u tgcatalog.Upstream, connLimit int, c *call, head []byte) *exchange {
-	x := &exchange{pool: s.conns, target: u, writeResult: make(chan error, 1)}
-	start := time.Now()
+	x := &exchange{pool: s.conns, sentAt: time.Now(), target: u, writeResult: make(chan error, 1)}
 	conn, err := s.conns.get(ctx, u, c, connLimit)
 	if err != nil {
 		x.kind, x.detail = answerUnsent, err.Error()
@@ -78,7 +78,7 @@
 	if x.kind == answerNotExecuted && x.response.Status == statusMisdirected {
 		s.identify(x, c)
 	}
-	x.timeToFirstByte = time.Since(start)
+	x.timeToFirstByte = time.Since(x.sentAt)
 	if ctx.Err() != nil && x.kind != answerOK && x.kind != answerError && x.kind != answerNotExecuted {
 		x.kind = answerCanceled
 	}
--- a/io/tgproxy/poison_test.go
+++ b/io/tgproxy/poison_test.go
@@ -151,6 +151,27 @@
 	assert.Check(t, b.crashes() <= 2, "%d engines crashed", b.crashes())
 }
 
+// Guards against a crash that is not held against the deadly part because its entry was frozen: when the entry runs again, the
+// caller has left and the engine is back, so that only the peers know of the crash.
+func TestCrashThatOnlyPeersSaw(t *testing.T) {
+	t.Parallel()
+	table := tgquarantine.NewTable("vm")
+	b := newPoisonedProxy(t, 1, func(s *proxySetup) { s.options = []tgproxy.Option{tgproxy.WithQuarantine(table)} })
+	b.engines[0].ProcessingTime = 10 * time.Second
+	caller := b.dial(t)
+	caller.send(request(http.MethodPost, "/stream/", "poisoned", "{}", streamHeader,
+		"Tanagergrade-Prompt-Prefix: "+deadlyPart+":160,own:300"))
+	waitFor(t, func() bool { return b.engines[0].Executions("poisoned") == 1 })
+	peer := tgquarantine.NewTable("peer")
+	peer.RecordCrash(b.engines[0].ID, nil, tgquarantine.ProgressNone, time.Now())
+	assert.NilError(t, caller.Close())
+	time.Sleep(50 * time.Millisecond)
+	table.Merge(peer.Notice(time.Now()), time.Now())
+	waitFor(t, func() bool {
+		return table.Decide([]string{deadlyPart}, time.Now()).Verdict == tgquarantine.VerdictTry
+	})
+}
+
 // Guards against a crash that is not held against the deadly part because the request was withdrawn just then.
 func TestCrashOfWithdrawnRequest(t *testing.T) {
 	table := tgquarantine.NewTable("vm")
