Review case: the leader of the rank groups hangs when a group gets smaller

Change: a script with a rank group of its own; a quarter of the engines goes dark during a change, and the group forms without them.

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -22,8 +22,9 @@
 
 // cases are the scripts by name. Each reports whether the rule was broken.
 var cases = map[string]func(d *deployment, trouble bool) (broken bool, err error){
-	"lateStream": playLateStream,
-	"strayEntry": playStrayEntry,
+	"lateStream":   playLateStream,
+	"smallerGroup": playSmallerGroup,
+	"strayEntry":   playStrayEntry,
 }
 
 func main() {
