Log what decided whether a stopping entry takes a request

The line of a request did not say whether a stopping entry had taken it by its time limit or by the forecast of its answer, nor how long that was, so a wrong length, a pace that had fallen and a wrong limit looked the same.

Lines of requests now have stopBasis, stopLeftMs and stopForecastMs.

--- a/core/tgdrain/forecast.go
+++ b/core/tgdrain/forecast.go
@@ -21,6 +21,27 @@
 	Tokens    float64   // most tokens of its answer; 0 if unknown
 }
 
+// Stop is the planned stop of a process.
+type Stop struct {
+	End time.Time // when the process ends the requests that are left
+}
+
+// Basis is what a decision on a request rests on.
+type Basis string
+
+const (
+	BasisForecast  Basis = "forecast"  // the length and the pace of earlier answers
+	BasisTimeLimit Basis = "timeLimit" // the time limit of the request
+)
+
+// Decision tells whether a process that stops takes a request, and why.
+type Decision struct {
+	Admitted bool
+	Basis    Basis
+	Forecast time.Duration // how long the answer is expected to take; 0 if that is unknown or did not matter
+	Left     time.Duration // until the process ends
+}
+
 // Forecast predicts how long answers of one route take, from the length and the pace of those before. It is safe for
 // concurrent use.
 type Forecast struct {
@@ -75,14 +96,19 @@
 	}
 }
 
-// CanFinish reports whether an answer will have ended at end: by its time limit, or by what is known of its length and of
-// the pace.
-func (f *Forecast) CanFinish(w Work, now, end time.Time) bool {
-	if !w.ExpiresAt.After(end) {
-		return true
+// Decide decides on a request that asks a process that stops to take it: its answer has to end in time, by its time limit or
+// by what is known of its length and of the pace.
+func (f *Forecast) Decide(w Work, stop Stop, now time.Time) Decision {
+	d := Decision{Basis: BasisTimeLimit, Left: stop.End.Sub(now)}
+	if !w.ExpiresAt.After(stop.End) {
+		d.Admitted = true
+		return d
 	}
-	d, known := f.duration(w, now)
-	return known && !now.Add(d).After(end)
+	d.Basis = BasisForecast
+	var known bool
+	d.Forecast, known = f.duration(w, now)
+	d.Admitted = known && d.Forecast <= d.Left
+	return d
 }
 
 // duration returns how long an answer may take. It is unknown until an answer has ended, or while its events have no pace.
--- a/core/tgdrain/forecast_test.go
+++ b/core/tgdrain/forecast_test.go
@@ -9,7 +9,7 @@
 
 // Guards against a planned stop that takes a request which it cuts off later, and against one that refuses requests which
 // it has the time to finish.
-func TestCanFinish(t *testing.T) {
+func TestDecide(t *testing.T) {
 	const (
 		expiry = 8 * time.Second // of the caller, from the arrival
 		left   = 3 * time.Second // until the process has to end
@@ -99,7 +99,7 @@
 			f := NewForecast()
 			tc.record(f)
 			now := start.Add(tc.now)
-			assert.Equal(t, f.CanFinish(tc.work, now, now.Add(left)), tc.want)
+			assert.Equal(t, f.Decide(tc.work, Stop{End: now.Add(left)}, now).Admitted, tc.want)
 		})
 	}
 }
--- a/io/tgproxy/call.go
+++ b/io/tgproxy/call.go
@@ -47,6 +47,7 @@
 	receivedAt     time.Time
 	request        *tghttp.Request
 	route          *tgcatalog.Route
+	stop           *tgdrain.Decision // the last one on it while the server drained; nil without one
 	ticket         *tgstreamlimit.Ticket
 	trial          *tgquarantine.Trial // of the present attempt; nil if no part of its prompt is suspect
 	tried          map[string]bool     // IDs of the upstreams of earlier attempts
@@ -174,6 +175,9 @@
 		e.PromptTokens, e.Tokens = c.costRequest.Prompt, c.produced
 		e.PlacedBy, e.UpstreamLoad = c.placedBy, c.upstreamLoad
 	}
+	if c.stop != nil {
+		e.Stop = *c.stop
+	}
 	if c.config != nil {
 		e.ConfigVersion = c.config.Version
 	}
--- a/io/tgproxy/options.go
+++ b/io/tgproxy/options.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"tanagergrade/core/tgcatalog"
+	"tanagergrade/core/tgdrain"
 )
 
 // Headers names the headers that the proxy reads or sets.
@@ -77,8 +78,9 @@
 	Returning        bool // the caller was presumably refused before
 	Route            string
 	Status           int
-	TimeToFirstEvent time.Duration // from the arrival of the request, of a stream
-	Tokens           float64       // of the answer
+	Stop             tgdrain.Decision // whether the stopping server took the request; the zero value if it did not stop
+	TimeToFirstEvent time.Duration    // from the arrival of the request, of a stream
+	Tokens           float64          // of the answer
 	Upstream         string
 	UpstreamLoad     float64       // of the entry on the upstream before the last attempt, in streams
 	Waited           time.Duration // for a place
--- a/io/tgproxy/serve.go
+++ b/io/tgproxy/serve.go
@@ -10,6 +10,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
+
+	"tanagergrade/core/tgdrain"
 )
 
 const (
@@ -213,7 +215,9 @@
 	}
 	now, limits := time.Now(), s.limits.Load()
 	accepting := now.Before(end.Add(drainAcceptPeriod - limits.DrainGrace + limits.ShutdownReserve))
-	return c.forecast.CanFinish(c.work(accepting && c.route.Resumable), now, *end)
+	d := c.forecast.Decide(c.work(accepting && c.route.Resumable), tgdrain.Stop{End: *end}, now)
+	c.stop = &d
+	return d.Admitted
 }
 
 func (s *Server) isDraining() bool { return s.drainEnd.Load() != nil }
--- a/io/tgreport/report.go
+++ b/io/tgreport/report.go
@@ -117,6 +117,10 @@
 	number("status", int64(e.Status))
 	number("tokens", int64(e.Tokens))
 	number("waitedMs", e.Waited.Milliseconds())
+	if e.Stop.Basis != "" {
+		f["stopBasis"], f["stopLeftMs"] = string(e.Stop.Basis), e.Stop.Left.Milliseconds()
+		number("stopForecastMs", e.Stop.Forecast.Milliseconds())
+	}
 	if e.UpstreamLoad > 0 {
 		f["load"] = math.Round(e.UpstreamLoad*10) / 10
 	}
--- a/io/tgreport/report_test.go
+++ b/io/tgreport/report_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
 
+	"tanagergrade/core/tgdrain"
 	"tanagergrade/core/tgview"
 	"tanagergrade/io/tgproxy"
 	"tanagergrade/io/tgreport"
@@ -37,6 +38,10 @@
 		Detail: "queue: wait", ExpectedWait: 2 * time.Second, ID: "a4", Outcome: "refused", Position: 12, Returning: true,
 		Status: 503, Waited: 150 * time.Millisecond,
 	})
+	r.Request(tgproxy.Event{
+		Detail: "the server stops", ID: "a5", Outcome: "refused", Status: 503,
+		Stop: tgdrain.Decision{Basis: tgdrain.BasisForecast, Forecast: 5 * time.Second, Left: 4 * time.Second},
+	})
 	r.Attempt(tgproxy.Event{Attempts: 1, Detail: "read: connection reset by peer", ID: "a3", Outcome: "lost", Upstream: "i-2"})
 	r.ViewChange("store", "operator", tgview.Change{Key: "config", Offset: 5, Outcome: "accepted", Version: 7})
 	r.ViewChange("peer vm-2", "operator", tgview.Change{Err: errors.New("line 1\nline 2"), Key: "config", Offset: 6, Outcome: "rejected"})
