Take late requests in a stop only if their time limit ends in time

Cause: the stopping entry forecast the length of an answer from the longest one of the last half minute, and took that for a bound. The trace of the case: stopForecastMs=986 stopLeftMs=4299, 81 ms from event to event as before, 212 of 240 allowed tokens. The highest of a few samples bounds nothing, nor does the pace, which is a mean over all engines of the route.

While callers still open connections a forecast decides, as before. A request that was read later came on an idle connection: only its own time limit, or that of its route, counts as a bound, else it gets 503 at once and its caller goes elsewhere.

core/tgdrain TestDecide (three new rows) and io/tgproxy TestStopTakesWhatItCanFinish (two rows) fail without the change. Two rows of the latter asked for the fault, a request on an idle connection taken because of the answers before; they now ask for its refusal, and two rows on new connections keep the guard against needless refusals.

--- a/core/tgdrain/forecast.go
+++ b/core/tgdrain/forecast.go
@@ -18,12 +18,14 @@
 type Work struct {
 	ExpiresAt time.Time // when its caller or its route ends it
 	Likely    float64   // events that hardly any answer to such a request exceeds; 0 if only the longest ones count
+	ReadAt    time.Time // when the whole request had been read
 	Tokens    float64   // most tokens of its answer; 0 if unknown
 }
 
 // Stop is the planned stop of a process.
 type Stop struct {
-	End time.Time // when the process ends the requests that are left
+	AcceptUntil time.Time // end of the time in which callers may still open connections
+	End         time.Time // when the process ends the requests that are left
 }
 
 // Basis is what a decision on a request rests on.
@@ -96,14 +98,19 @@
 	}
 }
 
-// Decide decides on a request that asks a process that stops to take it: its answer has to end in time, by its time limit or
-// by what is known of its length and of the pace.
+// Decide decides on a request that asks a process that stops to take it. While callers still open connections, others are
+// harder to reach and the request is taken if it is expected to end in time. One that comes later, on a connection that was
+// idle, is taken only if its time limit ends it: earlier answers are no bound for the length and the pace of the next one,
+// and its caller can go elsewhere at once.
 func (f *Forecast) Decide(w Work, stop Stop, now time.Time) Decision {
 	d := Decision{Basis: BasisTimeLimit, Left: stop.End.Sub(now)}
 	if !w.ExpiresAt.After(stop.End) {
 		d.Admitted = true
 		return d
 	}
+	if w.ReadAt.After(stop.AcceptUntil) {
+		return d
+	}
 	d.Basis = BasisForecast
 	var known bool
 	d.Forecast, known = f.duration(w, now)
--- a/core/tgdrain/forecast_test.go
+++ b/core/tgdrain/forecast_test.go
@@ -7,14 +7,15 @@
 	"gotest.tools/v3/assert"
 )
 
-// Guards against a planned stop that takes a request which it cuts off later, and against one that refuses requests which
-// it has the time to finish.
+// Guards against a planned stop that takes a request which it cuts off later, also where the answers before were shorter,
+// and against one that refuses requests of new connections which it has the time to finish.
 func TestDecide(t *testing.T) {
 	const (
 		expiry = 8 * time.Second // of the caller, from the arrival
 		left   = 3 * time.Second // until the process has to end
 	)
 	start := time.Unix(1000, 0)
+	late := start.Add(time.Millisecond) // after the last connections were accepted
 	// stream records a stream of 20 events with the given pause, for 100 tokens, that ends after the given time.
 	stream := func(f *Forecast, pause, after time.Duration) {
 		at := start.Add(after - 19*pause)
@@ -94,12 +95,33 @@
 			"the pace is unknown", func(f *Forecast) { f.RecordEnd(100*time.Millisecond, 20, 100, start) },
 			Work{ExpiresAt: start.Add(expiry), Tokens: 100}, 0, false,
 		},
+		{
+			"stream on an idle connection, short ones so far", func(f *Forecast) { stream(f, 10*time.Millisecond, 0) },
+			Work{ExpiresAt: start.Add(expiry), ReadAt: late, Tokens: 100}, time.Second, false,
+		},
+		{
+			"likely short stream on an idle connection", func(f *Forecast) { stream(f, 10*time.Millisecond, 0) },
+			Work{ExpiresAt: start.Add(expiry), Likely: 2, ReadAt: late, Tokens: 100}, time.Second, false,
+		},
+		{
+			"plain request on an idle connection, short answers so far",
+			func(f *Forecast) { f.RecordEnd(100*time.Millisecond, 0, 0, start) },
+			Work{ExpiresAt: start.Add(expiry), ReadAt: late}, time.Second, false,
+		},
+		{
+			"time limit ends it before, on an idle connection", func(*Forecast) {},
+			Work{ExpiresAt: start.Add(left), ReadAt: late}, time.Second, true,
+		},
+		{
+			"read while connections were accepted, tried again later", func(f *Forecast) { stream(f, 100*time.Millisecond, 0) },
+			Work{ExpiresAt: start.Add(expiry), ReadAt: start, Tokens: 100}, 2 * time.Second, true,
+		},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			f := NewForecast()
 			tc.record(f)
 			now := start.Add(tc.now)
-			assert.Equal(t, f.Decide(tc.work, Stop{End: now.Add(left)}, now).Admitted, tc.want)
+			assert.Equal(t, f.Decide(tc.work, Stop{AcceptUntil: start, End: now.Add(left)}, now).Admitted, tc.want)
 		})
 	}
 }
--- a/io/tgproxy/call.go
+++ b/io/tgproxy/call.go
@@ -44,7 +44,8 @@
 	produced       float64    // tokens of the answer so far, of a stream
 	promptParts    []string   // IDs of the parts of the prompt that other requests may share
 	queue          *waitQueue // from which it got its place; nil if it did not come by a queue
-	receivedAt     time.Time
+	readAt         time.Time  // when the whole request had been read
+	receivedAt     time.Time  // when its first byte had come
 	request        *tghttp.Request
 	route          *tgcatalog.Route
 	stop           *tgdrain.Decision // the last one on it while the server drained; nil without one
@@ -69,7 +70,8 @@
 func (s *Server) newCall(r *tghttp.Request, body []byte, buffers *tgmemory.Lease, receivedAt time.Time) *call {
 	c := &call{
 		body: body, buffers: buffers, cost: 1, headers: &s.headers, id: r.Header.Get(s.headers.AttemptID),
-		promptParts: sharedParts(promptHeader(r.Header, s.headers.PromptParts)), receivedAt: receivedAt, request: r,
+		promptParts: sharedParts(promptHeader(r.Header, s.headers.PromptParts)),
+		readAt:      time.Now(), receivedAt: receivedAt, request: r,
 	}
 	wait := defaultDeadline
 	if ms, err := strconv.ParseFloat(r.Header.Get(s.headers.DeadlineMs), 64); err == nil && ms >= 0 {
@@ -117,7 +119,7 @@
 // work returns what is known of the length of the answer, by the longest answers on the route and, if likely is true, by the
 // estimate for the request.
 func (c *call) work(likely bool) tgdrain.Work {
-	w := tgdrain.Work{ExpiresAt: c.expiresAt, Tokens: c.costRequest.MaxOutput}
+	w := tgdrain.Work{ExpiresAt: c.expiresAt, ReadAt: c.readAt, Tokens: c.costRequest.MaxOutput}
 	if b := c.estimate.Basis; likely && (b == tgcost.BasisHint || b == tgcost.BasisRoute) {
 		w.Likely = c.estimate.P90 / c.tokensPerEvent()
 	}
--- a/io/tgproxy/serve.go
+++ b/io/tgproxy/serve.go
@@ -89,12 +89,13 @@
 
 // drain stops the server: it accepts connections for drainAcceptPeriod, then ends the accept loop, which closes idle
 // connections, and lets requests finish until only ShutdownReserve is left of the grace period or ended is closed. Requests
-// that come meanwhile are taken only if they can be finished by then. Those that are not finished nevertheless get an answer
+// that come meanwhile are taken only if they can be finished by then; see tgdrain.Forecast.Decide. Those that are not finished nevertheless get an answer
 // that says so, unless their response has begun.
 func (s *Server) drain(listener net.Listener, abort context.CancelCauseFunc, ended <-chan struct{}) {
 	limits := s.limits.Load()
-	end := time.Now().Add(limits.DrainGrace - limits.ShutdownReserve)
-	s.drainEnd.Store(&end)
+	now := time.Now()
+	end := now.Add(limits.DrainGrace - limits.ShutdownReserve)
+	s.stop.Store(&tgdrain.Stop{AcceptUntil: now.Add(drainAcceptPeriod), End: end})
 	time.Sleep(drainAcceptPeriod)
 	stopAccepting(listener)
 	select {
@@ -206,21 +207,19 @@
 const detailStops = "the server stops before the answer can be complete"
 
 // canFinish reports whether a call can be answered in full before the server stops. While the platform still sends new
-// connections, other entries are harder to reach and the few answers that turn out longer than likely can be resumed;
-// after that, the longest answers count.
+// connections, the few answers that turn out longer than likely can be resumed where the route allows it.
 func (s *Server) canFinish(c *call) bool {
-	end := s.drainEnd.Load()
-	if end == nil {
+	stop := s.stop.Load()
+	if stop == nil {
 		return true
 	}
-	now, limits := time.Now(), s.limits.Load()
-	accepting := now.Before(end.Add(drainAcceptPeriod - limits.DrainGrace + limits.ShutdownReserve))
-	d := c.forecast.Decide(c.work(accepting && c.route.Resumable), tgdrain.Stop{End: *end}, now)
+	now := time.Now()
+	d := c.forecast.Decide(c.work(now.Before(stop.AcceptUntil) && c.route.Resumable), *stop, now)
 	c.stop = &d
 	return d.Admitted
 }
 
-func (s *Server) isDraining() bool { return s.drainEnd.Load() != nil }
+func (s *Server) isDraining() bool { return s.stop.Load() != nil }
 
 func (s *Server) track(k *callerConn) {
 	s.mu.Lock()
--- a/io/tgproxy/server.go
+++ b/io/tgproxy/server.go
@@ -33,7 +33,6 @@
 	costs          *tgcost.Estimator
 	counters       *expvar.Map
 	crashes        crashChecker
-	drainEnd       atomic.Pointer[time.Time]          // of the requests in progress; nil unless the server drains
 	forecasts      *tgshardmap.Map[*tgdrain.Forecast] // of answers, by route
 	groups         *tggroupview.View
 	headers        Headers
@@ -47,6 +46,7 @@
 	quarantine     *tgquarantine.Table
 	rand           func() float64
 	retryBudgets   *tgshardmap.Map[*tgretry.WindowBudget]  // by pool
+	stop           atomic.Pointer[tgdrain.Stop]            // nil unless the server drains
 	streamLimiters *tgshardmap.Map[*tgstreamlimit.Limiter] // by pool
 	unbegun        unbegunExchanges
 	unevenSpread   float64 // see WithUnevenSpread
--- a/io/tgproxy/stop_test.go
+++ b/io/tgproxy/stop_test.go
@@ -67,7 +67,8 @@
 func (silentObserver) Request(Event) {}
 
 // Guards against a planned stop that takes a request which can't be complete before the process ends, and cuts it off then:
-// a first request on a connection that was open before the stop may come seconds after it.
+// a first request on a connection that was open before the stop may come seconds after it, and its answer may be longer than
+// all those of the last half minute.
 func TestStopTakesWhatItCanFinish(t *testing.T) {
 	const grace, reserve = 8 * time.Second, 500 * time.Millisecond
 	for _, tc := range []struct {
@@ -79,10 +80,12 @@
 	}{
 		{"stream of unknown length", "stream", 3400 * time.Millisecond, false, false},
 		{"stream of unknown length at once", "stream", 100 * time.Millisecond, false, false},
-		{"stream of known length", "stream", 3400 * time.Millisecond, true, true},
+		{"stream after shorter ones on a new connection", "stream", 2500 * time.Millisecond, true, true},
+		{"stream after shorter ones on an idle connection", "stream", 3400 * time.Millisecond, true, false},
 		{"plain request with a short time limit", "plain", 3400 * time.Millisecond, false, true},
 		{"plain request with a long time limit", "slow", 3400 * time.Millisecond, false, false},
-		{"plain request with short answers", "slow", 3400 * time.Millisecond, true, true},
+		{"plain request after short ones on a new connection", "slow", 2500 * time.Millisecond, true, true},
+		{"plain request after short ones on an idle connection", "slow", 3400 * time.Millisecond, true, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
