Refuse answers with a status that HTTP does not have

Here the product's own entry answered callers 200 with such an answer, and the store, the log service, peers, ranks, the VM list and operators' commands were taken to have succeeded: fasthttp reports 000 as 200. The entry on the platform refused 000 to 099, but passed 600 to 999 on to callers, with the engine's signature, or as a promise that the request had not run; control calls took them for answers of the engine. An entry passed on any number that a companion of another version sends.

Cause: io/tghttp checked a lower bound only, and nothing checked what fasthttp takes for a status. Now parseStatusLine decides for both, 100 to 599 and not 101; a scanner on the connections of all clients of fasthttp makes the read of an invalid status line fail, also after informational responses. These clients share one constructor, which stood seven times.

--- a/core/tgdrain/forecast.go
+++ b/core/tgdrain/forecast.go
@@ -31,6 +31,7 @@
 // Basis is what a decision on a request rests on.
 type Basis string
 
+// What a Decision may rest on.
 const (
 	BasisForecast  Basis = "forecast"  // the length and the pace of earlier answers
 	BasisTimeLimit Basis = "timeLimit" // the time limit of the request
--- a/io/tgadmin/client.go
+++ b/io/tgadmin/client.go
@@ -9,6 +9,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+
+	"tanagergrade/io/tghttp"
 )
 
 const clientTimeout = 3 * time.Second // bounds each request; the deadline of the context may be earlier
@@ -32,12 +34,7 @@
 
 // NewClient returns a client that identifies itself with the certificate of tlsConfig.
 func NewClient(tlsConfig *tls.Config) *Client {
-	return &Client{http: &fasthttp.Client{
-		MaxIdemponentCallAttempts: 1,
-		NoDefaultUserAgentHeader:  true,
-		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		TLSConfig:                 withHTTPProtocol(tlsConfig),
-	}}
+	return &Client{http: tghttp.NewTLSClient(withHTTPProtocol(tlsConfig))}
 }
 
 // Dump returns the dump of the daemon at address: a JSON object with the state of each source.
--- a/io/tgcommand/platform_config.go
+++ b/io/tgcommand/platform_config.go
@@ -7,6 +7,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 	"github.com/valyala/fasthttp"
+
+	"tanagergrade/io/tghttp"
 )
 
 const configPath = "/config"
@@ -52,7 +54,7 @@
 
 // fetch returns the body of a daemon's response to a GET request for a path of its admin server.
 func fetch(address netip.AddrPort, path string) ([]byte, error) {
-	status, body, err := fasthttp.GetTimeout(nil, "http://"+address.String()+path, dumpTimeout)
+	status, body, err := tghttp.NewClient().GetTimeout(nil, "http://"+address.String()+path, dumpTimeout)
 	switch {
 	case err != nil:
 		return nil, err
--- /dev/null
+++ b/io/tgcontrol/status_test.go
@@ -0,0 +1,34 @@
+package tgcontrol
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tanagergrade/io/tgstandin"
+)
+
+// Guards against an answer to a control call with a status that HTTP does not have which counts as one of the engine: an
+// order would be taken for refused, or an engine for another one.
+func TestInvalidStatus(t *testing.T) {
+	for _, code := range tgstandin.InvalidStatuses {
+		s, err := tgstandin.NewFixedReplyServer(tgstandin.ReplyWithStatus(code, "{}"), true)
+		assert.NilError(t, err)
+		c := New(func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+			var d net.Dialer
+			return d.DialContext(ctx, "tcp", addr.String())
+		})
+		for _, do := range []func(netip.AddrPort, Call) (int, []byte, error){c.Do, c.DoCertain} {
+			for _, body := range [][]byte{nil, []byte("{}")} {
+				status, _, err := do(s.Address(), Call{Body: body, Target: "/v1/order", Timeout: time.Second})
+				assert.Assert(t, err != nil, "status %q became %d", code, status)
+			}
+		}
+		assert.Equal(t, s.Conns.Load(), s.Requests.Load(), "a connection was used again")
+		assert.NilError(t, s.Close())
+	}
+}
--- a/io/tgdemo/caller.go
+++ b/io/tgdemo/caller.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"tanagergrade/core/tgcall"
+	"tanagergrade/io/tghttp"
 	"tanagergrade/io/tgstandin"
 )
 
@@ -52,11 +53,9 @@
 type caller struct{ http *fasthttp.Client }
 
 func newCaller() *caller {
-	return &caller{http: &fasthttp.Client{
-		MaxConnsPerHost: 2 * concurrency, MaxIdemponentCallAttempts: 1, ReadTimeout: requestTimeout,
-		RetryIfErr:         func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		StreamResponseBody: true,
-	}}
+	c := tghttp.NewClient()
+	c.MaxConnsPerHost, c.ReadTimeout, c.StreamResponseBody = 2*concurrency, requestTimeout, true
+	return &caller{http: c}
 }
 
 func (q request) prompt() string { return fmt.Sprintf("prompt-%d", q.number) }
--- a/io/tgdemo/demo.go
+++ b/io/tgdemo/demo.go
@@ -19,6 +19,7 @@
 	"tanagergrade/core/tgconfig"
 	"tanagergrade/io/tgcompanion"
 	"tanagergrade/io/tgentry"
+	"tanagergrade/io/tghttp"
 	"tanagergrade/io/tgkey"
 	"tanagergrade/io/tglink"
 	"tanagergrade/io/tglogclient"
@@ -232,7 +233,7 @@
 }
 
 func ready(address netip.AddrPort) bool {
-	status, _, err := fasthttp.GetTimeout(nil, "http://"+address.String()+"/readyz", time.Second)
+	status, _, err := tghttp.NewClient().GetTimeout(nil, "http://"+address.String()+"/readyz", time.Second)
 	return err == nil && status == fasthttp.StatusOK
 }
 
--- a/io/tgentry/call.go
+++ b/io/tgentry/call.go
@@ -15,8 +15,10 @@
 )
 
 const (
-	maxAttempts = 4 // per call, including the first one
-	statusOK    = 200
+	maxAttempts    = 4   // per call, including the first one
+	maxFinalStatus = 599 // RFC 9110, section 15
+	minFinalStatus = 200 // those below are not final
+	statusOK       = 200
 )
 
 // Causes with which a call's context is cancelled.
@@ -207,6 +209,10 @@
 	if l.timeToHead == 0 {
 		l.timeToHead = time.Since(l.started)
 	}
+	if h.Status < minFinalStatus || h.Status > maxFinalStatus { // a companion of another version may pass it on
+		return tgcall.UnknownFailure(tgcall.CodeUpstreamFailed,
+			"upstream %q answered with status %d, which HTTP does not have", l.attempt.target.Name, h.Status)
+	}
 	streaming := l.execute.Stream && h.Status == statusOK && isEventStream(h)
 	if l.streaming && !streaming {
 		return tgcall.UnknownFailure(tgcall.CodeUpstreamFailed,
--- a/io/tgfleet/exchange.go
+++ b/io/tgfleet/exchange.go
@@ -18,6 +18,7 @@
 	"tanagergrade/core/tgquarantine"
 	"tanagergrade/core/tgview"
 	"tanagergrade/io/tgguard"
+	"tanagergrade/io/tghttp"
 )
 
 const (
@@ -50,7 +51,7 @@
 	VM             string
 
 	behindSince     time.Time // since when OperatorTable ends before maxPeerEnd; zero if it does not
-	client          fasthttp.Client
+	client          *fasthttp.Client
 	askedQuarantine map[string]bool // VMs of peers; used by receive only
 	costsPull       costsPull
 	started         time.Time  // of Run
@@ -77,9 +78,15 @@
 	x.upstreamsReadAt = now
 }
 
+func newPeerClient() *fasthttp.Client {
+	c := tghttp.NewClient()
+	c.MaxResponseBodySize = maxTablesBytes
+	return c
+}
+
 // Run exchanges datagrams on conn until ctx ends.
 func (x *Exchange) Run(ctx context.Context, conn *net.UDPConn) {
-	x.client.MaxResponseBodySize = maxTablesBytes
+	x.client = newPeerClient()
 	x.askedQuarantine, x.started = map[string]bool{}, time.Now()
 	var wg conc.WaitGroup
 	defer wg.Wait()
--- a/io/tggroup/agent.go
+++ b/io/tggroup/agent.go
@@ -13,6 +13,7 @@
 
 	"tanagergrade/core/tgorder"
 	"tanagergrade/core/tgtwophase"
+	"tanagergrade/io/tghttp"
 )
 
 const engineCallTimeout = time.Second // of one call to an engine, which answers all calls from memory
@@ -62,18 +63,10 @@
 // NewAgent returns the agent of the rank whose engine is at address. Lease is the name of the group's lease, whose
 // tokens orders have to carry.
 func NewAgent(rank int, address netip.AddrPort, lease string, leases Leases) *Agent {
-	return &Agent{
-		address: address,
-		http: &fasthttp.Client{
-			Dial:                      func(a string) (net.Conn, error) { return fasthttp.DialTimeout(a, engineCallTimeout) },
-			MaxIdemponentCallAttempts: 1,
-			NoDefaultUserAgentHeader:  true,
-			ReadTimeout:               engineCallTimeout,
-			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-			WriteTimeout:              engineCallTimeout,
-		},
-		lease: lease, leases: leases, rank: rank,
-	}
+	c := tghttp.NewClient()
+	c.Dial = tghttp.CheckStatus(func(a string) (net.Conn, error) { return fasthttp.DialTimeout(a, engineCallTimeout) })
+	c.ReadTimeout, c.WriteTimeout = engineCallTimeout, engineCallTimeout
+	return &Agent{address: address, http: c, lease: lease, leases: leases, rank: rank}
 }
 
 // Call carries out a controller's request on the engine.
--- a/io/tghttp/head.go
+++ b/io/tghttp/head.go
@@ -227,18 +227,11 @@
 	if err != nil {
 		return nil, err
 	}
-	version, rest, ok := strings.Cut(line, " ")
-	if !ok || version != "HTTP/1.1" && version != "HTTP/1.0" {
-		return nil, syntaxError(statusBadRequest, "malformed status line")
-	}
-	code, reason, _ := strings.Cut(rest, " ")
-	r := &Response{Reason: reason}
-	if len(code) != 3 {
-		return nil, syntaxError(statusBadRequest, "status code is not a valid three-digit number")
-	}
-	if r.Status, err = strconv.Atoi(code); err != nil || r.Status < 100 {
-		return nil, syntaxError(statusBadRequest, "status code is not a valid three-digit number")
+	version, status, reason, err := parseStatusLine(line)
+	if err != nil {
+		return nil, err
 	}
+	r := &Response{Reason: reason, Status: status}
 	if r.Header, err = readHeader(br, &remaining); err != nil {
 		return nil, err
 	}
--- a/io/tglogclient/client.go
+++ b/io/tglogclient/client.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"tanagergrade/core/tgrecord"
+	"tanagergrade/io/tghttp"
 )
 
 const (
@@ -46,15 +47,7 @@
 
 // New returns a client of the log service at address.
 func New(address netip.AddrPort) *Client {
-	return &Client{
-		address: address,
-		http: &fasthttp.Client{
-			MaxIdemponentCallAttempts: 1,
-			NoDefaultUserAgentHeader:  true,
-			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		},
-		timeout: 2 * time.Second,
-	}
+	return &Client{address: address, http: tghttp.NewClient(), timeout: 2 * time.Second}
 }
 
 // Append implements Log.
--- a/io/tgnode/vms.go
+++ b/io/tgnode/vms.go
@@ -13,6 +13,7 @@
 
 	"tanagergrade/core/tgframe"
 	"tanagergrade/core/tgsleep"
+	"tanagergrade/io/tghttp"
 )
 
 const (
@@ -37,12 +38,9 @@
 }
 
 func newVMClient(address netip.AddrPort) *vmClient {
-	return &vmClient{address: address, http: &fasthttp.Client{
-		MaxIdemponentCallAttempts: 1,
-		MaxResponseBodySize:       maxVMReplyBytes,
-		NoDefaultUserAgentHeader:  true,
-		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-	}}
+	c := tghttp.NewClient()
+	c.MaxResponseBodySize = maxVMReplyBytes
+	return &vmClient{address: address, http: c}
 }
 
 // VMs implements vmSource.
--- a/io/tgupstream/conn.go
+++ b/io/tgupstream/conn.go
@@ -21,10 +21,11 @@
 	aborted      atomic.Bool // set by abort; reads then fail with context.Canceled
 	br           *bufio.Reader
 	bw           *bufio.Writer
-	idleSince    time.Time     // when the last request ended
-	readErr      error         // error of the last failed read of the current request
-	readTimeout  time.Duration // limit of each read; zero for none
-	writtenBytes int64         // bytes of the current request that were written to the socket
+	idleSince    time.Time            // when the last request ended
+	readErr      error                // error of the last failed read of the current request
+	readTimeout  time.Duration        // limit of each read; zero for none
+	scanner      tghttp.StatusScanner // of the answer to the current request
+	writtenBytes int64                // bytes of the current request that were written to the socket
 }
 
 func newConn(c net.Conn) *conn {
@@ -48,6 +49,9 @@
 		}
 	}
 	n, err := c.Conn.Read(p)
+	if scanErr := c.scanner.Scan(p[:n]); scanErr != nil {
+		n, err = 0, scanErr
+	}
 	if err == nil {
 		return n, nil
 	}
@@ -77,6 +81,12 @@
 	return n, err
 }
 
+// reset prepares the connection for another request.
+func (c *conn) reset() {
+	c.writtenBytes = 0
+	c.scanner.Reset()
+}
+
 // usable reports whether an idle connection is still open and has no unread bytes. A request written to a connection that
 // the upstream has closed may or may not have run, so such connections must be found before the request is written.
 func (c *conn) usable() bool {
--- a/io/tgupstream/pool.go
+++ b/io/tgupstream/pool.go
@@ -32,7 +32,7 @@
 			break
 		}
 		if c.usable() {
-			c.writtenBytes = 0
+			c.reset()
 			return c, nil
 		}
 		_ = c.Close()
