Read the store again after it returns from an older copy

Positions in a topic are an era and an offset now. The first listing of a higher era is compared with the table: what the copy has in an older form, or lacks, is kept until it is written again or for 30 s; versions of configurations, starts and renewals of engines, or the records of the last minute tell which is which. An engine that the copy lacks counts as lapsed in an outage. Entries list their topics over a time in which all of them need a tenth of the reads that the store allows, unless a peer's tables come first. Peers say their era; a daemon that starts after a return asks three of them for what they keep. Daemons that registered in the last minute register again, entries write lost records of deadly parts again. Fencing tokens have the era above the generation of the group, which the store gives out again. Each read that ends in 410 is followed by a pause. Logs, counters, dumps and platform status show the return.

Where the store sends no header, eras are 0 and all else is as before.

--- a/core/tglogtable/table_test.go
+++ b/core/tglogtable/table_test.go
@@ -40,8 +40,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			table := NewTable()
-			table.Apply([]Record{put("a", "1", 1), put("b", "1", 2)}, 3)
-			table.Replace(c.list, c.end)
+			table.Apply([]Record{put("a", "1", 1), put("b", "1", 2)}, Position{Offset: 3})
+			table.Replace(c.list, Position{Offset: c.end})
 			assert.Equal(t, formatTable(table), c.want)
 		})
 	}
@@ -63,7 +63,7 @@
 		tables := []*Table{NewTable(), NewTable()}
 		for _, table := range tables {
 			n := rapid.IntRange(0, len(log)).Draw(t, "read")
-			table.Apply(log[:n], int64(n))
+			table.Apply(log[:n], Position{Offset: int64(n)})
 		}
 		for range 2 {
 			for i, table := range tables {
--- a/core/tgview/view.go
+++ b/core/tgview/view.go
@@ -179,8 +179,19 @@
 func (v *View) ApplyUpstreams(records []tglogtable.Record, now time.Time) []Change {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	return v.applyUpstreams(records, v.isMassExpiry(records, now), now)
+}
+
+// ApplyReturned applies the changes that the first listing after a return of the store from an older copy brought.
+// Registrations that the copy lacks may be live: they count as expired in an outage.
+func (v *View) ApplyReturned(records []tglogtable.Record, now time.Time) []Change {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.applyUpstreams(records, true, now)
+}
+
+func (v *View) applyUpstreams(records []tglogtable.Record, massExpiry bool, now time.Time) []Change {
 	var changes []Change
-	massExpiry := v.isMassExpiry(records, now)
 	for _, r := range records {
 		if c, ok := v.applyUpstream(r, massExpiry, now); ok {
 			changes = append(changes, c)
--- a/io/tgcommand/platform.go
+++ b/io/tgcommand/platform.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"os"
@@ -17,6 +18,7 @@
 	"github.com/spf13/cobra"
 	"github.com/valyala/fasthttp"
 
+	"tanagergrade/core/tgera"
 	"tanagergrade/core/tglogtable"
 	"tanagergrade/io/tgfleet"
 	"tanagergrade/io/tgguard"
@@ -41,12 +43,14 @@
 
 // platformDaemon holds what entry and companion daemons on the platform have in common.
 type platformDaemon struct {
-	peers         *tgfleet.Peers
-	reloadSignals chan os.Signal // SIGHUP: the settings file has to be read again
-	report        *tgreport.Reporter
-	settings      *tgplatform.Settings
-	started       time.Time
-	store         *tgplatform.Store
+	eras           *tgera.Watch // of the store
+	peers          *tgfleet.Peers
+	registerSpread time.Duration  // in which daemons that started lately register again after a return of the store
+	reloadSignals  chan os.Signal // SIGHUP: the settings file has to be read again
+	report         *tgreport.Reporter
+	settings       *tgplatform.Settings
+	started        time.Time
+	store          *tgplatform.Store
 }
 
 func (c *config) newPlatformDaemon(role tgfleet.Role) (*platformDaemon, error) {
@@ -65,8 +69,10 @@
 	debug.SetGCPercent(gcPercent)
 	d := &platformDaemon{
 		peers: tgfleet.NewPeers(s.VM), reloadSignals: reloadSignals, report: tgreport.NewReporter(s.VM, c.stdout),
-		settings: s, started: time.Now(), store: tgplatform.NewStore(s.StoreAddr, dialStore),
+		registerSpread: defaultRegisterSpread, settings: s, started: time.Now(),
 	}
+	d.eras = tgera.NewWatch(d.reportRise)
+	d.store = tgplatform.NewStore(s.StoreAddr, dialStore, tgplatform.WithEras(d.eras))
 	d.report.Line("start", tgreport.Fields{"role": role, "ip": s.IP, "dataCentre": s.DataCentre})
 	return d, nil
 }
@@ -96,7 +102,7 @@
 	return udp, nil
 }
 
-// register writes the daemon's registration to the store, with a retry every second until it is accepted.
+// register writes the daemon's registration to the store, and writes it again when the store may have lost it.
 func (d *platformDaemon) register(ctx context.Context, role tgfleet.Role) {
 	m := tgfleet.Member{
 		Address: d.peerAddr(), DataCentre: d.settings.DataCentre, EngineAddress: d.settings.EngineAddr, Role: role,
@@ -108,13 +114,41 @@
 		return
 	}
 	for ctx.Err() == nil {
-		if err = d.store.Put(tgplatform.TopicMembers, d.settings.VM, value); err == nil {
-			d.report.Line("registered", tgreport.Fields{"address": m.Address})
+		era, raised := d.eras.Raised()
+		if !d.writeRegistration(ctx, value) {
 			return
 		}
+		d.report.Line("registered", tgreport.Fields{"address": m.Address, "era": era})
+		written := time.Now()
+		select {
+		case <-ctx.Done():
+			return
+		case <-raised:
+		}
+		if time.Since(written) > maxCopyAge {
+			return // no copy is older than this registration, also at later returns
+		}
+		sleep(ctx, time.Duration(rand.Float64()*float64(d.registerSpread))) //nolint:gosec // needs no secrecy
+	}
+}
+
+const (
+	maxCopyAge = time.Minute // of the copy to which the store returns; copies are some seconds old
+	// At most the registrations of 7,400 daemons in this time are within the writes that the store allows.
+	defaultRegisterSpread = 20 * time.Second
+)
+
+// writeRegistration writes the registration, with a retry every second, and reports whether the store has it.
+func (d *platformDaemon) writeRegistration(ctx context.Context, value []byte) bool {
+	for ctx.Err() == nil {
+		err := d.store.Put(tgplatform.TopicMembers, d.settings.VM, value)
+		if err == nil {
+			return true
+		}
 		d.report.Dependency("store", "registerFailed", err)
 		sleep(ctx, time.Second)
 	}
+	return false
 }
 
 const (
@@ -124,7 +158,7 @@
 
 // memberFollower returns a follower that applies the registrations of daemons to the list of peers.
 func (d *platformDaemon) memberFollower() *tgfleet.Follower {
-	f := d.follower(tgplatform.TopicMembers, tglogtable.NewTable(), membersReadWait, membersBatchInterval)
+	f := d.follower(tgplatform.TopicMembers, newOwnTable(), membersReadWait, membersBatchInterval)
 	f.Apply = func(changed []tglogtable.Record) {
 		for _, err := range d.peers.Apply(changed, time.Now()) {
 			d.report.Dependency("members", "malformed", err)
@@ -133,16 +167,55 @@
 	return f
 }
 
+// newOwnTable returns a table of a topic that daemons write: what the store loses stays known until it is written again.
+func newOwnTable() *tglogtable.Table {
+	return tglogtable.NewTable(tglogtable.WithKeepFor(-1), tglogtable.WithPast())
+}
+
 // follower returns a follower of a topic that reports when the store stops and when it resumes answering. The caller
 // sets Apply.
 func (d *platformDaemon) follower(topic string, table *tglogtable.Table, wait, pause time.Duration) *tgfleet.Follower {
 	name := "store " + topic
 	return &tgfleet.Follower{
+		Eras:        d.eras,
 		OnRecovered: func() { d.report.Dependency(name, "answers", nil) },
 		OnLost:      func(err error) { d.report.Dependency(name, "lost", err) },
 		OnPanic:     func(err error) { d.report.Dependency(name, "panic", err) },
-		Pause:       pause, Store: d.store, Table: table, Topic: topic, Wait: wait,
+		OnReturned:  func(r tglogtable.Returned) { d.reportReturned(topic, r) },
+		OnReturns:   func() {},
+		Pause:       pause, Spread: d.listingSpread, Store: d.store, Table: table, Topic: topic, Wait: wait,
+	}
+}
+
+const (
+	defaultStoreReads = 2000.0 // calls a second, where the settings do not say what the store allows
+	returnReadShare   = 0.1    // of the allowed calls that listings may take after a return of the store
+	topicsOfEntry     = 4.0
+)
+
+// listingSpread returns the time over which the entries list their topics after a return of the store.
+func (d *platformDaemon) listingSpread() time.Duration {
+	reads := d.settings.StoreReads
+	if reads == 0 {
+		reads = defaultStoreReads
 	}
+	entries := float64(d.peers.ServingEntries(time.Now()))
+	return time.Duration(entries * topicsOfEntry / (reads * returnReadShare) * float64(time.Second))
+}
+
+// reportRise reports that the store has returned from an older copy of itself.
+func (d *platformDaemon) reportRise(r tgera.Rise) {
+	d.report.Counters.Add("storeReturns", 1)
+	d.report.Line("storeReturned", tgreport.Fields{"era": r.To, "formerEra": r.From})
+}
+
+// reportReturned reports what became of a topic in a return of the store.
+func (d *platformDaemon) reportReturned(topic string, r tglogtable.Returned) {
+	d.report.Counters.Add("storeRecordsLost", int64(len(r.Lost)))
+	d.report.Line("topicReturned", tgreport.Fields{
+		"changed": len(r.Changed) - r.Removed, "era": r.End.Era, "formerEnd": r.Former.Offset, "kept": len(r.Lost),
+		"offset": r.End.Offset, "removed": r.Removed, "topic": topic,
+	})
 }
 
 const settingsCheckInterval = time.Second // between reads of the settings file, which may change without a SIGHUP
@@ -247,7 +320,7 @@
 	switch string(ctx.Path()) {
 	case dumpPath:
 		dump := state()
-		dump["settings"], dump["started"] = d.settings, d.started
+		dump["settings"], dump["started"], dump["store"] = d.settings, d.started, d.eras.State()
 		d.writeJSON(ctx, dump)
 	case metricsPath:
 		ctx.SetBodyString(d.report.Counters.String())
--- a/io/tgcommand/platform_entry.go
+++ b/io/tgcommand/platform_entry.go
@@ -120,8 +120,10 @@
 
 func newPlatformEntry(d *platformDaemon, flags *entryFlags) *platformEntry {
 	e := &platformEntry{
-		groups: tggroupview.NewView(), operator: tglogtable.NewTable(), platformDaemon: d, quarantine: tgquarantine.NewTable(d.settings.VM),
-		upstreams: tglogtable.NewTable(), view: tgview.NewView(tgplatform.Codec()),
+		groups: tggroupview.NewView(), operator: newOperatorTable(), platformDaemon: d,
+		quarantine: tgquarantine.NewTable(d.settings.VM),
+		upstreams:  tglogtable.NewTable(tglogtable.WithCompare(tgplatform.CompareUpstreams)),
+		view:       tgview.NewView(tgplatform.Codec()),
 	}
 	e.quarantine.AwaitSaved(time.Now())
 	e.proxy = tgproxy.NewServer(d.settings.DataCentre, e, tgplatform.Headers(), proxyLimits(d.settings), d.report,
@@ -135,6 +137,14 @@
 	return e
 }
 
+// operatorKeepTime is for how long a withdrawal counts that the store has lost. The operator writes it again before.
+const operatorKeepTime = 30 * time.Second
+
+func newOperatorTable() *tglogtable.Table {
+	return tglogtable.NewTable(tglogtable.WithCompare(tgplatform.CompareOperator), tglogtable.WithKeepFor(operatorKeepTime),
+		tglogtable.WithPast())
+}
+
 // proxyLimits returns the limits of the proxy that the settings give.
 func proxyLimits(s *tgplatform.Settings) tgproxy.Limits {
 	b := s.Bounds
@@ -190,14 +200,23 @@
 		e.view.SetFollowing(false)
 		reportLost(err)
 	}
+	f.OnReturns = func() { e.view.SetFollowing(false) }
 	return f
 }
 
 // upstreamsFollower returns a follower of the topic of registered upstreams.
 func (e *platformEntry) upstreamsFollower() *tgfleet.Follower {
 	f := e.follower(tgplatform.TopicUpstreams, e.upstreams, followWait(&e.settings.Bounds), upstreamsBatchInterval)
-	f.Apply = e.applyUpstreams
-	reportRecovered, reportLost := f.OnRecovered, f.OnLost
+	ofCopy := false // the next changes are of the first listing after a return of the store
+	f.Apply = func(changed []tglogtable.Record) {
+		e.applyUpstreams(changed, ofCopy)
+		ofCopy = false
+	}
+	reportRecovered, reportLost, reportReturned := f.OnRecovered, f.OnLost, f.OnReturned
+	f.OnReturned = func(r tglogtable.Returned) {
+		ofCopy = true
+		reportReturned(r)
+	}
 	f.OnRecovered = func() {
 		e.view.StoreAvailable(time.Now())
 		reportRecovered()
@@ -214,7 +233,12 @@
 
 // quarantineFollower returns a follower of the quarantines in the store.
 func (e *platformEntry) quarantineFollower() *tgfleet.Follower {
-	f := e.follower(tgplatform.TopicQuarantine, tglogtable.NewTable(), quarantineReadWait, 0)
+	f := e.follower(tgplatform.TopicQuarantine, newOwnTable(), quarantineReadWait, 0)
+	reportReturned := f.OnReturned
+	f.OnReturned = func(r tglogtable.Returned) {
+		reportReturned(r)
+		e.quarantine.NoteLost(r.Lost, time.Now())
+	}
 	f.Apply = func(changed []tglogtable.Record) {
 		for _, err := range e.quarantine.ApplySaved(changed, time.Now()) {
 			e.report.Dependency("quarantine", "malformed", err)
@@ -238,9 +262,14 @@
 	}
 }
 
-func (e *platformEntry) applyUpstreams(changed []tglogtable.Record) {
+// applyUpstreams applies changed registrations. ofCopy is true if an older copy of the store brought them.
+func (e *platformEntry) applyUpstreams(changed []tglogtable.Record, ofCopy bool) {
 	now := time.Now()
-	for _, c := range e.view.ApplyUpstreams(changed, now) {
+	apply := e.view.ApplyUpstreams
+	if ofCopy {
+		apply = e.view.ApplyReturned
+	}
+	for _, c := range apply(changed, now) {
 		e.report.ViewChange("store", "upstreams", c)
 	}
 	e.exchange.NoteUpstreamsRead(now)
--- a/io/tgcommand/platform_status.go
+++ b/io/tgcommand/platform_status.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
+	"tanagergrade/core/tgera"
 	"tanagergrade/core/tgview"
 	"tanagergrade/io/tgflag"
 	"tanagergrade/io/tgproxy"
@@ -44,6 +45,7 @@
 	Proxy   *tgproxy.State `json:"proxy,omitempty"` // of an entry
 	Rank    *tgrank.Dump   `json:"rank,omitempty"`  // of a companion
 	Started time.Time      `json:"started"`
+	Store   *tgera.State   `json:"store,omitempty"` // nil from earlier versions
 	VM      string         `json:"vm"`
 	View    *tgview.State  `json:"view,omitempty"` // of an entry
 }
@@ -93,13 +95,17 @@
 func printPlatformStatus(w io.Writer, entries []platformStatus, now time.Time) {
 	const columnGap = 2
 	tw := tabwriter.NewWriter(w, 0, 0, columnGap, ' ', 0)
-	fmt.Fprintln(tw, "VM\tADDRESS\tUP\tCONFIGURATION\tSTREAMS\tLIMIT\tLEADER")
+	fmt.Fprintln(tw, "VM\tADDRESS\tUP\tCONFIGURATION\tSTREAMS\tLIMIT\tLEADER\tSTORE ERA")
 	for _, s := range entries {
 		if s.Error != "" {
 			fmt.Fprintf(tw, "-\t%s\t%s\n", s.Address, s.Error)
 			continue
 		}
-		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\n", s.VM, s.Address, now.Sub(s.Started).Truncate(time.Second), s.columns())
+		era := "-"
+		if s.Store != nil {
+			era = strconv.FormatInt(int64(s.Store.Era), 10)
+		}
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%s\n", s.VM, s.Address, now.Sub(s.Started).Truncate(time.Second), s.columns(), era)
 	}
 	_ = tw.Flush() // an error of the writer recurs at the next write
 }
--- a/io/tgcommand/platform_status_test.go
+++ b/io/tgcommand/platform_status_test.go
@@ -28,7 +28,7 @@
 // Guards against a status that does not show that a daemon failed to answer, that a configuration is unconfirmed or which
 // companion leads.
 func TestPlatformStatus(t *testing.T) {
-	entry := serveDump(t, `{"started":"STARTED","settings":{"VM":"entry-1"},"view":{"current":false,"version":7},`+
+	entry := serveDump(t, `{"started":"STARTED","settings":{"VM":"entry-1"},"store":{"era":4,"rises":1},"view":{"current":false,"version":7},`+
 		`"proxy":{"callers":3,"pools":{"p":{"inFlight":12,"limit":20.4}}}}`)
 	companion := serveDump(t, `{"started":"STARTED","settings":{"VM":"companion-1"},"rank":{"leader":"companion-1","leads":true,"token":4}}`)
 	malformed := serveDump(t, `no dump`)
--- a/io/tgcommand/platform_test.go
+++ b/io/tgcommand/platform_test.go
@@ -70,25 +70,27 @@
 var errNoAnswer = errors.New("no answer")
 
 // Newest implements tgfleet.Store.
-func (s *lossyStore) Newest(context.Context, string) ([]tglogtable.Record, int64, error) {
-	return nil, 0, nil
+func (s *lossyStore) Newest(context.Context, string) ([]tglogtable.Record, tglogtable.Position, error) {
+	return nil, tglogtable.Position{}, nil
 }
 
 // PutOrdered implements tgfleet.Store.
 func (s *lossyStore) PutOrdered(string, string, []byte, tglogtable.WriteOrder) error { return nil }
 
 // Read implements tgfleet.Store.
-func (s *lossyStore) Read(_ string, from int64, wait time.Duration) ([]tglogtable.Record, int64, error) {
+func (s *lossyStore) Read(
+	_ string, from tglogtable.Position, wait time.Duration,
+) ([]tglogtable.Record, tglogtable.Position, error) {
 	if !s.lost {
 		s.lost = true
 		time.Sleep(wait + tgplatform.CallTimeout)
 		return nil, from, errNoAnswer
 	}
-	if from > 0 {
+	if from.Offset > 0 {
 		time.Sleep(wait)
 		return nil, from, nil
 	}
-	return []tglogtable.Record{{Key: "new", Offset: 0, Value: []byte("{}")}}, 1, nil
+	return []tglogtable.Record{{Key: "new", Offset: 0, Value: []byte("{}")}}, tglogtable.Position{Offset: 1}, nil
 }
 
 // Guards against an entry that treats its configuration as current although the store has lost its read: the store was
@@ -117,7 +119,7 @@
 				}()
 				time.Sleep(settings.Bounds.StableAfter)
 				synctest.Wait()
-				assert.Equal(t, f.Table.End(), int64(1))
+				assert.Equal(t, f.Table.End(), tglogtable.Position{Offset: 1})
 				stop()
 				<-done
 			})
--- a/io/tgfleet/exchange.go
+++ b/io/tgfleet/exchange.go
@@ -54,11 +54,12 @@
 	client          *fasthttp.Client
 	askedQuarantine map[string]bool // VMs of peers; used by receive only
 	costsPull       costsPull
-	started         time.Time  // of Run
-	maxPeerEnd      int64      // highest end of the operator's topic that a peer announced
-	mu              sync.Mutex // guards the other fields of this block except askedQuarantine, client, costsPull and started
-	pulling         bool       // a pull is in progress
-	upstreamsReadAt time.Time  // when the store last answered a read of the upstreams
+	started         time.Time           // of Run
+	keepers         map[string]bool     // VMs of peers that were asked for the records that they keep
+	maxPeerEnd      tglogtable.Position // highest end of the operator's topic that a peer announced
+	mu              sync.Mutex          // guards the other fields of this block except askedQuarantine, client, costsPull and started
+	pulling         bool                // a pull is in progress
+	upstreamsReadAt time.Time           // when the store last answered a read of the upstreams
 }
 
 // Log receives changes of the daemon's view and of the state of its dependencies.
@@ -108,9 +109,10 @@
 	if x.Groups != nil {
 		x.logGroups("clock", x.Groups.Expire(now))
 	}
+	operator, upstreams := x.OperatorTable.End(), x.UpstreamsTable.End()
 	data, err := cbor.Marshal(Gossip{
-		Following: x.View.Following(), OperatorEnd: x.OperatorTable.End(), Streams: x.Streams(),
-		UpstreamsEnd: x.UpstreamsTable.End(), VM: x.VM,
+		Era: operator.Era, Following: x.View.Following(), Keeps: x.OperatorTable.Keeps(), OperatorEnd: operator.Offset,
+		Streams: x.Streams(), UpstreamsEnd: upstreams.Offset, UpstreamsEra: upstreams.Era, VM: x.VM,
 	})
 	if err != nil {
 		x.Log.Dependency("peers", "encodeFailed", err)
@@ -181,7 +183,8 @@
 // handleGossip confirms this entry's configuration if the sender follows the store and is not ahead, and pulls the
 // sender's tables if that is due.
 func (x *Exchange) handleGossip(g Gossip, from netip.AddrPort, now time.Time) {
-	if g.Following && g.OperatorEnd <= x.OperatorTable.End() {
+	own := x.OperatorTable.End()
+	if end := peerPosition(g.Era, g.OperatorEnd, own); g.Following && end.Era == own.Era && !own.Before(end) {
 		x.View.Confirm(now)
 	}
 	if x.claimPull(g, now) {
@@ -195,29 +198,62 @@
 
 // claimPull reports whether the tables of the sender of g are to be pulled now, and if so marks a pull as in progress.
 func (x *Exchange) claimPull(g Gossip, now time.Time) bool {
-	cfg, _ := x.View.Config()
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	end := x.OperatorTable.End()
-	x.maxPeerEnd = max(x.maxPeerEnd, g.OperatorEnd)
-	if end >= x.maxPeerEnd {
+	peerEnd := peerPosition(g.Era, g.OperatorEnd, end)
+	operator := x.operatorDue(end, peerEnd, now)
+	upstreams := x.upstreamsDue(g, now)
+	if cfg, _ := x.View.Config(); cfg == nil && end.Before(peerEnd) { // a pull would bring the sender's configuration along
+		upstreams = upstreams && operator
+	}
+	if x.pulling {
+		return false
+	}
+	x.pulling = operator || upstreams || x.claimKept(g, peerEnd.Era == end.Era)
+	return x.pulling
+}
+
+// operatorDue reports whether the operator's table, which ends at end, is to be pulled from a peer whose table ends at
+// peerEnd. The caller holds x.mu.
+func (x *Exchange) operatorDue(end, peerEnd tglogtable.Position, now time.Time) bool {
+	if x.maxPeerEnd.Before(peerEnd) {
+		x.maxPeerEnd = peerEnd
+	}
+	if !end.Before(x.maxPeerEnd) {
 		x.behindSince = time.Time{}
 	} else if x.behindSince.IsZero() {
 		x.behindSince = now
 	}
 	behind := now.Sub(x.behindSince)
-	operator := g.OperatorEnd > end && behind >= pullDelay
-	if cfg == nil { // any peer may be cut off and behind, so the others are heard before the newest is believed
-		newest := g.OperatorEnd >= x.maxPeerEnd
-		operator = g.OperatorEnd > end && (newest && behind >= hearPeersTime || behind >= 2*hearPeersTime)
+	if cfg, _ := x.View.Config(); cfg != nil {
+		return end.Before(peerEnd) && behind >= pullDelay
 	}
-	upstreams := g.UpstreamsEnd > x.UpstreamsTable.End() && now.Sub(x.upstreamsReadAt) > upstreamsStaleAfter
-	if cfg == nil && g.OperatorEnd > end { // a pull would bring the sender's configuration along
-		upstreams = upstreams && operator
+	// Any peer may be cut off and behind, so the others are heard before the newest is believed.
+	newest := !peerEnd.Before(x.maxPeerEnd)
+	return end.Before(peerEnd) && (newest && behind >= hearPeersTime || behind >= 2*hearPeersTime)
+}
+
+// upstreamsDue reports whether the table of upstreams is to be pulled from the sender of g. The caller holds x.mu.
+func (x *Exchange) upstreamsDue(g Gossip, now time.Time) bool {
+	end := x.UpstreamsTable.End()
+	return end.Before(peerPosition(g.UpstreamsEra, g.UpstreamsEnd, end)) && now.Sub(x.upstreamsReadAt) > upstreamsStaleAfter
+}
+
+// maxKeepers is the number of peers that are asked for the records that they keep in spite of the store.
+const maxKeepers = 3
+
+// claimKept reports whether the records that a peer keeps are to be pulled: this daemon has started since the store returned
+// from an older copy, so that it has nothing to compare the copy with. The caller holds x.mu.
+func (x *Exchange) claimKept(g Gossip, sameEra bool) bool {
+	if !g.Keeps || !sameEra || x.keepers[g.VM] || len(x.keepers) >= maxKeepers || x.OperatorTable.WasCompared() {
+		return false
 	}
-	claimed := !x.pulling && (operator || upstreams)
-	x.pulling = x.pulling || claimed
-	return claimed
+	if x.keepers == nil {
+		x.keepers = map[string]bool{}
+	}
+	x.keepers[g.VM] = true
+	return true
 }
 
 // pull replaces the tables by those of a peer.
@@ -241,23 +277,37 @@
 	}
 	now := time.Now()
 	source := "peer " + vm
-	for _, c := range x.View.ApplyOperator(x.OperatorTable.Replace(t.Operator, t.OperatorEnd)) {
+	operatorEnd := peerPosition(t.Era, t.OperatorEnd, x.OperatorTable.End())
+	for _, c := range x.View.ApplyOperator(x.OperatorTable.Merge(t.Operator, operatorEnd, t.Kept).Changed) {
 		x.Log.ViewChange(source, "operator", c)
 	}
-	for _, c := range x.View.ApplyUpstreams(x.UpstreamsTable.Replace(t.Upstreams, t.UpstreamsEnd), now) {
+	for _, c := range x.applyUpstreams(t, now) {
 		x.Log.ViewChange(source, "upstreams", c)
 	}
-	if t.Following {
+	if t.Following && x.OperatorTable.End().Era == operatorEnd.Era {
 		x.View.Confirm(now)
 	}
 }
 
+// applyUpstreams applies a peer's table of upstreams to the view.
+func (x *Exchange) applyUpstreams(t Tables, now time.Time) []tgview.Change {
+	r := x.UpstreamsTable.Return(t.Upstreams, peerPosition(t.UpstreamsEra, t.UpstreamsEnd, x.UpstreamsTable.End()))
+	if r.OfCopy {
+		return x.View.ApplyReturned(r.Changed, now)
+	}
+	return x.View.ApplyUpstreams(r.Changed, now)
+}
+
 // HandleTables answers the pull of a peer that is behind.
 func (x *Exchange) HandleTables(ctx *fasthttp.RequestCtx) {
 	var t Tables
 	t.Following = x.View.Following()
-	t.Operator, t.OperatorEnd = x.OperatorTable.Records()
-	t.Upstreams, t.UpstreamsEnd = x.UpstreamsTable.Records()
+	var operatorEnd, upstreamsEnd tglogtable.Position
+	t.Kept = x.OperatorTable.Kept() // before the records: a key that is written again in between stands in both
+	t.Operator, operatorEnd = x.OperatorTable.Records()
+	t.Upstreams, upstreamsEnd = x.UpstreamsTable.Records()
+	t.Era, t.OperatorEnd = operatorEnd.Era, operatorEnd.Offset
+	t.UpstreamsEra, t.UpstreamsEnd = upstreamsEnd.Era, upstreamsEnd.Offset
 	data, err := cbor.Marshal(t)
 	if err != nil {
 		ctx.Error("encode tables", fasthttp.StatusInternalServerError)
--- a/io/tgfleet/exchange_test.go
+++ b/io/tgfleet/exchange_test.go
@@ -22,7 +22,7 @@
 		Operator: func(string) (tgview.OperatorRecordKind, string) { return tgview.OperatorConfig, "" },
 	})
 	operator := tglogtable.NewTable()
-	view.ApplyOperator(operator.Apply([]tglogtable.Record{{Key: "config", Value: []byte("x")}}, 1))
+	view.ApplyOperator(operator.Apply([]tglogtable.Record{{Key: "config", Value: []byte("x")}}, tglogtable.Position{Offset: 1}))
 	x := &Exchange{OperatorTable: operator, UpstreamsTable: tglogtable.NewTable(), View: view}
 	now := time.Unix(1000, 0)
 	pulled := false
--- a/io/tgfleet/fleet_test.go
+++ b/io/tgfleet/fleet_test.go
@@ -257,7 +257,7 @@
 func (e *entry) addPeer(other *entry) {
 	for _, m := range other.peers.List(tgfleet.RoleEntry, time.Now()) {
 		if m.VM == "self" {
-			e.peers.RecordGossip("other", m.Address, nil, time.Now())
+			e.peers.RecordGossip(other.exchange.VM, m.Address, nil, time.Now())
 		}
 	}
 }
--- a/io/tgfleet/status_test.go
+++ b/io/tgfleet/status_test.go
@@ -39,7 +39,7 @@
 			assert.NilError(t, s.Close())
 		}
 		valid := code == "200"
-		assert.Equal(t, x.OperatorTable.End() > 0, valid, "status %q", code)
+		assert.Equal(t, x.OperatorTable.End().Offset > 0, valid, "status %q", code)
 		assert.Equal(t, len(x.Costs.Summaries()) > 0, valid, "status %q", code)
 	}
 }
