--- a/core/tglogtable/return.go
+++ b/core/tglogtable/return.go
@@ -127,7 +127,7 @@
 }
 
 // keepOlderFor is for how long a table that keeps no missing keys holds what the copy has in an older form.
-const keepOlderFor = 30 * time.Second
+const keepOlderFor = 10 * time.Second
 
 // keepUntil returns until when a key is kept; zero if until it is written again.
 func (t *Table) keepUntil() time.Time {
--- a/io/tgcommand/platform_entry.go
+++ b/io/tgcommand/platform_entry.go
@@ -138,7 +138,7 @@
 }
 
 // operatorKeepTime is for how long a withdrawal counts that the store has lost. The operator writes it again before.
-const operatorKeepTime = 30 * time.Second
+const operatorKeepTime = 10 * time.Second
 
 func newOperatorTable() *tglogtable.Table {
 	return tglogtable.NewTable(tglogtable.WithCompare(tgplatform.CompareOperator), tglogtable.WithKeepFor(operatorKeepTime),
--- a/io/tgfleet/return_test.go
+++ b/io/tgfleet/return_test.go
@@ -106,7 +106,7 @@
 	lost := s.Return(c)
 	s.SetFault(tgemulator.StoreHealthy, 0)
 	time.Sleep(after)
-	s.Rewrite(lost)
+	s.Rewrite(c, lost)
 }
 
 // Guards against a daemon that was ahead of the copy and never hears of another configuration, while it calls the store
@@ -159,7 +159,7 @@
 	lost := store.Return(ofCopy)
 	store.Put(tgplatform.TopicOperator, "config", config("9"))
 	store.Put(tgplatform.TopicOperator, "evacuate/new", []byte("{}"))
-	store.Rewrite(lost)
+	store.Rewrite(ofCopy, lost)
 	store.Put(tgplatform.TopicOperator, "evacuate/dc0", nil)
 	store.SetFault(tgemulator.StoreHealthy, 0)
 	waitFor(t, "version 9", func() bool { return version(r.view) == 9 })
