--- a/io/tgcommand/platform_return_test.go
+++ b/io/tgcommand/platform_return_test.go
@@ -118,7 +118,7 @@
 	t.Parallel()
 	store, addr := startStoreWithEra(t)
 	engine := func(state string, seq string) []byte {
-		return []byte(`{"address":"127.0.0.1:9","service":"p","zone":"a","slots":8,"state":"` + state + `","born":1000,"seq":` + seq + `}`)
+		return []byte(`{"address":"127.0.0.1:9","service":"p","zone":"a","version":"v1","coldRemainingMs":0,"slots":8,"state":"` + state + `","born":1000,"seq":` + seq + `}`)
 	}
 	store.Put(tgplatform.TopicUpstreams, "leaving", engine("ready", "1"))
 	ofCopy := store.Copy()
@@ -171,7 +171,7 @@
 	store, addr := startStoreWithEra(t)
 	ofCopy := store.Copy()
 	store.Put(tgplatform.TopicUpstreams, "dead",
-		[]byte(`{"address":"127.0.0.1:9","service":"p","zone":"a","slots":8,"state":"ready","born":1000,"seq":1}`))
+		[]byte(`{"address":"127.0.0.1:9","service":"p","zone":"a","version":"v1","coldRemainingMs":0,"slots":8,"state":"ready","born":1000,"seq":1}`))
 	e, _ := startEntryOf(t, "vm-2", addr)
 	waitUntil(t, "the engine", func() bool { return len(e.view.Upstreams("p")) == 1 })
 	store.Return(ofCopy)
