End the leader's term at a panic, and hand results to their owners only

Where the number of ranks stays, the same mistake may count a rank as fenced that is not.

A result carries the change or recovery that issued its order and reaches that one only. A panic in the leader's loop is logged, ends the term, and the daemon leaves the election before it joins again, which makes the next token a higher one. Results wait in a queue without a bound: of 256 that waited the others were dropped, and their ranks got no further order.

--- a/io/tgrank/campaign.go
+++ b/io/tgrank/campaign.go
@@ -19,17 +19,13 @@
 func (l *Leader) campaign(ctx context.Context, a *Agent) {
 	// The election may still list this member from before a restart, with the token of the former process. Only after
 	// the member has left is a new token certain to be higher.
-	for ctx.Err() == nil {
-		err := l.Election.Leave(l.VM)
-		if err == nil {
-			break
-		}
-		l.Log.Dependency("election", "leaveFailed", err)
-		pause(ctx, joinInterval)
-	}
+	l.leaveElection(ctx)
 	lastToken, failing := int64(0), false
 	jitter := float64(xxhash.Sum64String(l.VM)%uint64(electionJitter)) / float64(electionJitter)
 	for ctx.Err() == nil {
+		if l.takeLeave() {
+			l.leaveElection(ctx)
+		}
 		if l.Token() == 0 && a.leaderSilence() < electionDelay(a.lastBeacon().FastReports, jitter) {
 			pause(ctx, electionPollInterval)
 			continue
@@ -58,6 +54,18 @@
 	}
 }
 
+// leaveElection leaves the election, with a retry until the store has answered.
+func (l *Leader) leaveElection(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := l.Election.Leave(l.VM)
+		if err == nil {
+			return
+		}
+		l.Log.Dependency("election", "leaveFailed", err)
+		pause(ctx, joinInterval)
+	}
+}
+
 // electionDelay returns for how long a daemon receives no beacon before it takes part in the election. jitter, from 0
 // to 1, is the daemon's position in the spread of the timeouts.
 func electionDelay(changing bool, jitter float64) time.Duration {
--- a/io/tgrank/group.go
+++ b/io/tgrank/group.go
@@ -211,3 +211,8 @@
 
 // isStepping reports whether the group makes passes; an order for a pass of an idle group could wait for a long time.
 func (g *group) isStepping(now time.Time) bool { return now.Sub(g.lastStepAt) < rankStaleAfter }
+
+// isOwner reports whether a change or recovery is that of the group at present.
+func (g *group) isOwner(o orderOwner) bool {
+	return g.change != nil && o == orderOwner(g.change) || g.recovery != nil && o == orderOwner(g.recovery)
+}
--- a/io/tgrank/leader.go
+++ b/io/tgrank/leader.go
@@ -11,6 +11,7 @@
 
 	"tanagergrade/core/tgcatalog"
 	"tanagergrade/core/tgmapchange"
+	"tanagergrade/io/tgguard"
 )
 
 const (
@@ -32,6 +33,7 @@
 	EngineProfile    func(pool string) (tgcatalog.Engine, bool) // cost model of a pool's engines; false if not known yet
 	Engines          EngineClient
 	Log              Log
+	OnReport         func(vm string)                       // called at each report of another agent; nil if nobody needs it
 	OnTermChange     func(leads bool)                      // called when a term begins or ends
 	Peers            func() []Peer                         // all other agents
 	Pool             string                                // of the engine on this VM and of those it shares groups with
@@ -39,13 +41,14 @@
 	PublishSlowdowns func(slow map[netip.AddrPort]float64) // gets the factors of slow engines while there are any
 	VM               string
 
-	mu           sync.Mutex // guards highestToken and token
+	mu           sync.Mutex // guards highestToken, leave and token
 	highestToken int64      // of any leader so far
+	leave        bool       // the term ended by a fault, and the election does not know yet
 	token        int64      // of the present term; 0 while this daemon does not lead
 
 	peersChanged chan struct{}
 	reports      chan Report
-	results      chan result
+	results      *resultQueue
 
 	// The fields below belong to the goroutine of Run.
 	former         Beacon // newest beacon of the leader before this term
@@ -63,19 +66,11 @@
 	relays  pendingRequests
 }
 
-// result is an engine's answer to an order.
-type result struct {
-	group  string
-	order  tgmapchange.Order
-	result tgmapchange.Result
-	term   int64
-}
-
 // NewLeader returns a leader that is not elected yet.
 func NewLeader() *Leader {
 	return &Leader{
 		groups: map[string]*group{}, lastReport: map[string]time.Time{}, peersChanged: make(chan struct{}, 1),
-		lastPoll: map[string]time.Time{}, reports: make(chan Report, 256), results: make(chan result, 256),
+		lastPoll: map[string]time.Time{}, reports: make(chan Report, 256), results: newResultQueue(),
 	}
 }
 
@@ -120,30 +115,58 @@
 	tick := time.NewTimer(idleTick)
 	defer tick.Stop()
 	for {
+		var report *Report
 		select {
 		case <-ctx.Done():
 			return
 		case r := <-l.reports:
-			if l.term != 0 {
-				l.handleReport(r)
-			}
-			continue
-		case r := <-l.results:
-			if l.term != 0 && r.term == l.term {
-				l.handleResult(r)
-			}
+			report = &r
+		case <-l.results.added:
 		case <-l.peersChanged:
 			l.lastBeacon = time.Time{}
 		case <-tick.C:
 		}
-		if l.advance(a, time.Now()) {
-			tick.Reset(busyTick)
-		} else {
-			tick.Reset(idleTick)
+		next := idleTick
+		err := tgguard.Handle(func() {
+			if report != nil {
+				if l.term != 0 {
+					l.handleReport(*report)
+				}
+				return
+			}
+			l.handleResults()
+			if l.advance(a, time.Now()) {
+				next = busyTick
+			}
+		})
+		if err != nil {
+			l.endTermAfterPanic(err)
+		}
+		if report == nil || err != nil {
+			tick.Reset(next)
 		}
 	}
 }
 
+// endTermAfterPanic ends the term after an unexpected fault: a leader that orders nothing must not keep others from leading.
+// The groups start anew in the next term, of this daemon or another.
+func (l *Leader) endTermAfterPanic(err error) {
+	l.Log.Line("panic", map[string]any{"error": err.Error(), "term": l.term})
+	l.mu.Lock()
+	l.token, l.leave = 0, true
+	l.mu.Unlock()
+}
+
+// takeLeave reports whether the daemon has to leave the election before it takes part again, so that the next token is a
+// higher one. It says so once.
+func (l *Leader) takeLeave() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	leave := l.leave
+	l.leave = false
+	return leave
+}
+
 // advance takes the next steps of all groups, sends beacons that are due, and reports whether a group is changing.
 func (l *Leader) advance(a *Agent, now time.Time) (busy bool) {
 	if token := l.Token(); token != l.term {
@@ -206,6 +229,9 @@
 func (l *Leader) handleReport(r Report) {
 	if r.From != (netip.AddrPort{}) {
 		l.lastReport[r.VM] = time.Now()
+		if l.OnReport != nil {
+			l.OnReport(r.VM)
+		}
 	}
 	g, ok := l.groups[r.Group]
 	// A group may re-form with more or fewer ranks; its former state belongs to the epoch before.
@@ -220,20 +246,25 @@
 	g.applyReport(r, time.Now())
 }
 
+// handleResults passes the results that have come to the changes and recoveries that issued the orders.
+func (l *Leader) handleResults() {
+	for _, r := range l.results.take() {
+		if l.term != 0 && r.term == l.term {
+			l.handleResult(r)
+		}
+	}
+}
+
 func (l *Leader) handleResult(r result) {
 	g, ok := l.groups[r.group]
 	if !ok {
 		return
 	}
-	now := time.Now()
 	if r.result == tgmapchange.ResultFenced {
 		l.stepDown(r.term)
 	}
-	switch {
-	case g.change != nil:
-		g.change.HandleResult(r.order, r.result, now)
-	case g.recovery != nil:
-		g.recovery.HandleResult(r.order, r.result, now)
+	if g.isOwner(r.owner) { // else it has ended, and may have been of another number of ranks
+		r.owner.HandleResult(r.order, r.result, time.Now())
 	}
 }
 
@@ -242,12 +273,12 @@
 	ranks, ready := g.snapshot(now)
 	switch {
 	case g.change != nil:
-		l.sendOrders(a, g, g.change.NextOrders(ranks, now), term)
+		l.sendOrders(a, g, g.change, g.change.NextOrders(ranks, now), term)
 		if g.change.Ended() {
 			l.endChange(g, now)
 		}
 	case g.recovery != nil:
-		l.sendOrders(a, g, g.recovery.NextOrders(ranks, now), term)
+		l.sendOrders(a, g, g.recovery, g.recovery.NextOrders(ranks, now), term)
 		if g.recovery.Ended() {
 			l.Log.Line("recovery", map[string]any{"group": g.name, "outcome": g.recovery.Phase()})
 			g.recovery, g.recoveryNeededSince = nil, time.Time{}
--- a/io/tgrank/leader_test.go
+++ b/io/tgrank/leader_test.go
@@ -177,7 +177,7 @@
 	wg       sync.WaitGroup
 }
 
-func newFleet(t *testing.T) *fleet {
+func newFleet(t *testing.T, adapt ...func(l *Leader)) *fleet {
 	t.Helper()
 	f := &fleet{election: &fakeElection{}, group: newFakeGroup(t)}
 	peers := make([]Peer, 0, fakeRanks)
@@ -203,6 +203,9 @@
 				Experts: fakeExperts, ExpertSlotsPerRank: fakeExpertsPerRank, NewExpertsPerSet: 2, Sets: fakeSets,
 			}, true
 		}
+		for _, f := range adapt {
+			f(l)
+		}
 		ctx, stop := context.WithCancel(t.Context())
 		f.stops = append(f.stops, stop)
 		f.wg.Go(func() { a.Run(ctx) })
--- a/io/tgrank/relay.go
+++ b/io/tgrank/relay.go
@@ -70,11 +70,11 @@
 }
 
 // sendOrders sends orders without waiting for their answers, which arrive in results.
-func (l *Leader) sendOrders(a *Agent, g *group, orders []tgmapchange.Order, term int64) {
+func (l *Leader) sendOrders(a *Agent, g *group, owner orderOwner, orders []tgmapchange.Order, term int64) {
 	for _, o := range orders {
 		m := g.members[o.Rank].report
 		if !m.EngineAddress.IsValid() { // the rank has not reported yet
-			l.results <- result{group: g.name, order: o, result: tgmapchange.ResultUnknown, term: term}
+			l.results.add(result{group: g.name, order: o, owner: owner, result: tgmapchange.ResultUnknown, term: term})
 			continue
 		}
 		var plan preparePlan
@@ -93,10 +93,7 @@
 					"step": o.Step, "version": o.Version,
 				})
 			}
-			select {
-			case l.results <- result{group: group, order: o, result: r, term: term}:
-			default: // the leader has stopped and reads no results
-			}
+			l.results.add(result{group: group, order: o, owner: owner, result: r, term: term})
 		}()
 	}
 }
