Keep companions that report, and pass on redirects of engines

A leader lost its companions 500 s after they had registered: they send no gossip, so their registrations counted as 100 s old and left the list after ten minutes of silence. Each report of a companion keeps it in the list now.

Callers got 502 for an engine's 3xx although the request had run. It is passed on like its other statuses, unchanged and with its signature.

--- a/io/tgcommand/platform_companion.go
+++ b/io/tgcommand/platform_companion.go
@@ -69,6 +69,7 @@
 	engines := tgplatform.NewEngineClient(dialEngine)
 	leader := tgrank.NewLeader()
 	leader.Peers = p.companions
+	leader.OnReport = func(vm string) { p.peers.Heard(vm, time.Now()) }
 	leader.OnTermChange = func(leads bool) { p.followMembers(ctx, leads, leader.NotifyPeersChanged) }
 	leader.Election = &tgplatform.Election{Store: p.store, TTL: max(electionTTL, s.StoreTTLMin)}
 	leader.Engines, leader.Log, leader.Pool, leader.EngineProfile, leader.VM = engines, p, s.EnginePool, p.engineProfile, s.VM
--- a/io/tgfleet/limits_test.go
+++ b/io/tgfleet/limits_test.go
@@ -198,3 +198,21 @@
 	assert.Equal(t, len(peers.Apply(records[:1], now.Add(40*time.Second))), 0) // registered again
 	assert.Equal(t, peers.ServingEntries(now.Add(70*time.Second)), 2)
 }
+
+// Guards against a leader that loses its companions 500 s after they have registered: they send no gossip.
+func TestReportingCompanionsStay(t *testing.T) {
+	t.Parallel()
+	peers := tgfleet.NewPeers("self")
+	now := time.Unix(1000, 0)
+	value, err := tgfleet.Member{Address: limitsAddr(1), Role: tgfleet.RoleCompanion}.Encode()
+	assert.NilError(t, err)
+	assert.Equal(t, len(peers.Apply([]tglogtable.Record{{Key: "vm-1", Value: value}, {Key: "vm-2", Value: value}}, now)), 0)
+	for range 20 {
+		now = now.Add(time.Minute)
+		peers.Heard("vm-1", now)
+		peers.Heard("unknown", now)
+	}
+	companions := peers.List(tgfleet.RoleCompanion, now)
+	assert.Equal(t, len(companions), 1, "%v", companions)
+	assert.Equal(t, companions[0].VM, "vm-1")
+}
--- a/io/tgfleet/peers.go
+++ b/io/tgfleet/peers.go
@@ -87,6 +87,19 @@
 	p.peers[vm] = k
 }
 
+// heardPrecision is that of the times noted by Heard, which is called for each report of a companion.
+const heardPrecision = time.Second
+
+// Heard records that a known peer lives. Companions send no gossip.
+func (p *Peers) Heard(vm string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if k, ok := p.peers[vm]; ok && now.Sub(k.lastHeard) >= heardPrecision {
+		k.lastHeard = now
+		p.peers[vm] = k
+	}
+}
+
 // List returns the peers with a role that are still sent datagrams.
 func (p *Peers) List(role Role, now time.Time) []Member {
 	p.mu.Lock()
--- a/io/tgproxy/exchange.go
+++ b/io/tgproxy/exchange.go
@@ -149,9 +149,7 @@
 		x.kind = answerOK
 	case r.Status >= 200 && r.Status < 300:
 		x.kind, x.detail = answerInvalid, "success status without a signature"
-	case r.Status < 400:
-		x.kind, x.detail = answerInvalid, "status "+strconv.Itoa(r.Status)
-	default:
+	default: // also a redirect, which the upstream has run the request for
 		x.kind, x.detail = answerError, "status "+strconv.Itoa(r.Status)
 	}
 }
--- a/io/tgproxy/status_test.go
+++ b/io/tgproxy/status_test.go
@@ -65,3 +65,30 @@
 		}
 	}
 }
+
+// Guards against an engine's redirect that becomes 502 although the request has run: its status, body and signature belong to
+// the caller.
+func TestRedirectIsPassedOn(t *testing.T) {
+	t.Parallel()
+	b := newTestProxy(t, 0)
+	n := 0
+	for _, code := range []int{301, 302, 303, 307, 308} {
+		e := newCutEngine(t, false, func(r *tghttp.Request) string {
+			return fmt.Sprintf("HTTP/1.1 %d Elsewhere\r\nTanagergrade-Attempt-Id: %s\r\nTanagergrade-Response-Signature: s\r\n"+
+				"Location: /elsewhere\r\nContent-Length: 1\r\n\r\nx", code, r.Header.Get("Tanagergrade-Attempt-Id"))
+		})
+		for _, path := range []string{"/once/x", "/twice/x", "/stream/x"} {
+			n++
+			e.use(b, 1<<10+n)
+			client := b.dial(t)
+			client.send(request("POST", path, fmt.Sprintf("r%04d", n), "{}", streamHeader))
+			r, body, complete := client.receive()
+			assert.Equal(t, r.Status, code, path)
+			assert.Equal(t, r.Header.Get("Tanagergrade-Response-Signature"), "s")
+			assert.Equal(t, r.Header.Get("Location"), "/elsewhere")
+			assert.Assert(t, complete)
+			assert.Equal(t, body, "x")
+			assert.Equal(t, e.received.Load(), int64(1))
+		}
+	}
+}
