Try to save deadly parts as often as the store is tried otherwise

Two engines crashed while the store reset all calls; all daemons were killed 0.3 s after it answered again, before the next try of the write, which came up to 1 s after the one before.

A write without an answer is repeated after 0.4 s at most, as reads are.

io/tgfleet TestSaveSoonAfterStoreIsBack asks for the record 0.5 s after outages of 0.8, 2.1 and 10 s; before, it asked for it within maxSaveRepeat after 0.8 s. It fails without the change (2.1 s).

--- a/io/tgfleet/saver.go
+++ b/io/tgfleet/saver.go
@@ -15,7 +15,7 @@
 
 const (
 	maxSaves          = 16                     // records that are written at the same time
-	maxSaveRepeat     = time.Second            // longest time between two calls of a write
+	maxSaveRepeat     = maxBackoff             // longest time between two calls of a write: as for reads, the store may be back
 	minSaveRepeat     = 150 * time.Millisecond // shortest such time; the store usually takes some milliseconds
 	saveCheckInterval = 100 * time.Millisecond // for what is saved late
 	saveRetryPause    = time.Second            // after the store has taken a record that can't be applied
--- a/io/tgfleet/saver_test.go
+++ b/io/tgfleet/saver_test.go
@@ -127,18 +127,20 @@
 }
 
 // Guards against crashes that are forgotten when all entries end some time after the store is back: calls that it has not
-// answered kept the write from being tried again.
+// answered kept the write from being tried again, or it was tried only once a second after a longer outage (soak 700020).
 func TestSaveSoonAfterStoreIsBack(t *testing.T) {
-	const silent = 800 * time.Millisecond
-	store := &slowStore{silent: silent}
-	save(t, store, func(t *testing.T, table *tgquarantine.Table) {
-		t.Helper()
-		table.RecordCrash("u1", []string{"dead"}, tgquarantine.ProgressNone, time.Now())
-		time.Sleep(silent + maxSaveRepeat)
-		assert.Equal(t, len(store.newest()), 1)
-		time.Sleep(5 * time.Second)
-		assert.Equal(t, len(store.values), 1, "it is not written again")
-	})
+	const soon = 500 * time.Millisecond
+	for _, silent := range []time.Duration{800 * time.Millisecond, 2100 * time.Millisecond, 10 * time.Second} {
+		store := &slowStore{silent: silent}
+		save(t, store, func(t *testing.T, table *tgquarantine.Table) {
+			t.Helper()
+			table.RecordCrash("u1", []string{"dead"}, tgquarantine.ProgressNone, time.Now())
+			time.Sleep(silent + soon)
+			assert.Equal(t, len(store.newest()), 1, "after %v", silent)
+			time.Sleep(5 * time.Second)
+			assert.Equal(t, len(store.values), 1, "it is not written again")
+		})
+	}
 }
 
 // Guards against crashes that are forgotten when all entries end, because a call that the store carries out late puts an
