Serve stand-ins by one function each; show the era beside quarantines

Five tests started the emulated store and four a server of raw connections by the same lines, and two queries connected alike. tgemulator.Store.ServeLoopback, tgstandin.ServeConns and one method of tgquery do that now. platform quarantine list says in which era the store is.

--- a/io/tgcommand/platform_quarantine_list.go
+++ b/io/tgcommand/platform_quarantine_list.go
@@ -32,11 +32,17 @@
 	if err != nil {
 		return err
 	}
-	parts, err := readQuarantine(cmd.Context(), newPlatformStore(addresses[0]))
+	store := newPlatformStore(addresses[0])
+	parts, err := readQuarantine(cmd.Context(), store)
 	if err != nil {
 		return err
 	}
-	return c.platform.output.Write(c.stdout, parts, func(w io.Writer) { printQuarantine(w, parts) })
+	return c.platform.output.Write(c.stdout, parts, func(w io.Writer) {
+		printQuarantine(w, parts)
+		if era := store.Eras().Era(); era > 0 {
+			fmt.Fprintf(w, "The store is in era %d.\n", era)
+		}
+	})
 }
 
 func printQuarantine(w io.Writer, parts []quarantinedPart) {
--- a/io/tgcommand/platform_quarantine_test.go
+++ b/io/tgcommand/platform_quarantine_test.go
@@ -3,7 +3,7 @@
 import (
 	"bytes"
 	"io"
-	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -19,10 +19,8 @@
 // Guards against quarantines that operators cannot see or end, and against a mistyped part that is reported as released.
 func TestQuarantineCommands(t *testing.T) {
 	store := tgemulator.NewStore()
-	l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // closed below
+	storeAddr, err := store.ServeLoopback(t.Context())
 	assert.NilError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() { _ = store.Serve(l) }() // ends with the listener
 	crash := time.Date(2026, 12, 5, 10, 0, 0, 0, time.UTC)
 	for _, part := range []string{"a1", "b2"} {
 		value, err := cbor.Marshal(tgquarantine.Record{
@@ -44,7 +42,7 @@
 		err := cmd.ExecuteContext(t.Context())
 		return out.String(), err
 	}
-	addr := l.Addr().String()
+	addr := storeAddr.String()
 	listed, err := run("list", addr)
 	assert.NilError(t, err)
 	golden.Assert(t, listed, "platform-quarantine-list.golden")
@@ -56,6 +54,10 @@
 	listed, err = run("list", addr, "--output", "json")
 	assert.NilError(t, err)
 	golden.Assert(t, listed, "platform-quarantine-listJSON.golden")
+	store.SetEra(3)
+	listed, err = run("list", addr)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.HasSuffix(listed, "\nThe store is in era 3.\n"), listed)
 	_, err = run("list", "nowhere")
 	assert.ErrorContains(t, err, "is not an address")
 }
--- a/io/tgcommand/platform_return_test.go
+++ b/io/tgcommand/platform_return_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"net"
 	"net/netip"
 	"strings"
 	"sync"
@@ -47,11 +46,9 @@
 	t.Helper()
 	store := tgemulator.NewStore()
 	store.SetEra(1)
-	l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // closed below
+	addr, err := store.ServeLoopback(t.Context())
 	assert.NilError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() { _ = store.Serve(l) }() // ends with the listener
-	return store, netip.MustParseAddrPort(l.Addr().String())
+	return store, addr
 }
 
 // startEntryOf starts what an entry does with the store.
--- a/io/tgcontrol/client_test.go
+++ b/io/tgcontrol/client_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"tanagergrade/io/tghttp"
+	"tanagergrade/io/tgstandin"
 )
 
 // engine numbers the calls that it gets and answers each with its number.
@@ -30,23 +31,10 @@
 
 func startEngine(t *testing.T, e *engine) *Client {
 	t.Helper()
-	var lc net.ListenConfig
-	l, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	s, err := tgstandin.ServeConns(e.serve)
 	assert.NilError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	e.addr = netip.MustParseAddrPort(l.Addr().String())
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			e.mu.Lock()
-			e.conns++
-			e.mu.Unlock()
-			go e.serve(conn)
-		}
-	}()
+	t.Cleanup(func() { assert.NilError(t, s.Close()) })
+	e.addr = s.Address()
 	return New(func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
 		var d net.Dialer
 		return d.DialContext(ctx, "tcp", addr.String())
@@ -54,7 +42,9 @@
 }
 
 func (e *engine) serve(conn net.Conn) {
-	defer func() { _ = conn.Close() }()
+	e.mu.Lock()
+	e.conns++
+	e.mu.Unlock()
 	br := bufio.NewReader(conn)
 	for last := ""; ; {
 		r, err := tghttp.ReadRequest(br, 64<<10)
--- a/io/tgfleet/fleet_test.go
+++ b/io/tgfleet/fleet_test.go
@@ -27,12 +27,9 @@
 func startStore(t *testing.T) (*tgemulator.Store, *tgplatform.Store) {
 	t.Helper()
 	store := tgemulator.NewStore()
-	var lc net.ListenConfig
-	l, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	addr, err := store.ServeLoopback(t.Context())
 	assert.NilError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() { _ = store.Serve(l) }() // ends with the listener
-	return store, tgplatform.NewStore(netip.MustParseAddrPort(l.Addr().String()), fasthttp.Dial)
+	return store, tgplatform.NewStore(addr, fasthttp.Dial)
 }
 
 // silentLog discards all events.
@@ -59,6 +56,13 @@
 		OnRecovered: func() {}, OnLost: func(error) { view.SetFollowing(false) }, Store: store, Table: table,
 		Topic: tgplatform.TopicOperator, Wait: 500 * time.Millisecond,
 	}
+	run(t, f)
+	return view, table
+}
+
+// run runs a follower until the end of the test.
+func run(t *testing.T, f *tgfleet.Follower) {
+	t.Helper()
 	ctx, stop := context.WithCancel(t.Context())
 	var wg sync.WaitGroup
 	wg.Go(func() { f.Run(ctx) })
@@ -66,7 +70,6 @@
 		stop()
 		wg.Wait()
 	})
-	return view, table
 }
 
 func waitFor(t *testing.T, what string, ok func() bool) {
--- a/io/tgfleet/return_test.go
+++ b/io/tgfleet/return_test.go
@@ -1,9 +1,7 @@
 package tgfleet_test
 
 import (
-	"context"
 	"fmt"
-	"net"
 	"net/netip"
 	"strconv"
 	"sync"
@@ -31,12 +29,9 @@
 	t.Helper()
 	s := &returningStore{Store: tgemulator.NewStore()}
 	s.SetEra(3)
-	var lc net.ListenConfig
-	l, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	var err error
+	s.addr, err = s.ServeLoopback(t.Context())
 	assert.NilError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() { _ = s.Serve(l) }() // ends with the listener
-	s.addr = netip.MustParseAddrPort(l.Addr().String())
 	return s
 }
 
@@ -76,13 +71,7 @@
 		Store:     tgplatform.NewStore(s.addr, fasthttp.Dial, tgplatform.WithEras(r.eras)), Table: table,
 		Topic: tgplatform.TopicOperator, Wait: 500 * time.Millisecond,
 	}
-	ctx, stop := context.WithCancel(t.Context())
-	var wg sync.WaitGroup
-	wg.Go(func() { f.Run(ctx) })
-	t.Cleanup(func() {
-		stop()
-		wg.Wait()
-	})
+	run(t, f)
 	return r, table
 }
 
--- a/io/tgproxy/harness_test.go
+++ b/io/tgproxy/harness_test.go
@@ -17,6 +17,7 @@
 	"tanagergrade/core/tgcatalog"
 	"tanagergrade/io/tghttp"
 	"tanagergrade/io/tgproxy"
+	"tanagergrade/io/tgstandin"
 	tgplatform "tanagergrade/platform"
 	"tanagergrade/platform/tgemulator"
 )
@@ -188,6 +189,15 @@
 	return l
 }
 
+// serveConns starts a server that passes each connection to handle until the end of the test, and returns its address.
+func serveConns(t *testing.T, handle func(conn net.Conn)) netip.AddrPort {
+	t.Helper()
+	s, err := tgstandin.ServeConns(handle)
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.NilError(t, s.Close()) })
+	return s.Address()
+}
+
 // runs returns how often an attempt was run by the engines in total.
 func (b *testProxy) runs(id string) int {
 	n := 0
--- a/io/tgproxy/incarnation_test.go
+++ b/io/tgproxy/incarnation_test.go
@@ -30,25 +30,15 @@
 
 func newRepeatingEngine(t *testing.T, id string) *repeatingEngine {
 	t.Helper()
-	l := listen(t)
-	e := &repeatingEngine{id: id, addr: netip.MustParseAddrPort(l.Addr().String()), runs: map[string]int{}}
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			e.mu.Lock()
-			e.conns++
-			e.mu.Unlock()
-			go e.serve(conn)
-		}
-	}()
+	e := &repeatingEngine{id: id, runs: map[string]int{}}
+	e.addr = serveConns(t, e.serve)
 	return e
 }
 
 func (e *repeatingEngine) serve(conn net.Conn) {
-	defer func() { _ = conn.Close() }()
+	e.mu.Lock()
+	e.conns++
+	e.mu.Unlock()
 	br := bufio.NewReader(conn)
 	for last := ""; ; {
 		r, err := tghttp.ReadRequest(br, 64<<10)
--- a/io/tgproxy/truncated_test.go
+++ b/io/tgproxy/truncated_test.go
@@ -17,30 +17,21 @@
 
 // cutEngine answers each request with the first bytes of an answer and closes the connection.
 type cutEngine struct {
+	addr     netip.AddrPort
 	answer   func(r *tghttp.Request) string
 	cut      atomic.Int64 // bytes of the answer that are sent
-	listener net.Listener
 	received atomic.Int64 // requests
 	reset    bool         // the connection is reset and not closed
 }
 
 func newCutEngine(t *testing.T, reset bool, answer func(r *tghttp.Request) string) *cutEngine {
 	t.Helper()
-	e := &cutEngine{answer: answer, listener: listen(t), reset: reset}
-	go func() {
-		for {
-			conn, err := e.listener.Accept()
-			if err != nil {
-				return
-			}
-			go e.serve(conn)
-		}
-	}()
+	e := &cutEngine{answer: answer, reset: reset}
+	e.addr = serveConns(t, e.serve)
 	return e
 }
 
 func (e *cutEngine) serve(conn net.Conn) {
-	defer func() { _ = conn.Close() }()
 	br := bufio.NewReader(conn)
 	r, err := tghttp.ReadRequest(br, 8<<10)
 	if err != nil {
@@ -64,7 +55,7 @@
 	b.catalog.mu.Lock()
 	defer b.catalog.mu.Unlock()
 	b.catalog.upstreams = []tgcatalog.Upstream{{
-		Address: netip.MustParseAddrPort(e.listener.Addr().String()), ID: fmt.Sprintf("cut%d", cut), Pool: "pool",
+		Address: e.addr, ID: fmt.Sprintf("cut%d", cut), Pool: "pool",
 		Slots: 10, State: tgcatalog.StateReady,
 	}}
 }
--- a/io/tgquery/dump.go
+++ b/io/tgquery/dump.go
@@ -27,11 +27,7 @@
 }
 
 func (c *config) runDump(cmd *cobra.Command, args []string) error {
-	addresses, err := tgflag.ParseAddresses(args)
-	if err != nil {
-		return err
-	}
-	client, err := c.keys.Client()
+	addresses, client, err := c.connect(args)
 	if err != nil {
 		return err
 	}
--- a/io/tgquery/status.go
+++ b/io/tgquery/status.go
@@ -11,7 +11,6 @@
 	"github.com/spf13/cobra"
 
 	"tanagergrade/io/tgadmin"
-	"tanagergrade/io/tgflag"
 )
 
 type statusEntry struct {
@@ -36,11 +35,7 @@
 }
 
 func (c *config) runStatus(cmd *cobra.Command, args []string) error {
-	addresses, err := tgflag.ParseAddresses(args)
-	if err != nil {
-		return err
-	}
-	client, err := c.keys.Client()
+	addresses, client, err := c.connect(args)
 	if err != nil {
 		return err
 	}
--- a/io/tgstandin/fault.go
+++ b/io/tgstandin/fault.go
@@ -4,10 +4,8 @@
 	"bufio"
 	"fmt"
 	"net"
-	"net/netip"
 	"sync/atomic"
 
-	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 )
 
@@ -21,10 +19,10 @@
 
 // FixedReplyServer counts the requests that reach it and answers each with the same bytes, which need not be valid HTTP.
 type FixedReplyServer struct {
-	Conns     atomic.Int64
+	*ConnServer
+
 	Requests  atomic.Int64
 	keepAlive bool
-	listener  net.Listener
 	replies   []string // one for each request of a connection; the last one also for those after it
 }
 
@@ -41,39 +39,13 @@
 }
 
 func serveReplies(replies []string, keepAlive bool) (*FixedReplyServer, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0") //nolint:noctx // a listener has no context
-	if err != nil {
-		return nil, errors.Wrap(err, "listen on loopback")
-	}
-	s := &FixedReplyServer{keepAlive: keepAlive, listener: listener, replies: replies}
-	go s.accept()
-	return s, nil
-}
-
-// Address returns the address served.
-func (s *FixedReplyServer) Address() netip.AddrPort {
-	address, _ := s.listener.Addr().(*net.TCPAddr)
-	return address.AddrPort()
-}
-
-// Close stops accepting connections.
-func (s *FixedReplyServer) Close() error {
-	return errors.Wrap(s.listener.Close(), "close listener")
-}
-
-func (s *FixedReplyServer) accept() {
-	for {
-		c, err := s.listener.Accept()
-		if err != nil {
-			return
-		}
-		s.Conns.Add(1)
-		go s.serve(c)
-	}
+	s := &FixedReplyServer{keepAlive: keepAlive, replies: replies}
+	var err error
+	s.ConnServer, err = ServeConns(s.serve)
+	return s, err
 }
 
 func (s *FixedReplyServer) serve(c net.Conn) {
-	defer c.Close() //nolint:errcheck // the fault is the point
 	r := bufio.NewReader(c)
 	for i := 0; ; i++ {
 		var req fasthttp.Request
