--- a/core/tgmapchange/explore_test.go
+++ b/core/tgmapchange/explore_test.go
@@ -47,6 +47,7 @@
 	late     float64 // share of orders that have no answer and are carried out seconds later
 	lost     float64 // share of orders or answers that are lost
 	repeated float64 // share of reports of which a copy comes in place of the next one
+	returns  float64 // share of changes of the leader after a return of the store; 0 if it never returns
 	stray    float64 // share of orders that get a copy of the rank's last answer instead of their own, and answers that come twice
 	unfenced bool    // ranks take orders with any token
 }
@@ -59,6 +60,7 @@
 	inFlight []delivery
 	leaders  []*modelLeader
 	now      time.Time
+	election modelElection
 	rand     *rand.Rand
 
 	// Used where reports may be repeated.
@@ -257,8 +259,11 @@
 	switch x.rand.IntN(1200) {
 	case 0, 1:
 		token := int64(len(x.leaders) + 1)
+		if x.returns > 0 {
+			token = x.election.next(x.returns)
+		}
 		x.leaders = append(x.leaders, &modelLeader{
-			id: len(x.leaders), rank: x.rand.IntN(modelRanks), token: token, version: token << 20,
+			id: len(x.leaders), rank: x.rand.IntN(modelRanks), token: token, version: FirstVersion(token),
 		})
 	case 2, 3:
 		l := x.leaders[x.rand.IntN(len(x.leaders))]
@@ -273,11 +278,32 @@
 	}
 }
 
+// modelElection is the election of the leaders where the store returns from older copies: it gives out generations again, in
+// another era, and a new leader may begin while the one before leads on.
+type modelElection struct {
+	era        int64
+	generation int64
+	rand       *rand.Rand // of its own, so that earlier seeds play the same runs
+}
+
+const modelGenerationBits = 24 // of a token, below the era
+
+// next returns the token of the next leader, as the ranks see it. The store has returned before with probability p.
+func (e *modelElection) next(p float64) int64 {
+	e.generation++
+	if e.rand.Float64() < p {
+		e.era++
+		e.generation = e.rand.Int64N(e.generation) + 1
+	}
+	return e.era<<modelGenerationBits + e.generation
+}
+
 func explore(seed uint64, d disturbances, length time.Duration) *exploration {
 	x := &exploration{disturbances: d, now: time.Unix(1000, 0), rand: rand.New(rand.NewPCG(seed, 1))}
 	x.group = newModelGroup(modelRanks, x.now)
 	x.group.unfenced = d.unfenced
 	x.leaders = []*modelLeader{{token: 1, version: 1 << 20}}
+	x.election = modelElection{generation: 1, rand: rand.New(rand.NewPCG(seed, 2))}
 	for end := x.now.Add(length); x.now.Before(end) && x.group.violation == ""; x.now = x.now.Add(modelTick) {
 		x.injectFaults()
 		x.deliver()
@@ -291,7 +317,7 @@
 
 // Guards against a pass that begins while two ranks have different maps, when orders or answers are lost, orders are
 // carried out seconds later, a copy of an earlier answer or report comes in place of the next one or an answer comes twice,
-// leaders freeze and are replaced, and groups idle or restart.
+// leaders freeze and are replaced, groups idle or restart, and the store of the election returns from older copies.
 func TestNoPassWithTwoMaps(t *testing.T) {
 	for name, c := range map[string]disturbances{
 		"noLoss":    {},
@@ -302,6 +328,7 @@
 		"stray":     {stray: 0.1},
 		"strayLate": {late: 0.1, lost: 0.1, stray: 0.1},
 		"repeated":  {late: 0.1, lost: 0.1, repeated: 0.1, stray: 0.1},
+		"returns":   {late: 0.1, lost: 0.1, returns: 0.5, stray: 0.1},
 	} {
 		t.Run(name, func(t *testing.T) { checkSeeds(t, c) })
 	}
