Count all calls of a return when the entries spread their listings

With 300 daemons of the emulator, 30 of them entries, a return of the store cost 253 to 255 calls a second, more than a tenth of the 2,000 that it allows: the time over which the entries list their topics counted a listing for each of four topics, but not the read that shows the return and those after the listings.

--- a/io/tgcommand/platform.go
+++ b/io/tgcommand/platform.go
@@ -189,8 +189,8 @@
 
 const (
 	defaultStoreReads = 2000.0 // calls a second, where the settings do not say what the store allows
-	returnReadShare   = 0.1    // of the allowed calls that listings may take after a return of the store
-	topicsOfEntry     = 4.0
+	returnReadShare   = 0.1    // of the allowed calls that the entries may make together after a return of the store
+	returnCalls       = 12.0   // of an entry then: a read that shows the return, a listing and a read for each of its topics
 )
 
 // listingSpread returns the time over which the entries list their topics after a return of the store.
@@ -200,7 +200,7 @@
 		reads = defaultStoreReads
 	}
 	entries := float64(d.peers.ServingEntries(time.Now()))
-	return time.Duration(entries * topicsOfEntry / (reads * returnReadShare) * float64(time.Second))
+	return time.Duration(entries * returnCalls / (reads * returnReadShare) * float64(time.Second))
 }
 
 // reportRise reports that the store has returned from an older copy of itself.
