Drop answers of another era than the table's

A read that was answered in a new era, or a listing that came late from a former one, changed no table but counted as a sign that the daemon follows the store; the listing was repeated without a pause. Both are followed by a pause and the listing that the return asks for.

io/tgfleet TestStaleAnswers does not end without the change: the follower calls without a pause, so that the test's clock never advances (ended after 10 minutes).

--- a/io/tgfleet/follower.go
+++ b/io/tgfleet/follower.go
@@ -50,6 +50,7 @@
 const (
 	outcomeAbandoned outcome = "abandoned" // the store has returned from a copy
 	outcomeApplied   outcome = "applied"   // the table covers what the store has answered
+	outcomeStale     outcome = "stale"     // the answer is of another era than the table
 	outcomeTrimmed   outcome = "trimmed"   // the store does not have the records any more
 )
 
@@ -81,9 +82,9 @@
 		switch s.outcome {
 		case outcomeAbandoned:
 			continue
-		case outcomeTrimmed:
+		case outcomeStale, outcomeTrimmed:
 			listed = f.isBehind()   // then awaitReturn decides when to list
-			sleep(ctx, relistPause) // the listing may be as old as the records
+			sleep(ctx, relistPause) // the next answer may be as old
 			relistPause = min(2*relistPause, maxBackoff)
 			continue
 		case outcomeApplied:
@@ -146,6 +147,9 @@
 	if err != nil {
 		return step{}, err
 	}
+	if end.Era < f.Table.End().Era {
+		return step{outcome: outcomeStale}, nil
+	}
 	r := f.Table.Return(records, end)
 	if r.OfCopy {
 		f.OnReturned(r)
@@ -183,6 +187,9 @@
 		case a.err != nil:
 			return step{}, a.err
 		}
+		if a.next.Era != from.Era {
+			return step{outcome: outcomeStale}, nil
+		}
 		s := step{changed: f.Table.Apply(a.records, a.next), found: len(a.records) > 0, outcome: outcomeApplied}
 		s.changed = append(s.changed, f.Table.Expire(time.Now())...)
 		return s, nil
--- a/io/tgproxy/serve.go
+++ b/io/tgproxy/serve.go
@@ -89,8 +89,8 @@
 
 // drain stops the server: it accepts connections for drainAcceptPeriod, then ends the accept loop, which closes idle
 // connections, and lets requests finish until only ShutdownReserve is left of the grace period or ended is closed. Requests
-// that come meanwhile are taken only if they can be finished by then; see tgdrain.Forecast.Decide. Those that are not finished nevertheless get an answer
-// that says so, unless their response has begun.
+// that come meanwhile are taken as tgdrain.Forecast.Decide says. Those that are not finished nevertheless get an answer that
+// says so, unless their response has begun.
 func (s *Server) drain(listener net.Listener, abort context.CancelCauseFunc, ended <-chan struct{}) {
 	limits := s.limits.Load()
 	now := time.Now()
