Name listings after what they do to a table

Table.Return, Returned and OnReturns could be read as returning a value; they are ApplyListing, ListingResult and OnBehind.

--- a/core/tglogtable/return.go
+++ b/core/tglogtable/return.go
@@ -41,8 +41,8 @@
 	}
 }
 
-// Returned is what a listing has done to a table.
-type Returned struct {
+// ListingResult is what a listing has done to a table.
+type ListingResult struct {
 	Changed []Record // of the table, removals included
 	End     Position // of the listing
 	Former  Position // end of the table before
@@ -51,16 +51,16 @@
 	Removed int      // removals among Changed, of keys that the listing lacks
 }
 
-// Return applies a listing as Replace does. The first listing of a higher era is of a copy of the log that may be older than
+// ApplyListing applies a listing as Replace does. The first listing of a higher era is of a copy of the log that may be older than
 // the table: what is only older stays as it is, and its key is kept until it is written again.
-func (t *Table) Return(records []Record, end Position) Returned {
+func (t *Table) ApplyListing(records []Record, end Position) ListingResult {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.returnTo(records, end)
+	return t.applyListing(records, end)
 }
 
-func (t *Table) returnTo(records []Record, end Position) Returned {
-	r := Returned{End: end, Former: t.end}
+func (t *Table) applyListing(records []Record, end Position) ListingResult {
+	r := ListingResult{End: end, Former: t.end}
 	switch {
 	case t.end == (Position{}) || end.Era == t.end.Era && !end.Before(t.end):
 		r.Changed = t.replace(records, end)
@@ -72,7 +72,7 @@
 }
 
 // applyCopy applies the first listing of a higher era and adds to result what that does.
-func (t *Table) applyCopy(records []Record, result *Returned) {
+func (t *Table) applyCopy(records []Record, result *ListingResult) {
 	end := result.End.Offset
 	for i := range t.past {
 		t.past[i].gone = t.past[i].gone || t.past[i].Offset >= end
@@ -113,7 +113,7 @@
 }
 
 // lose keeps or removes a key that a listing of a copy lacks.
-func (t *Table) lose(held Record, result *Returned) {
+func (t *Table) lose(held Record, result *ListingResult) {
 	if t.keepFor == 0 {
 		removal := Record{Key: held.Key, Offset: result.End.Offset - 1}
 		t.remember(held, true)
@@ -225,10 +225,10 @@
 
 // Merge applies the records of a peer's table and what it holds in spite of the log. A table that was itself compared with
 // the copy holds what it knows; it takes over keys that it does not know only.
-func (t *Table) Merge(records []Record, end Position, list []Kept) Returned {
+func (t *Table) Merge(records []Record, end Position, list []Kept) ListingResult {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	result := t.returnTo(records, end)
+	result := t.applyListing(records, end)
 	if end.Era != t.end.Era {
 		return result
 	}
--- a/core/tglogtable/return_test.go
+++ b/core/tglogtable/return_test.go
@@ -92,7 +92,7 @@
 				assert.Equal(t, len(table.records) > 0, true, "%d", i)
 			}
 			end := Position{Era: 4, Offset: c.listedEnd}
-			r := table.Return(c.listed, end)
+			r := table.ApplyListing(c.listed, end)
 			assert.Assert(t, r.OfCopy)
 			assert.Equal(t, formatAll(table), c.want)
 			assert.Equal(t, keys(r.Changed), c.changed)
@@ -132,7 +132,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		table := NewTable(WithKeepFor(30*time.Second), WithPast())
 		table.Apply([]Record{put("a", "1", 0), put("b", "1", 1)}, Position{Era: 1, Offset: 2})
-		table.Return(nil, Position{Era: 2})
+		table.ApplyListing(nil, Position{Era: 2})
 		time.Sleep(29 * time.Second)
 		assert.Equal(t, len(table.Expire(time.Now())), 0)
 		table.Apply([]Record{put("b", "2", 0)}, Position{Era: 2, Offset: 1})
@@ -155,7 +155,7 @@
 	assert.Equal(t, formatAll(fresh), "a=1 b=1")
 	records, peerEnd := peer.Records()
 	assert.Equal(t, len(fresh.Merge(records, peerEnd, peer.Kept()).Changed), 0) // the peer is still in the former era
-	peer.Return(ofCopy, end)
+	peer.ApplyListing(ofCopy, end)
 	fresh.Apply([]Record{put("c", "9", 2)}, Position{Era: 2, Offset: 3}) // the peer has not read it yet
 	records, peerEnd = peer.Records()
 	assert.Equal(t, keys(fresh.Merge(records, peerEnd, peer.Kept()).Changed), "a b")
@@ -206,7 +206,7 @@
 		t.Apply(m.log[end.Offset:], m.end())
 		return
 	}
-	t.Return(m.newest(), m.end())
+	t.ApplyListing(m.newest(), m.end())
 }
 
 // Guards against tables that differ from the log after any number of returns, at any point of their reading, once the lost
--- a/core/tglogtable/table.go
+++ b/core/tglogtable/table.go
@@ -32,7 +32,7 @@
 
 // Table holds the newest record of each key. Records may arrive late, twice or from several sources; the higher position
 // wins, so a stale source never overwrites a newer record. After a return of the log from an older copy, the table also holds
-// what the log has lost, see Return. It is safe for concurrent use.
+// what the log has lost, see ApplyListing. It is safe for concurrent use.
 type Table struct {
 	compare   Compare
 	keepFor   time.Duration // for which a key is kept that the log has lost; negative: until it is written again
@@ -125,9 +125,9 @@
 
 // Replace applies a listing of the newest record of each key as of the position end and returns the changes, including
 // removals of keys that the listing lacks. It ignores a listing that is older than the table, since the keys that it
-// lacks may have been written after it. One of a higher era is of a copy: see Return.
+// lacks may have been written after it. One of a higher era is of a copy: see ApplyListing.
 func (t *Table) Replace(records []Record, end Position) []Record {
-	return t.Return(records, end).Changed
+	return t.ApplyListing(records, end).Changed
 }
 
 // replace applies a listing of the table's era.
--- a/io/tgcommand/platform.go
+++ b/io/tgcommand/platform.go
@@ -181,8 +181,8 @@
 		OnRecovered: func() { d.report.Dependency(name, "answers", nil) },
 		OnLost:      func(err error) { d.report.Dependency(name, "lost", err) },
 		OnPanic:     func(err error) { d.report.Dependency(name, "panic", err) },
-		OnReturned:  func(r tglogtable.Returned) { d.reportReturned(topic, r) },
-		OnReturns:   func() {},
+		OnReturned:  func(r tglogtable.ListingResult) { d.reportReturned(topic, r) },
+		OnBehind:    func() {},
 		Pause:       pause, Spread: d.listingSpread, Store: d.store, Table: table, Topic: topic, Wait: wait,
 	}
 }
@@ -210,7 +210,7 @@
 }
 
 // reportReturned reports what became of a topic in a return of the store.
-func (d *platformDaemon) reportReturned(topic string, r tglogtable.Returned) {
+func (d *platformDaemon) reportReturned(topic string, r tglogtable.ListingResult) {
 	d.report.Counters.Add("storeRecordsLost", int64(len(r.Lost)))
 	d.report.Line("topicReturned", tgreport.Fields{
 		"changed": len(r.Changed) - r.Removed, "era": r.End.Era, "formerEnd": r.Former.Offset, "kept": len(r.Lost),
--- a/io/tgcommand/platform_entry.go
+++ b/io/tgcommand/platform_entry.go
@@ -200,7 +200,7 @@
 		e.view.SetFollowing(false)
 		reportLost(err)
 	}
-	f.OnReturns = func() { e.view.SetFollowing(false) }
+	f.OnBehind = func() { e.view.SetFollowing(false) }
 	return f
 }
 
@@ -213,7 +213,7 @@
 		ofCopy = false
 	}
 	reportRecovered, reportLost, reportReturned := f.OnRecovered, f.OnLost, f.OnReturned
-	f.OnReturned = func(r tglogtable.Returned) {
+	f.OnReturned = func(r tglogtable.ListingResult) {
 		ofCopy = true
 		reportReturned(r)
 	}
@@ -235,7 +235,7 @@
 func (e *platformEntry) quarantineFollower() *tgfleet.Follower {
 	f := e.follower(tgplatform.TopicQuarantine, newOwnTable(), quarantineReadWait, 0)
 	reportReturned := f.OnReturned
-	f.OnReturned = func(r tglogtable.Returned) {
+	f.OnReturned = func(r tglogtable.ListingResult) {
 		reportReturned(r)
 		e.quarantine.NoteLost(r.Lost, time.Now())
 	}
--- a/io/tgfleet/exchange.go
+++ b/io/tgfleet/exchange.go
@@ -291,7 +291,7 @@
 
 // applyUpstreams applies a peer's table of upstreams to the view.
 func (x *Exchange) applyUpstreams(t Tables, now time.Time) []tgview.Change {
-	r := x.UpstreamsTable.Return(t.Upstreams, peerPosition(t.UpstreamsEra, t.UpstreamsEnd, x.UpstreamsTable.End()))
+	r := x.UpstreamsTable.ApplyListing(t.Upstreams, peerPosition(t.UpstreamsEra, t.UpstreamsEnd, x.UpstreamsTable.End()))
 	if r.OfCopy {
 		return x.View.ApplyReturned(r.Changed, now)
 	}
--- a/io/tgfleet/follower.go
+++ b/io/tgfleet/follower.go
@@ -24,14 +24,14 @@
 // Follower keeps a table up to date with the records of a topic.
 type Follower struct {
 	Apply       func(changed []tglogtable.Record)
-	Eras        *tgera.Watch                // of the store; nil if it has but one
-	OnLost      func(err error)             // the store stopped answering
-	OnPanic     func(err error)             // records could not be applied because of an unexpected fault; the next ones will be
-	OnRecovered func()                      // the store answers again; called before Apply
-	OnReturned  func(r tglogtable.Returned) // a listing has brought the table to a higher era; called before Apply
-	OnReturns   func()                      // the store has returned from a copy, and the table is of a former era until OnReturned
-	Pause       time.Duration               // after a read that returned records, so that a busy topic is read in batches
-	Spread      func() time.Duration        // time over which the daemons list the topic after a return of the store; nil for none
+	Eras        *tgera.Watch                     // of the store; nil if it has but one
+	OnLost      func(err error)                  // the store stopped answering
+	OnPanic     func(err error)                  // records could not be applied because of an unexpected fault; the next ones will be
+	OnRecovered func()                           // the store answers again; called before Apply
+	OnReturned  func(r tglogtable.ListingResult) // a listing has brought the table to a higher era; called before Apply
+	OnBehind    func()                           // the store has returned from a copy, and the table is of a former era until OnReturned
+	Pause       time.Duration                    // after a read that returned records, so that a busy topic is read in batches
+	Spread      func() time.Duration             // time over which the daemons list the topic after a return of the store; nil for none
 	Store       Store
 	Table       *tglogtable.Table
 	Topic       string
@@ -66,7 +66,7 @@
 	listed, answering := false, false
 	backoff, relistPause := minBackoff, minBackoff
 	for ctx.Err() == nil {
-		if listed && f.awaitReturn(ctx) {
+		if listed && f.awaitListing(ctx) {
 			listed = false
 		}
 		s, err := f.call(ctx, listed, answering)
@@ -83,7 +83,7 @@
 		case outcomeAbandoned:
 			continue
 		case outcomeStale, outcomeTrimmed:
-			listed = f.isBehind()   // then awaitReturn decides when to list
+			listed = f.isBehind()   // then awaitListing decides when to list
 			sleep(ctx, relistPause) // the next answer may be as old
 			relistPause = min(2*relistPause, maxBackoff)
 			continue
@@ -117,13 +117,13 @@
 	}
 }
 
-// awaitReturn reports whether the table is of a former era and has to be listed. Before it does, it waits for a random part
+// awaitListing reports whether the table is of a former era and has to be listed. Before it does, it waits for a random part
 // of Spread, or until a peer has brought the table to the present era.
-func (f *Follower) awaitReturn(ctx context.Context) bool {
+func (f *Follower) awaitListing(ctx context.Context) bool {
 	if !f.isBehind() {
 		return false
 	}
-	f.OnReturns()
+	f.OnBehind()
 	end := time.Now().Add(minBackoff)
 	if f.Spread != nil {
 		end = end.Add(time.Duration(rand.Float64() * float64(f.Spread()))) //nolint:gosec // needs no secrecy
@@ -150,7 +150,7 @@
 	if end.Era < f.Table.End().Era {
 		return step{outcome: outcomeStale}, nil
 	}
-	r := f.Table.Return(records, end)
+	r := f.Table.ApplyListing(records, end)
 	if r.OfCopy {
 		f.OnReturned(r)
 	}
--- a/io/tgfleet/follower_test.go
+++ b/io/tgfleet/follower_test.go
@@ -52,7 +52,7 @@
 			applied := 0
 			f := &Follower{
 				Apply: func([]tglogtable.Record) { applied++ }, Eras: eras, OnLost: func(error) {}, OnRecovered: func() {},
-				OnReturned: func(tglogtable.Returned) {}, OnReturns: func() {}, Store: store, Table: table, Topic: "topic",
+				OnReturned: func(tglogtable.ListingResult) {}, OnBehind: func() {}, Store: store, Table: table, Topic: "topic",
 			}
 			ctx, stop := context.WithCancel(t.Context())
 			go f.Run(ctx)
--- a/io/tgfleet/return_test.go
+++ b/io/tgfleet/return_test.go
@@ -41,7 +41,7 @@
 	view *tgview.View
 
 	mu       sync.Mutex // guards the fields below
-	returned []tglogtable.Returned
+	returned []tglogtable.ListingResult
 	versions []int64 // in force, in this order
 }
 
@@ -61,14 +61,14 @@
 		},
 		Eras:   r.eras,
 		OnLost: func(error) { r.view.SetFollowing(false) }, OnRecovered: func() {},
-		OnReturned: func(x tglogtable.Returned) {
+		OnReturned: func(x tglogtable.ListingResult) {
 			r.mu.Lock()
 			defer r.mu.Unlock()
 			r.returned = append(r.returned, x)
 		},
-		OnReturns: func() { r.view.SetFollowing(false) },
-		Spread:    func() time.Duration { return spread },
-		Store:     tgplatform.NewStore(s.addr, fasthttp.Dial, tgplatform.WithEras(r.eras)), Table: table,
+		OnBehind: func() { r.view.SetFollowing(false) },
+		Spread:   func() time.Duration { return spread },
+		Store:    tgplatform.NewStore(s.addr, fasthttp.Dial, tgplatform.WithEras(r.eras)), Table: table,
 		Topic: tgplatform.TopicOperator, Wait: 500 * time.Millisecond,
 	}
 	run(t, f)
