End the reads of entries at once in the tests of returns

The emulated store ended with the test's context, before the entries' last write that ends their waiting reads: each of three tests waited up to 25 s.

--- a/io/tgcommand/platform_return_test.go
+++ b/io/tgcommand/platform_return_test.go
@@ -46,7 +46,9 @@
 	t.Helper()
 	store := tgemulator.NewStore()
 	store.SetEra(1)
-	addr, err := store.ServeLoopback(t.Context())
+	ctx, stop := context.WithCancel(context.WithoutCancel(t.Context())) // entries end their reads by a last write
+	t.Cleanup(stop)
+	addr, err := store.ServeLoopback(ctx)
 	assert.NilError(t, err)
 	return store, addr
 }
