Tell a reset answer from a whole one while the upload is written

Callers got a part of an answer as the whole one (MIXED): an engine answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: the system reports the failure of a connection to one call only. A long request is written while its answer is read; where the blocked write got the reset, the read after it returned the end of the connection, and that alone decided that an answer without a length is whole. The same happens where the system gives a connection up because the engine reads nothing (ETIMEDOUT).

tghttp.Conn keeps the failure that a write has got. A read that meets the end of the connection first ends the write in progress, whose result shows whether it got a failure, and returns that in place of io.EOF. No time or size decides. EPIPE is no failure: the engine had ended its direction before, so the answer is whole, or another call got the failure.

Evidence: io/tgproxy TestEarlyAnswerCutOff with the emulated engine's new faults (8 MiB uploads, each kind of route, resets at once, after 1, 10 and 50 ms and after 1 MiB was read, a failed request, an engine that reads nothing). TestWholeEarlyAnswer (a proper end before the upload was read, with and without a later reset) held before and holds now.

--- a/io/tgproxy/conns.go
+++ b/io/tgproxy/conns.go
@@ -49,7 +49,8 @@
 
 // upstreamConn is a connection to one incarnation of an upstream; it carries one request at a time.
 type upstreamConn struct {
-	net.Conn
+	*tghttp.Conn
+
 	br          *bufio.Reader
 	openedAt    time.Time
 	expires     time.Time // not reused from then on
@@ -107,8 +108,9 @@
 		p.release(addr)
 		return nil, err
 	}
+	checked := tghttp.NewConn(conn)
 	return &upstreamConn{
-		Conn: conn, br: bufio.NewReaderSize(conn, upstreamBufferBytes), openedAt: time.Now(), lastAttempt: k.id,
+		Conn: checked, br: bufio.NewReaderSize(checked, upstreamBufferBytes), openedAt: time.Now(), lastAttempt: k.id,
 		started: u.Started, upstreamID: u.ID,
 	}, nil
 }
@@ -199,7 +201,7 @@
 // usable reports whether an idle connection can carry a request: it has not expired, the peer has not closed it, and
 // no unsolicited bytes have arrived on it.
 func (c *upstreamConn) usable() bool {
-	return time.Now().Before(c.expires) && tghttp.IsQuiet(c.Conn, c.br)
+	return time.Now().Before(c.expires) && tghttp.IsQuiet(c.NetConn(), c.br)
 }
 
 // hasUnread reports whether the peer has sent bytes that were not read yet.
@@ -219,7 +221,7 @@
 // abort resets the connection and drops what has not left this VM, so that a request does not reach the upstream after
 // it was abandoned.
 func (c *upstreamConn) abort() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+	if tcp, ok := c.NetConn().(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0) // fails only if the connection has ended
 	}
 	_ = c.Close() // the error does not matter, as the connection is not used again
--- a/io/tgproxy/conns_test.go
+++ b/io/tgproxy/conns_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"tanagergrade/io/tghttp"
 )
 
 // Guards against expired idle connections that stay open and count as open, because one that became idle before them may
@@ -18,7 +20,7 @@
 		c, peer := net.Pipe()
 		t.Cleanup(func() { _ = peer.Close() })
 		assert.Assert(t, p.reserve(addr, 0))
-		p.put(addr, &upstreamConn{Conn: c}, idleFor)
+		p.put(addr, &upstreamConn{Conn: tghttp.NewConn(c)}, idleFor)
 	}
 	idle(time.Hour)
 	idle(0)
--- a/io/tgproxy/exchange.go
+++ b/io/tgproxy/exchange.go
@@ -91,11 +91,7 @@
 		x.writeResult <- err
 		return
 	}
-	go func() {
-		bufs := net.Buffers{head, body}
-		_, err := bufs.WriteTo(x.conn.Conn)
-		x.writeResult <- err
-	}()
+	go func() { x.writeResult <- x.conn.WriteBuffers(net.Buffers{head, body}) }()
 }
 
 // readHead reads the answer's head and classifies it. An answer that echoes another attempt's ID belongs to an earlier
--- a/io/tgproxy/harness_test.go
+++ b/io/tgproxy/harness_test.go
@@ -116,6 +116,9 @@
 // proxyOption changes the set-up of a testProxy.
 type proxyOption func(*proxySetup)
 
+// withBodyBytes sets the size of the longest request body.
+func withBodyBytes(n int64) proxyOption { return func(s *proxySetup) { s.config.Limits.BodyBytes = n } }
+
 func withBufferBytes(n int64) proxyOption { return func(s *proxySetup) { s.limits.BufferBytes = n } }
 
 func withDrainGrace(d time.Duration) proxyOption {
