Refuse answers with malformed field names before fasthttp reads them

An answer in whose head or trailer the name of a field held a blank counted as an answer wherever fasthttp reads: callers of the product's own entry got it, or a body that was not the upstream's ("Content-Length : 1" cut it to one byte); the store's, log service's, ranks', peers', VM list's and daemons' answers counted.

Cause: fasthttp drops blanks behind a name, joins a line that begins with a blank to the one before it, and keeps names with a blank inside; nothing after it can tell. Control bytes it refuses. The platform's front end and control calls read with tghttp.ReadResponse, which asks for a token; they refused all of these.

The scanner that checks status lines before fasthttp checks the names in heads and trailers, too, by the same rule as ReadResponse, and follows chunks to find the trailer. It is AnswerScanner now; CheckStatus is CheckAnswers.

--- a/io/tggroup/agent.go
+++ b/io/tggroup/agent.go
@@ -64,7 +64,7 @@
 // tokens orders have to carry.
 func NewAgent(rank int, address netip.AddrPort, lease string, leases Leases) *Agent {
 	c := tghttp.NewClient()
-	c.Dial = tghttp.CheckStatus(func(a string) (net.Conn, error) { return fasthttp.DialTimeout(a, engineCallTimeout) })
+	c.Dial = tghttp.CheckAnswers(func(a string) (net.Conn, error) { return fasthttp.DialTimeout(a, engineCallTimeout) })
 	c.ReadTimeout, c.WriteTimeout = engineCallTimeout, engineCallTimeout
 	return &Agent{address: address, http: c, lease: lease, leases: leases, rank: rank}
 }
--- a/io/tghttp/body.go
+++ b/io/tghttp/body.go
@@ -94,13 +94,8 @@
 	if err != nil {
 		return err
 	}
-	size, _, _ := strings.Cut(line, ";")
-	size = strings.TrimRight(size, " \t")
-	if size == "" || strings.Trim(size, "0123456789abcdefABCDEF") != "" {
-		return syntaxError(statusBadRequest, "chunk size is not a valid hexadecimal number")
-	}
-	if b.remaining, err = strconv.ParseInt(size, 16, 63); err != nil {
-		return syntaxError(statusBadRequest, "chunk size is not a valid hexadecimal number")
+	if b.remaining, err = parseChunkSize(line); err != nil {
+		return err
 	}
 	if b.remaining > 0 {
 		return nil
@@ -113,6 +108,20 @@
 	return nil
 }
 
+// parseChunkSize returns the size of a chunk as the line before it states it.
+func parseChunkSize(line string) (int64, error) {
+	size, _, _ := strings.Cut(line, ";")
+	size = strings.TrimRight(size, " \t")
+	if size == "" || strings.Trim(size, "0123456789abcdefABCDEF") != "" {
+		return 0, syntaxError(statusBadRequest, "chunk size is not a valid hexadecimal number")
+	}
+	n, err := strconv.ParseInt(size, 16, 63)
+	if err != nil {
+		return 0, syntaxError(statusBadRequest, "chunk size is not a valid hexadecimal number")
+	}
+	return n, nil
+}
+
 // Reserver grants memory for bodies.
 type Reserver interface {
 	// Reserve asks for n more bytes; an error means that they are not granted.
--- a/io/tghttp/client.go
+++ b/io/tghttp/client.go
@@ -8,10 +8,11 @@
 	"github.com/valyala/fasthttp"
 )
 
-// NewClient returns a client that sends each request once and takes no answer without a status of HTTP.
+// NewClient returns a client that sends each request once and takes no answer with a status or field name that HTTP does not
+// allow.
 func NewClient() *fasthttp.Client {
 	return &fasthttp.Client{
-		Dial:                      CheckStatus(fasthttp.Dial),
+		Dial:                      CheckAnswers(fasthttp.Dial),
 		MaxIdemponentCallAttempts: 1,
 		NoDefaultUserAgentHeader:  true,
 		RetryIfErr:                NeverRetry,
@@ -27,7 +28,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return newTLSStatusConn(tls.Client(conn, cfg)), nil
+		return newTLSAnswerConn(tls.Client(conn, cfg)), nil
 	}
 	return c
 }
@@ -35,26 +36,26 @@
 // NeverRetry is a RetryIfErr function: a request that has failed may have been carried out.
 func NeverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }
 
-// CheckStatus returns a dial function for clients of fasthttp. On its connections, the read that brings an answer without a
-// status of HTTP fails.
-func CheckStatus(dial fasthttp.DialFunc) fasthttp.DialFunc {
+// CheckAnswers returns a dial function for clients of fasthttp. On its connections, the read that brings a status or field
+// name that HTTP does not allow fails.
+func CheckAnswers(dial fasthttp.DialFunc) fasthttp.DialFunc {
 	return func(addr string) (net.Conn, error) {
 		conn, err := dial(addr)
 		if err != nil {
 			return nil, err
 		}
-		return &statusConn{Conn: conn}, nil
+		return &answerConn{Conn: conn}, nil
 	}
 }
 
-// statusConn checks the status lines that are read from a connection, on which one request follows the answer to another.
-type statusConn struct {
+// answerConn checks the answers that are read from a connection, on which one request follows the answer to another.
+type answerConn struct {
 	net.Conn
-	scanner StatusScanner // of the answer to the last request
+	scanner AnswerScanner // of the answer to the last request
 }
 
 // Read implements net.Conn.
-func (c *statusConn) Read(b []byte) (int, error) {
+func (c *answerConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if scanErr := c.scanner.Scan(b[:n]); scanErr != nil {
 		return 0, scanErr
@@ -63,21 +64,21 @@
 }
 
 // Write implements net.Conn.
-func (c *statusConn) Write(b []byte) (int, error) {
+func (c *answerConn) Write(b []byte) (int, error) {
 	c.scanner.Reset()
 	return c.Conn.Write(b)
 }
 
-// tlsStatusConn is a statusConn over TLS. Its method Handshake tells fasthttp not to add TLS itself.
-type tlsStatusConn struct {
-	statusConn
+// tlsAnswerConn is an answerConn over TLS. Its method Handshake tells fasthttp not to add TLS itself.
+type tlsAnswerConn struct {
+	answerConn
 
 	tls *tls.Conn
 }
 
-func newTLSStatusConn(conn *tls.Conn) *tlsStatusConn {
-	return &tlsStatusConn{statusConn: statusConn{Conn: conn}, tls: conn}
+func newTLSAnswerConn(conn *tls.Conn) *tlsAnswerConn {
+	return &tlsAnswerConn{answerConn: answerConn{Conn: conn}, tls: conn}
 }
 
 // Handshake runs the TLS handshake if it has not run yet.
-func (c *tlsStatusConn) Handshake() error { return c.tls.HandshakeContext(context.Background()) }
+func (c *tlsAnswerConn) Handshake() error { return c.tls.HandshakeContext(context.Background()) }
--- a/io/tghttp/fuzz_test.go
+++ b/io/tghttp/fuzz_test.go
@@ -50,3 +50,26 @@
 		assert.Assert(t, len(body) <= 1<<16)
 	})
 }
+
+// Guards against a check of answers, wherever their bytes are cut, that refuses what ReadResponse and Body take.
+func FuzzAnswerScanner(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab"), 20)
+	f.Add([]byte("HTTP/1.1 100 Continue\r\nX: 1\r\n\r\nHTTP/1.1 200 OK\r\n\r\n X : 1\r\n"), 30)
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;x\r\na\r\n0\r\nX: 1\r\n\r\n"), 55)
+	f.Fuzz(func(t *testing.T, data []byte, cut int) {
+		source := bytes.NewReader(data)
+		br := bufio.NewReader(source)
+		r, err := ReadResponse(br, "GET")
+		if err != nil {
+			return
+		}
+		if _, err := NewBody(br, r.Framing, r.Length).ReadAll(1 << 16); err != nil {
+			return
+		}
+		answer := data[:len(data)-source.Len()-br.Buffered()]
+		cut = min(max(cut, 0), len(answer))
+		var s AnswerScanner
+		assert.NilError(t, s.Scan(answer[:cut]))
+		assert.NilError(t, s.Scan(answer[cut:]))
+	})
+}
--- a/io/tghttp/head.go
+++ b/io/tghttp/head.go
@@ -61,7 +61,7 @@
 		}
 		name, value, ok := strings.Cut(line, ":")
 		if !ok || !isToken(name) {
-			return nil, syntaxError(statusBadRequest, "header line has no valid field name")
+			return nil, errFieldName()
 		}
 		h = append(h, Field{Name: name, Value: strings.Trim(value, " \t")})
 	}
@@ -70,17 +70,26 @@
 // isToken reports whether s is a token in the sense of RFC 9110, as header names and methods must be.
 func isToken(s string) bool {
 	for i := range len(s) {
-		c := s[i]
-		switch {
-		case c >= '0' && c <= '9', c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z':
-		case strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0:
-		default:
+		if !isTokenByte(s[i]) {
 			return false
 		}
 	}
 	return s != ""
 }
 
+func isTokenByte(c byte) bool {
+	switch {
+	case c >= '0' && c <= '9', c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z':
+		return true
+	default:
+		return strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0
+	}
+}
+
+func errFieldName() error {
+	return syntaxError(statusBadRequest, "header line has no valid field name")
+}
+
 // ReadRequest reads a request head of at most maxBytes and determines the framing of its body.
 func ReadRequest(br *bufio.Reader, maxBytes int) (*Request, error) {
 	remaining := maxBytes
@@ -170,7 +179,7 @@
 	switch {
 	case coding != "" && len(lengths) > 0:
 		return "", 0, syntaxError(statusBadRequest, "both Transfer-Encoding and Content-Length")
-	case coding != "" && !strings.EqualFold(coding, "chunked"):
+	case coding != "" && !isChunked(coding):
 		return "", 0, syntaxError(statusNotImplemented, "transfer coding is not supported")
 	case coding != "":
 		return FramingChunked, -1, nil
@@ -189,6 +198,8 @@
 	return FramingLength, n, nil
 }
 
+func isChunked(coding string) bool { return strings.EqualFold(coding, "chunked") }
+
 func parseLength(s string) (int64, error) {
 	for i := range len(s) {
 		if s[i] < '0' || s[i] > '9' {
--- a/io/tghttp/status_test.go
+++ b/io/tghttp/status_test.go
@@ -25,7 +25,7 @@
 			_, err := tghttp.ReadResponse(bufio.NewReader(strings.NewReader(answer)), http.MethodGet)
 			assert.Assert(t, isSyntaxError(err), "read %q: %v", answer, err)
 			for cut := range answer {
-				var s tghttp.StatusScanner
+				var s tghttp.AnswerScanner
 				err := s.Scan([]byte(answer[:cut]))
 				if err == nil {
 					err = s.Scan([]byte(answer[cut:]))
@@ -50,7 +50,7 @@
 		for _, before := range []string{"", "\r\n", informational, informational + informational} {
 			answer := before + tgstandin.ReplyWithStatus(code, "HTTP/1.1 000 x\r\n\r\nHTTP/1.1 000 x\r\n")
 			for cut := range answer {
-				var s tghttp.StatusScanner
+				var s tghttp.AnswerScanner
 				assert.NilError(t, s.Scan([]byte(answer[:cut])), "%q, cut at %d", answer, cut)
 				assert.NilError(t, s.Scan([]byte(answer[cut:])), "%q, cut at %d", answer, cut)
 				s.Reset()
--- a/io/tgupstream/conn.go
+++ b/io/tgupstream/conn.go
@@ -24,7 +24,7 @@
 	idleSince    time.Time            // when the last request ended
 	readErr      error                // error of the last failed read of the current request
 	readTimeout  time.Duration        // limit of each read; zero for none
-	scanner      tghttp.StatusScanner // of the answer to the current request
+	scanner      tghttp.AnswerScanner // of the answer to the current request
 	writtenBytes int64                // bytes of the current request that were written to the socket
 }
 
