Take the end of a TLS connection for an answer's end only if announced

Operators' commands could take a part of a daemon's answer for the whole one: an answer without a length ends with its connection, and anything on the way can end a TCP connection below TLS.

Cause: crypto/tls returns io.EOF where the connection ends between two records, also without the notification by which a peer announces its end. The end of the connection alone decided that the answer was whole, as in the front end.

The read below TLS returns an error of its own in place of io.EOF; crypto/tls returns io.EOF then only after the notification.

Daemons of this project send lengths, so only other servers met this.

--- a/io/tghttp/client.go
+++ b/io/tghttp/client.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 )
 
@@ -28,7 +30,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return newTLSAnswerConn(tls.Client(conn, cfg)), nil
+		return newTLSAnswerConn(tls.Client(&transportConn{Conn: conn}, cfg)), nil
 	}
 	return c
 }
@@ -69,6 +71,22 @@
 	return c.Conn.Write(b)
 }
 
+// errNoCloseNotify means that a peer has not announced the end of what it sends over TLS.
+var errNoCloseNotify = errors.New("connection ended without a TLS close notification")
+
+// transportConn is the connection below TLS. Anybody on the way can end it, so its end is not that of an answer; crypto/tls
+// takes io.EOF between two records for one.
+type transportConn struct{ net.Conn }
+
+// Read implements net.Conn. It returns errNoCloseNotify in place of io.EOF.
+func (c *transportConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if err != nil && errors.Is(err, io.EOF) {
+		err = errNoCloseNotify
+	}
+	return n, err
+}
+
 // tlsAnswerConn is an answerConn over TLS. Its method Handshake tells fasthttp not to add TLS itself.
 type tlsAnswerConn struct {
 	answerConn
