--- a/io/tghttp/client_test.go
+++ b/io/tghttp/client_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/valyala/fasthttp"
 	"gotest.tools/v3/assert"
@@ -15,6 +16,31 @@
 	"tanagergrade/io/tgstandin"
 )
 
+// Guards against a part of an answer that counts as the whole one: the server answers a long request without a length before
+// it has read it and resets the connection while it is still being written.
+func TestClientRefusesEarlyAnswerCutOff(t *testing.T) {
+	t.Parallel()
+	const (
+		longBodyBytes = 8 << 20 // more than the system takes for a server that does not read
+		runs          = 20
+	)
+	for _, bodyBytes := range []int{1, longBodyBytes} {
+		for _, delay := range []time.Duration{0, time.Millisecond, 20 * time.Millisecond} {
+			s, err := tgstandin.NewEarlyResetServer("HTTP/1.1 200 OK\r\n\r\n{}", delay)
+			assert.NilError(t, err)
+			for range runs {
+				req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+				req.Header.SetMethod(fasthttp.MethodPost)
+				req.SetRequestURI("http://" + s.Address().String())
+				req.SetBody(make([]byte, bodyBytes))
+				err := tghttp.NewClient().Do(req, resp)
+				assert.Assert(t, err != nil, "%d bytes, reset after %v: body %q", bodyBytes, delay, resp.Body())
+			}
+			assert.NilError(t, s.Close())
+		}
+	}
+}
+
 // Guards against a part of an answer over TLS that counts as the whole one: without a length, the end of the connection ends
 // the answer only if the server has announced it.
 func TestTLSClientRefusesUnannouncedEnd(t *testing.T) {
