Reset the connection where a broken stream to HTTP/1.0 ends

A caller of HTTP/1.0 took a broken stream for a whole one: its answer has neither a length nor chunks, so the end of the connection ends it.

Cause: the proxy closed the connection of a stream that broke, or that a planned stop cut off, like that of a complete one. It passed on as a proper end what it had itself seen to be none. With HTTP/1.1 the last chunk is missing.

A connection on which such a response is unfinished is reset now, by whichever path it ends.

--- a/io/tgproxy/caller.go
+++ b/io/tgproxy/caller.go
@@ -38,19 +38,38 @@
 	br     *bufio.Reader
 	server *Server
 
-	mu   sync.Mutex // guards the fields below
-	busy bool       // a request is being read or handled
-	used bool       // a request was received
+	mu         sync.Mutex // guards the fields below
+	busy       bool       // a request is being read or handled
+	unfinished bool       // a response whose end is that of the connection has begun and is not complete
+	used       bool       // a request was received
 }
 
 // serve answers requests until the connection ends.
 func (k *callerConn) serve(ctx context.Context) {
-	defer func() { _ = k.conn.Close() }() // the connection ends whether or not this fails
+	defer k.close()
 	defer k.recoverPanic()
 	for ctx.Err() == nil && k.serveRequest(ctx) {
 	}
 }
 
+// close ends the connection. It is reset if a response is unfinished that would look complete otherwise.
+func (k *callerConn) close() {
+	k.mu.Lock()
+	unfinished := k.unfinished
+	k.mu.Unlock()
+	if unfinished {
+		reset(k.conn)
+		return
+	}
+	_ = k.conn.Close() // the connection ends whether or not this fails
+}
+
+func (k *callerConn) setUnfinished(unfinished bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.unfinished = unfinished
+}
+
 // recoverPanic makes an unexpected fault cost only the request that met it: other connections go on.
 func (k *callerConn) recoverPanic() {
 	if r := recover(); r != nil {
--- a/io/tgproxy/conns.go
+++ b/io/tgproxy/conns.go
@@ -220,9 +220,12 @@
 
 // abort resets the connection and drops what has not left this VM, so that a request does not reach the upstream after
 // it was abandoned.
-func (c *upstreamConn) abort() {
-	if tcp, ok := c.NetConn().(*net.TCPConn); ok {
+func (c *upstreamConn) abort() { reset(c.NetConn()) }
+
+// reset closes a connection in such a way that the peer does not take it for the end of what was sent.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0) // fails only if the connection has ended
 	}
-	_ = c.Close() // the error does not matter, as the connection is not used again
+	_ = conn.Close() // the error does not matter, as the connection is not used again
 }
--- a/io/tgproxy/serve.go
+++ b/io/tgproxy/serve.go
@@ -112,7 +112,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for k := range s.callers {
-		_ = k.conn.Close()
+		k.close()
 	}
 }
 
--- a/io/tgproxy/stream.go
+++ b/io/tgproxy/stream.go
@@ -167,6 +167,7 @@
 	a.contentType = x.response.Header.Get("Content-Type")
 	if c.request.Minor == 0 {
 		a.keepAlive = false
+		k.setUnfinished(true)
 		return append(responseHead(x.response, false), "\r\n"...)
 	}
 	b := responseHead(x.response, a.decideKeepAlive())
@@ -187,6 +188,7 @@
 		k.server.recordAnswer(c, x)
 	}
 	err := k.write(b)
+	k.setUnfinished(false)
 	a.keepAlive = a.keepAlive && err == nil
 	k.server.recordCost(c)
 	now := time.Now()
