--- a/io/tghttp/scanner.go
+++ b/io/tghttp/scanner.go
@@ -52,7 +52,7 @@
 			return nil
 		}
 		b = rest
-		if err := s.endLine(strings.TrimSuffix(string(s.line), "\r")); err != nil {
+		if err := s.endLine(bytes.TrimSuffix(s.line, []byte("\r"))); err != nil {
 			return err
 		}
 		s.line, s.name = s.line[:0], nameScanner{}
@@ -70,7 +70,7 @@
 }
 
 // endLine checks a line, which may be cut after maxScannedBytes.
-func (s *AnswerScanner) endLine(line string) error {
+func (s *AnswerScanner) endLine(line []byte) error {
 	switch s.state {
 	case scanStatusLine:
 		return s.endStatusLine(line)
@@ -84,11 +84,11 @@
 	return nil
 }
 
-func (s *AnswerScanner) endStatusLine(line string) error {
-	if line == "" { // fasthttp skips empty lines before a status line
+func (s *AnswerScanner) endStatusLine(line []byte) error {
+	if len(line) == 0 { // fasthttp skips empty lines before a status line
 		return nil
 	}
-	_, status, _, err := parseStatusLine(line)
+	_, status, _, err := parseStatusLine(string(line))
 	if err != nil {
 		return err
 	}
@@ -98,13 +98,15 @@
 }
 
 // endField ends a line of a head or trailer; an empty one ends that.
-func (s *AnswerScanner) endField(line string) error {
-	if line != "" {
+func (s *AnswerScanner) endField(line []byte) error {
+	if len(line) > 0 {
 		if !s.name.isValid() {
 			return errFieldName()
 		}
-		name, value, _ := strings.Cut(line, ":")
-		s.isChunked = s.isChunked || strings.EqualFold(name, "Transfer-Encoding") && isChunked(strings.Trim(value, " \t"))
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		if strings.EqualFold(string(name), "Transfer-Encoding") {
+			s.isChunked = isChunked(string(bytes.Trim(value, " \t")))
+		}
 		return nil
 	}
 	switch {
@@ -121,9 +123,9 @@
 }
 
 // endChunkSize ends the line before a chunk. Where it has no valid size, the parser refuses the answer.
-func (s *AnswerScanner) endChunkSize(line string) {
+func (s *AnswerScanner) endChunkSize(line []byte) {
 	var err error
-	s.chunkLeft, err = parseChunkSize(line)
+	s.chunkLeft, err = parseChunkSize(string(line))
 	switch {
 	case err != nil:
 		s.state = scanDone
