Log a connection that timed out as a truncated stream, not a stalled one

Operators read "stream stalled" and saw stalledStreams rise where the system had given a connection up (ETIMEDOUT): that error counts as a time-out, like the deadline for the next event. Only the deadline is a stall now.

--- a/io/tgproxy/early_test.go
+++ b/io/tgproxy/early_test.go
@@ -105,6 +105,12 @@
 					}
 				}
 				assert.Equal(t, broken, 0, "of %d callers got a part of an answer as the whole one", c.runs())
+				if c.status == failed {
+					return
+				}
+				for _, detail := range b.events.failedAttempts() {
+					assert.Assert(t, strings.Contains(detail, "truncated: "), "operators read %q", detail)
+				}
 			})
 		}
 	}
--- a/io/tgproxy/harness_test.go
+++ b/io/tgproxy/harness_test.go
@@ -54,15 +54,31 @@
 	return c.upstreams
 }
 
-// events records the outcomes of a proxy's requests.
+// events records the outcomes of a proxy's requests and of their failed attempts.
 type events struct {
-	mu     sync.Mutex
-	list   []tgproxy.Event
-	onNext func() // called once, by the next event of a request
+	mu       sync.Mutex // guards the fields below
+	attempts []tgproxy.Event
+	list     []tgproxy.Event
+	onNext   func() // called once, by the next event of a request
 }
 
 // Attempt implements tgproxy.Observer.
-func (o *events) Attempt(tgproxy.Event) {}
+func (o *events) Attempt(e tgproxy.Event) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.attempts = append(o.attempts, e)
+}
+
+// failedAttempts returns the details of the attempts that have failed.
+func (o *events) failedAttempts() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	details := make([]string, len(o.attempts))
+	for i := range o.attempts {
+		details[i] = o.attempts[i].Detail
+	}
+	return details
+}
 
 // Request implements tgproxy.Observer.
 func (o *events) Request(e tgproxy.Event) {
--- a/io/tgproxy/stream.go
+++ b/io/tgproxy/stream.go
@@ -3,9 +3,12 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"tanagergrade/core/tgpicker"
 	"tanagergrade/core/tgquarantine"
 	"tanagergrade/io/tghttp"
@@ -66,7 +69,7 @@
 		return "resumed stream ends without a new event"
 	case x.body.Complete() || err == nil:
 		return ""
-	case isTimeout(err):
+	case errors.Is(err, os.ErrDeadlineExceeded): // the one set for the next event; a connection may also time out by itself
 		k.server.counters.Add("stalledStreams", 1)
 		return "stream stalled: no new event in time"
 	default:
