--- a/io/tgcontrol/client_test.go
+++ b/io/tgcontrol/client_test.go
@@ -35,6 +35,10 @@
 	assert.NilError(t, err)
 	t.Cleanup(func() { assert.NilError(t, s.Close()) })
 	e.addr = s.Address()
+	return newTestClient()
+}
+
+func newTestClient() *Client {
 	return New(func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
 		var d net.Dialer
 		return d.DialContext(ctx, "tcp", addr.String())
--- a/io/tgcontrol/early_test.go
+++ b/io/tgcontrol/early_test.go
@@ -1,9 +1,6 @@
 package tgcontrol
 
 import (
-	"context"
-	"net"
-	"net/netip"
 	"testing"
 	"time"
 
@@ -18,10 +15,7 @@
 	t.Parallel()
 	const runs = 20
 	order := make([]byte, 8<<20) // more than the system takes for an engine that does not read
-	c := New(func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
-		var d net.Dialer
-		return d.DialContext(ctx, "tcp", addr.String())
-	})
+	c := newTestClient()
 	for _, delay := range []time.Duration{0, time.Millisecond, 20 * time.Millisecond} {
 		s, err := tgstandin.NewEarlyResetServer("HTTP/1.1 202 Accepted\r\n\r\n{}", delay)
 		assert.NilError(t, err)
--- a/io/tgcontrol/field_test.go
+++ b/io/tgcontrol/field_test.go
@@ -1,8 +1,6 @@
 package tgcontrol
 
 import (
-	"context"
-	"net"
 	"net/netip"
 	"testing"
 	"time"
@@ -14,20 +12,9 @@
 
 // Guards against an answer to a control call with a malformed field name which counts as one of the engine.
 func TestInvalidFieldName(t *testing.T) {
-	const body = "{}"
-	call := func(server netip.AddrPort) error {
-		c := New(func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
-			var d net.Dialer
-			return d.DialContext(ctx, "tcp", addr.String())
-		})
+	assert.NilError(t, tgstandin.CheckFieldNames("{}", func(server netip.AddrPort) error {
+		c := newTestClient()
 		_, _, err := c.Do(server, Call{Target: "/v1/report", Timeout: time.Second})
 		return err
-	}
-	accepted, err := tgstandin.AcceptedReplies(tgstandin.RepliesWithInvalidField(body), call)
-	assert.NilError(t, err)
-	assert.Equal(t, len(accepted), 0, "%q", accepted)
-	whole := tgstandin.RepliesWithFieldLine("X: 1", body)
-	accepted, err = tgstandin.AcceptedReplies(whole, call)
-	assert.NilError(t, err)
-	assert.DeepEqual(t, accepted, whole)
+	}))
 }
--- a/io/tgcontrol/status_test.go
+++ b/io/tgcontrol/status_test.go
@@ -1,8 +1,6 @@
 package tgcontrol
 
 import (
-	"context"
-	"net"
 	"net/netip"
 	"testing"
 	"time"
@@ -18,10 +16,7 @@
 	for _, code := range tgstandin.InvalidStatuses {
 		s, err := tgstandin.NewFixedReplyServer(tgstandin.ReplyWithStatus(code, "{}"), true)
 		assert.NilError(t, err)
-		c := New(func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
-			var d net.Dialer
-			return d.DialContext(ctx, "tcp", addr.String())
-		})
+		c := newTestClient()
 		for _, do := range []func(netip.AddrPort, Call) (int, []byte, error){c.Do, c.DoCertain} {
 			for _, body := range [][]byte{nil, []byte("{}")} {
 				status, _, err := do(s.Address(), Call{Body: body, Target: "/v1/order", Timeout: time.Second})
--- a/io/tgstandin/field.go
+++ b/io/tgstandin/field.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/netip"
 	"slices"
+
+	"github.com/cockroachdb/errors"
 )
 
 // InvalidFieldLines are header lines whose field names hold a blank or a control byte, are empty or missing, as a server in
@@ -14,7 +16,7 @@
 }
 
 // RepliesWithFieldLine returns replies with status 200 and body that hold a header line, which need not be valid, in each
-// place where lines may stand. The end of the connection ends some of them.
+// place where lines may stand. The last one has neither a length nor chunks and ends with its connection.
 func RepliesWithFieldLine(line, body string) []string {
 	const (
 		chunked = "Transfer-Encoding: chunked\r\n"
@@ -29,11 +31,11 @@
 	return []string{
 		status + line + length + "\r\n" + body,
 		status + length + line + "\r\n" + body,
-		status + "A: b\r\n" + line + "C: d\r\n\r\n" + body,
 		status + chunked + line + "\r\n" + chunks + "\r\n",
 		status + chunked + "\r\n" + chunks + line + "\r\n",
 		status + chunked + "\r\n" + chunks + "A: b\r\n" + line + "\r\n",
 		"HTTP/1.1 103 Early Hints\r\n" + line + "\r\n" + status + length + "\r\n" + body,
+		status + "A: b\r\n" + line + "C: d\r\n\r\n" + body,
 	}
 }
 
@@ -46,20 +48,32 @@
 	return replies
 }
 
-// AcceptedReplies calls a server that answers with each of the replies in turn, and returns those for which call returned no
-// error.
-func AcceptedReplies(replies []string, call func(server netip.AddrPort) error) (accepted []string, err error) {
-	for _, reply := range replies {
-		s, err := NewFixedReplyServer(reply, false)
-		if err != nil {
-			return nil, err
+// CheckInvalidFieldNames returns an error if a client, which call runs, takes a reply with a malformed field name.
+func CheckInvalidFieldNames(body string, call func(server netip.AddrPort) error) error {
+	for _, reply := range RepliesWithInvalidField(body) {
+		if err := callServer(reply, call); err == nil {
+			return errors.Newf("the client takes %q", reply)
 		}
-		if call(s.Address()) == nil {
-			accepted = append(accepted, reply)
-		}
-		if err := s.Close(); err != nil {
-			return nil, err
+	}
+	return nil
+}
+
+// CheckFieldNames is like CheckInvalidFieldNames and also returns an error if the client refuses a reply without such a name.
+func CheckFieldNames(body string, call func(server netip.AddrPort) error) error {
+	for _, reply := range RepliesWithFieldLine("X: 1", body) {
+		if err := callServer(reply, call); err != nil {
+			return errors.Wrapf(err, "the client refuses %q", reply)
 		}
 	}
-	return accepted, nil
+	return CheckInvalidFieldNames(body, call)
+}
+
+// callServer calls a server that answers each request with reply and closes the connection.
+func callServer(reply string, call func(server netip.AddrPort) error) error {
+	s, err := NewFixedReplyServer(reply, false)
+	if err != nil {
+		return err
+	}
+	err = call(s.Address())
+	return errors.CombineErrors(err, s.Close())
 }
