--- a/io/tghttp/conn.go
+++ b/io/tghttp/conn.go
@@ -23,7 +23,8 @@
 	writing sync.Mutex // held by the write in progress
 }
 
-// NewConn returns a Conn over conn. All reads and writes have to go through it.
+// NewConn returns a Conn over conn. All reads and writes have to go through it; IsQuiet looks at conn itself, between two
+// requests.
 func NewConn(conn net.Conn) *Conn { return &Conn{Conn: conn} }
 
 // NetConn returns the connection below.
--- a/io/tgproxy/stream.go
+++ b/io/tgproxy/stream.go
@@ -191,7 +191,9 @@
 		k.server.recordAnswer(c, x)
 	}
 	err := k.write(b)
-	k.setUnfinished(false)
+	if err == nil {
+		k.setUnfinished(false)
+	}
 	a.keepAlive = a.keepAlive && err == nil
 	k.server.recordCost(c)
 	now := time.Now()
