Give daemons of scripts ports that no other test gets meanwhile

Cause: the script's ports were chosen by listening on any port and closing it. Its daemons start seconds later, and until then the system may give the port to a listener or connection of another test.

The ports are below those that the system gives out, and none is chosen twice in a process.

--- a/io/tgcommand/script_test.go
+++ b/io/tgcommand/script_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -12,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -67,13 +69,32 @@
 	})
 }
 
+// Ports of daemons in scripts. They are below those that the system gives to listeners and connections without a port of
+// their own: tests that run at the same time would take them between the choice of a port and the start of its daemon.
+const (
+	firstScriptPort = 20_000
+	scriptPorts     = 12_000
+)
+
+// nextScriptPort counts from firstScriptPort.
+var nextScriptPort atomic.Uint32
+
+// freePort returns a port that nothing listens on and that was not returned before. Processes that run at the same time begin
+// at different ports.
 func freePort() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // a listener has no context
-	if err != nil {
-		return "", err
+	nextScriptPort.CompareAndSwap(0, uint32(1+rand.N(scriptPorts)))
+	for range scriptPorts {
+		port := strconv.Itoa(firstScriptPort + int(nextScriptPort.Add(1)%scriptPorts))
+		listener, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", port)) //nolint:noctx // a listener has no context
+		if errors.Is(err, syscall.EADDRINUSE) {
+			continue
+		}
+		if err != nil {
+			return "", err
+		}
+		return port, listener.Close()
 	}
-	_, port, err := net.SplitHostPort(listener.Addr().String())
-	return port, errors.Join(err, listener.Close())
+	return "", errors.New("no port is free")
 }
 
 // scriptChat runs "chat ADDRESS KEY MODEL": it repeats a chat request to an entry until one is answered in full.
