--- a/review/standin3/crash.go
+++ b/review/standin3/crash.go
@@ -73,7 +73,7 @@
 		return false, err
 	}
 	defer kill()
-	p, err := f.newEntry()
+	p, err := f.newEntry(usualMemory)
 	if err != nil {
 		return false, err
 	}
--- a/review/standin3/engine.go
+++ b/review/standin3/engine.go
@@ -109,6 +109,13 @@
 	return nil
 }
 
+// setBody sets the body of the answers.
+func (e *engine) setBody(body []byte) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.body = body
+}
+
 // setWork sets how long the engine works on a request.
 func (e *engine) setWork(d time.Duration) {
 	e.mu.Lock()
--- a/review/standin3/fleet.go
+++ b/review/standin3/fleet.go
@@ -24,6 +24,7 @@
 	drainTime   = 2 * time.Second         // drainMs
 	stableTime  = 3 * time.Second         // stabilityWindowMs
 	statusOK    = 200
+	usualMemory = 284 // MB of an entry
 	zone        = "z-a"
 )
 
@@ -117,7 +118,7 @@
 }
 
 // newEntry writes the settings of an entry and starts it.
-func (f *fleet) newEntry() (*process, error) {
+func (f *fleet) newEntry(memoryMB int) (*process, error) {
 	ip := fmt.Sprintf("%s.%d", f.subnet, 2+len(f.processes))
 	p := &process{callers: ip + ":8227", fleet: f, name: fmt.Sprintf("entry-%d", len(f.processes))}
 	s := map[string]any{
@@ -127,7 +128,7 @@
 			"stabilityWindowMs": stableTime.Milliseconds(), "stall_ms": 1500,
 		},
 		"heartbeatMs": beat.Milliseconds(), "internalPorts": []int{7340, 7355}, "ip": ip,
-		"limits":   map[string]any{"memoryMb": 284},
+		"limits":   map[string]any{"memoryMb": memoryMB},
 		"listen":   map[string]any{"frontend": p.callers, "ready": ip + ":8220"},
 		"nodeName": p.name,
 		"platform": map[string]any{"address": f.storeAddr, "form": "log", "ttlMinMs": 1000}, "zone": zone,
--- a/review/standin3/leaving.go
+++ b/review/standin3/leaving.go
@@ -40,7 +40,7 @@
 		return false, err
 	}
 	other.setWork(leaveWork)
-	p, err := f.newEntry()
+	p, err := f.newEntry(usualMemory)
 	if err != nil {
 		return false, err
 	}
--- a/review/standin3/upload.go
+++ b/review/standin3/upload.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"time"
 
@@ -11,22 +12,27 @@
 
 const (
 	uploadBytes    = 400_000
-	uploadTime     = 4 * time.Second
-	uploadRequests = 10
-	uploadTimeout  = 6 * time.Second // timeoutMs of the route
+	uploadDeadline = 12 * time.Second
+	uploadRequests = 12
 	uploadSteps    = 40
+	uploadTime     = 4 * time.Second
+	uploadTimeout  = 2500 * time.Millisecond // timeoutMs of the route
+	answerSlack    = 500 * time.Millisecond  // after timeoutMs, by the rule
+	minUnanswered  = 8                       // by the rule
 )
 
-// playUpload plays callers on slow links: the head of a request comes at once, and its body takes a while. The rule is CONFIG.
+// playUpload plays callers who send the head of a request at once and its body in uploadTime; without trouble, they send
+// the body at once. The rule is CONFIG.
 func playUpload(f *fleet, trouble bool) (broken bool, err error) {
 	f.configure([]any{
 		route("once", "non_idempotent", "plain", map[string]any{"timeoutMs": uploadTimeout.Milliseconds()}),
 		route("any", "idempotent", "plain", nil),
 	}, "plain")
-	if _, err := f.newEngine("i-one", "plain", time.Now().Add(-time.Hour)); err != nil {
+	e, err := f.newEngine("i-one", "plain", time.Now().Add(-time.Hour))
+	if err != nil {
 		return false, err
 	}
-	p, err := f.newEntry()
+	p, err := f.newEntry(usualMemory)
 	if err != nil {
 		return false, err
 	}
@@ -38,23 +44,29 @@
 	for range uploadRequests {
 		go func() {
 			q := newRequest("POST", "/once/x", bytes.Repeat([]byte("x"), uploadBytes))
-			q.deadline = 12 * time.Second
+			q.deadline = uploadDeadline
 			a := f.upload(p.callers, q, trouble)
 			a.id = q.id
 			answers <- a
 		}()
 	}
-	unanswered := 0
+	unanswered, never := 0, 0
 	for range uploadRequests {
 		a := <-answers
-		f.record.linef("%s: status %d after %.3f s, %v", a.id, a.status, a.ended.Sub(a.sent).Seconds(), a.err)
-		if a.status == 0 {
+		f.record.linef("%s: status %d, ended %.3f s after it was begun, %v", a.id, a.status, a.ended.Sub(a.sent).Seconds(), a.err)
+		if a.status == 0 || a.ended.Sub(a.sent) > uploadTimeout+answerSlack {
 			unanswered++
 		}
+		if a.status == 0 {
+			never++
+		}
 	}
-	return 2*unanswered > uploadRequests, nil
+	f.record.linef("%d requests, %d without an answer %v after timeoutMs, %d never answered; the engine ran %d", uploadRequests, unanswered,
+		answerSlack, never, len(e.runs()))
+	return never >= minUnanswered && 4*unanswered > uploadRequests, nil
 }
 
+// upload sends a request, its body slowly or at once, and reads the head of the answer.
 func (f *fleet) upload(addr string, q *request, slowly bool) (a answer) {
 	a.sent = time.Now()
 	defer func() { a.ended = time.Now() }()
@@ -64,14 +76,16 @@
 		return a
 	}
 	defer func() { _ = conn.Close() }()
-	_ = conn.SetDeadline(time.Now().Add(q.deadline))
+	if a.err = conn.SetDeadline(time.Now().Add(q.deadline)); a.err != nil {
+		return a
+	}
 	text := q.text()
 	step := len(text)/uploadSteps + 1
 	for len(text) > 0 {
 		n := min(step, len(text))
-		if _, a.err = conn.Write(text[:n]); a.err != nil {
-			a.err = fmt.Errorf("%w, %d bytes of the request left", a.err, len(text))
-			return a
+		if _, err := conn.Write(text[:n]); err != nil { // an answer may have come before
+			a.err = fmt.Errorf("%w, %d bytes of the request left", err, len(text))
+			break
 		}
 		if text = text[n:]; slowly {
 			time.Sleep(uploadTime / uploadSteps)
@@ -79,7 +93,7 @@
 	}
 	r, err := tghttp.ReadResponse(bufio.NewReader(conn), q.method)
 	if err != nil {
-		a.err = err
+		a.err = errors.Join(a.err, err)
 		return a
 	}
 	a.status = r.Status
