--- a/review/standin3/crash.go
+++ b/review/standin3/crash.go
@@ -20,7 +20,7 @@
 	pieceCount    = 40
 	pieceInterval = 50 * time.Millisecond
 	crashAfter    = 825 * time.Millisecond // from the start of the requests to the crash, between two pieces
-	crashRequests = 6
+	crashRequests = 30
 	engineCommand = "engine"
 )
 
@@ -32,14 +32,16 @@
 		return exitNotRun
 	}
 	fmt.Fprintln(os.Stdout, "address", l.Addr())
-	e := &engine{answer: answerUnframed, conns: map[net.Conn]bool{}, id: id}
+	e := &engine{answer: answerUnframed, conns: map[net.Conn]bool{}, id: id, prints: true}
 	e.accept(l)
 	return exitHeld
 }
 
 // answerUnframed writes pieceCount pieces and ends the connection.
 func answerUnframed(e *engine, c net.Conn, r *tghttp.Request, id string) bool {
-	fmt.Fprintln(os.Stdout, "runs", id)
+	if e.prints {
+		fmt.Fprintln(os.Stdout, "runs", id)
+	}
 	kind := "text/plain"
 	if strings.HasPrefix(r.Target, "/stream/") {
 		kind = "text/event-stream"
@@ -49,7 +51,7 @@
 		time.Sleep(pieceInterval)
 		_, err = c.Write([]byte(piece(i)))
 	}
-	if err == nil {
+	if err == nil && e.prints {
 		fmt.Fprintln(os.Stdout, "answered", id)
 	}
 	return false
@@ -68,6 +70,13 @@
 	if _, err := f.newEngine("i-other", "other", time.Now().Add(-time.Hour)); err != nil {
 		return false, err
 	}
+	for i := range soundOnes {
+		e, err := f.newEngine(fmt.Sprintf("i-sound-%d", i), "model", time.Now().Add(-time.Hour))
+		if err != nil {
+			return false, err
+		}
+		e.setAnswer(answerUnframed)
+	}
 	kill, err := f.startEngineProcess("i-crash", "model")
 	if err != nil {
 		return false, err
@@ -105,6 +114,7 @@
 // startEngineProcess starts an engine as a process of its own and registers it. The returned function kills the process.
 func (f *fleet) startEngineProcess(id, service string) (kill func(), err error) {
 	cmd := exec.Command(os.Args[0], engineCommand, id) //nolint:noctx // ended by its id
+	cmd.SysProcAttr = endsWithParent()
 	out, err := cmd.StdoutPipe()
 	if err != nil {
 		return nil, err
--- a/review/standin3/engine.go
+++ b/review/standin3/engine.go
@@ -19,6 +19,7 @@
 // engine is a sound engine of a plain service: it answers each request with its body after a time.
 type engine struct {
 	id      string
+	prints  bool // to the output what it runs
 	service string
 
 	mu       sync.Mutex // guards the fields below
@@ -109,6 +110,13 @@
 	return nil
 }
 
+// setAnswer sets how the engine answers.
+func (e *engine) setAnswer(answer func(e *engine, conn net.Conn, r *tghttp.Request, id string) bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.answer = answer
+}
+
 // setBody sets the body of the answers.
 func (e *engine) setBody(body []byte) {
 	e.mu.Lock()
--- a/review/standin3/fleet.go
+++ b/review/standin3/fleet.go
@@ -24,6 +24,7 @@
 	drainTime   = 2 * time.Second         // drainMs
 	stableTime  = 3 * time.Second         // stabilityWindowMs
 	statusOK    = 200
+	soundOnes   = 5   // engines beside the one that crashes: one of six is a share of 0.17
 	usualMemory = 284 // MB of an entry
 	zone        = "z-a"
 )
@@ -155,6 +156,7 @@
 	p.cmd = exec.Command(program, "platform", "entry") //nolint:noctx // ended by its id
 	p.cmd.Env = append(os.Environ(), "TANAGERGRADE_NODE_FILE="+p.path)
 	p.cmd.Stdout, p.cmd.Stderr = log, log
+	p.cmd.SysProcAttr = endsWithParent()
 	if err := p.cmd.Start(); err != nil {
 		return err
 	}
@@ -167,6 +169,9 @@
 	return nil
 }
 
+// endsWithParent makes a process end when this one is killed.
+func endsWithParent() *syscall.SysProcAttr { return &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} }
+
 func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
 
 func (p *process) kill() {
--- a/review/standin3/leaving.go
+++ b/review/standin3/leaving.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"strings"
 	"sync"
 	"time"
@@ -13,7 +14,7 @@
 	downTime      = 500 * time.Millisecond
 	settleTime    = 8 * time.Second // from the second start of the engine to its leaving
 	leaveTime     = 6 * time.Second // for which it serves on after it has said that it leaves
-	leaveCallers  = 4
+	leaveCallers  = 8
 	leavePause    = 40 * time.Millisecond // of a caller between two requests
 	leaveWork     = 60 * time.Millisecond // of the engine on a request
 	maxLateListed = 20
@@ -35,11 +36,13 @@
 // of day of its machine is ahead at the first start, and right from the second one on. The rule is DRAIN.
 func playLeaving(f *fleet, trouble bool) (broken bool, err error) {
 	f.configure([]any{route("once", "non_idempotent", "plain", nil), route("any", "idempotent", "plain", nil)}, "plain")
-	other, err := f.newEngine("i-other", "plain", time.Now().Add(-time.Hour))
-	if err != nil {
-		return false, err
+	for i := range soundOnes {
+		e, err := f.newEngine(fmt.Sprintf("i-sound-%d", i), "plain", time.Now().Add(-time.Hour))
+		if err != nil {
+			return false, err
+		}
+		e.setWork(leaveWork)
 	}
-	other.setWork(leaveWork)
 	p, err := f.newEntry(usualMemory)
 	if err != nil {
 		return false, err
